--- /dev/null
+++ b/cmd/ebonyscale/demo.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"ebonyscale.example/ebonyscale/internal/bench/demo"
+)
+
+// demoCommand runs the whole system in this one process.
+type demoCommand struct {
+	deployment string
+	seconds    int
+	rate       float64
+	seed       uint64
+	output     outputFlag
+}
+
+func (*demoCommand) Name() string     { return "demo" }
+func (*demoCommand) Synopsis() string { return "run the whole system in this process, with a load" }
+func (*demoCommand) Usage() string {
+	return `ebonyscale demo [-deployment Malabar|Quetzal] [-seconds N] [-rate N] [-seed N] [-output Text|Json]
+
+Starts stand-ins and several nodes in this process on loopback, applies the
+example deployment, sends its callers' mix, and makes one planned change
+half-way: a drain and a role change. Prints what the callers got.
+
+Example:
+  ebonyscale demo -deployment Quetzal -seconds 20
+
+Exit codes: 0 all promises were kept, 1 a promise was broken or the demo could
+not run, 2 wrong usage.
+
+`
+}
+
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.deployment, "deployment", "Malabar", "the example deployment: Malabar or Quetzal")
+	f.IntVar(&c.seconds, "seconds", 20, "how long to send requests")
+	f.Float64Var(&c.rate, "rate", demo.DefaultRate, "requests per second")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the callers' mix")
+	c.output.register(f)
+}
+
+func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.seconds < 1 || c.rate <= 0 {
+		fmt.Fprintln(os.Stderr, "demo: -seconds and -rate must be over 0")
+		return subcommands.ExitUsageError
+	}
+	report, err := demo.Run(ctx, demo.Options{
+		Deployment: c.deployment, Length: time.Duration(c.seconds) * time.Second, Progress: os.Stderr, Seed: c.seed, Rate: c.rate,
+	})
+	if err != nil {
+		return fail("demo", err)
+	}
+	c.output.print(report.Summary(), report.String())
+	if report.Broken() {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/examples/sample.go
@@ -0,0 +1,40 @@
+// Package sample has the example deployments of the first users, at their
+// sizes of today.
+//
+// # Usage
+//
+//	files, err := sample.Files("Malabar")
+package sample
+
+import (
+	"embed"
+	"fmt"
+	"path"
+	"strings"
+
+	"ebonyscale.example/ebonyscale/internal/config/spec"
+)
+
+//go:embed malabar/*.ini quetzal/*.ini
+var directories embed.FS
+
+// Names are the example deployments.
+var Names = []string{"Malabar", "Quetzal"}
+
+// Files returns the files of an example deployment.
+func Files(name string) ([]spec.File, error) {
+	directory := strings.ToLower(name)
+	entries, err := directories.ReadDir(directory)
+	if err != nil {
+		return nil, fmt.Errorf("there is no example deployment %q; there are %s", name, strings.Join(Names, " and "))
+	}
+	var files []spec.File
+	for _, e := range entries {
+		data, err := directories.ReadFile(path.Join(directory, e.Name()))
+		if err != nil {
+			return nil, fmt.Errorf("read example: %w", err)
+		}
+		files = append(files, spec.File{Name: e.Name(), Data: data})
+	}
+	return files, nil
+}
--- /dev/null
+++ b/internal/bench/load/result.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ebonyscale.example/ebonyscale/internal/route/retry"
+)
+
+// Result is what became of a trace.
+type Result struct {
+	Outcomes []Outcome
+	Took     time.Duration
+}
+
+// Row is the summary of a kind of requests.
+type Row struct {
+	Kind     string
+	Requests int
+	Whole    int
+	InTime   int
+	// NotRun, Unknown and Lost count the requests without an answer by what
+	// their callers know of them.
+	NotRun, Unknown, Lost int
+	// Cut counts answers that broke off, Crossed whole answers to another
+	// request.
+	Cut, Crossed int
+	First        Quantiles
+	Gap          Quantiles
+}
+
+// Quantiles are of the times of whole answers.
+type Quantiles struct{ P50, P95, P99 time.Duration }
+
+// Bounds of the histograms, in microseconds.
+const (
+	histogramLeast  = 1
+	histogramMost   = 3_600_000_000
+	histogramDigits = 3
+)
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	return Quantiles{at(50), at(95), at(99)}
+}
+
+// Rows returns a row for each kind that was sent, and one for all.
+func (r *Result) Rows() []Row {
+	var rows []Row
+	for _, kind := range Kinds {
+		row := r.row(kind.String(), func(o Outcome) bool { return o.Entry.Kind() == kind })
+		if row.Requests > 0 {
+			rows = append(rows, row)
+		}
+	}
+	return append(rows, r.row("All", func(Outcome) bool { return true }))
+}
+
+// All returns the row of all requests.
+func (r *Result) All() Row { return r.row("All", func(Outcome) bool { return true }) }
+
+func (r *Result) row(name string, in func(Outcome) bool) Row {
+	row := Row{Kind: name}
+	first := hdrhistogram.New(histogramLeast, histogramMost, histogramDigits)
+	gap := hdrhistogram.New(histogramLeast, histogramMost, histogramDigits)
+	for _, o := range r.Outcomes {
+		if !in(o) {
+			continue
+		}
+		row.count(o)
+		if !o.Whole || o.Entry.PromptTokens == 0 {
+			continue
+		}
+		_ = first.RecordValue(max(o.First.Microseconds(), 1))
+		for _, g := range o.Gaps {
+			_ = gap.RecordValue(max(g.Microseconds(), 1))
+		}
+	}
+	row.First, row.Gap = quantiles(first), quantiles(gap)
+	return row
+}
+
+func (row *Row) count(o Outcome) {
+	row.Requests++
+	switch {
+	case o.Cut:
+		row.Cut++
+	case o.Whole:
+		row.Whole++
+	case o.Lost:
+		row.Lost++
+	case o.Said == retry.NotRun:
+		row.NotRun++
+	default:
+		row.Unknown++
+	}
+	if o.Whole && !o.Right {
+		row.Crossed++
+	}
+	if o.InTime() {
+		row.InTime++
+	}
+}
+
+// Table formats rows.
+func Table(rows []Row) string {
+	var text strings.Builder
+	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "Kind\tRequests\tWhole\tInTime\tNotRun\tUnknown\tLost\tCut\tCrossed\tFirst50\tFirst95\tFirst99\tGap50\tGap95\tGap99\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t\n", r.Kind, r.Requests, r.Whole, r.InTime,
+			r.NotRun, r.Unknown, r.Lost, r.Cut, r.Crossed,
+			ms(r.First.P50), ms(r.First.P95), ms(r.First.P99), ms(r.Gap.P50), ms(r.Gap.P95), ms(r.Gap.P99))
+	}
+	w.Flush()
+	return text.String()
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.1fms", float64(d)/float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/config/keys/keys.go
@@ -0,0 +1,303 @@
+// Package keys decodes INI files into Go structs and reports every fault of
+// a file at once.
+//
+// A section is decoded into a struct whose exported fields are the keys of the
+// section, in the same Pascal case. A field may be a string, a bool, an
+// integer, a float, a time.Duration, a list of strings, or any type that
+// implements encoding.TextUnmarshaler, such as netip.AddrPort. After decoding,
+// the struct is checked by its `validate` tags.
+//
+// # Usage
+//
+//	var faults keys.Faults
+//	file := keys.Load("node.ini", data, &faults)
+//	for _, section := range file.Sections {
+//		settings := Settings{Limit: 10}
+//		section.Decode(&settings, &faults)
+//	}
+//	if err := faults.Err(); err != nil {
+//		return err
+//	}
+//
+// Unknown keys are faults that name the nearest known key; a key or a section
+// given twice is a fault, so that no line of a file is lost silently.
+package keys
+
+import (
+	"bytes"
+	"encoding"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/go-playground/validator/v10"
+	"gopkg.in/ini.v1"
+)
+
+// Fault is one thing wrong in one place of a file.
+type Fault struct {
+	File    string
+	Section string
+	Key     string
+	Value   string
+	// Want says what would be right.
+	Want string
+}
+
+// String formats the fault on one line.
+func (f Fault) String() string {
+	text := f.File
+	if f.Section != "" {
+		text += " [" + f.Section + "]"
+	}
+	if f.Key != "" {
+		text += " " + f.Key + " = " + strconv.Quote(f.Value)
+	}
+	return text + ": " + f.Want
+}
+
+// Faults collects faults. The zero value is empty and ready to use.
+type Faults struct{ List []Fault }
+
+// Add appends a fault.
+func (f *Faults) Add(fault Fault) { f.List = append(f.List, fault) }
+
+// Err returns the faults as one error, or nil if there are none.
+func (f *Faults) Err() error {
+	if len(f.List) == 0 {
+		return nil
+	}
+	return &Error{Faults: f.List}
+}
+
+// Error is the error of a configuration with faults.
+type Error struct{ Faults []Fault }
+
+// Error lists every fault, one a line.
+func (e *Error) Error() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d faults", len(e.Faults))
+	if len(e.Faults) == 1 {
+		text.Reset()
+		text.WriteString("1 fault")
+	}
+	for _, f := range e.Faults {
+		text.WriteString("\n  " + f.String())
+	}
+	return text.String()
+}
+
+// Section is one section of a file.
+type Section struct {
+	File string
+	// Kind is the first word of the section's name, Name is the rest.
+	Kind, Name string
+
+	section *ini.Section
+}
+
+// Title returns the section's name as it stands in the file.
+func (s Section) Title() string { return s.section.Name() }
+
+// File is a parsed file.
+type File struct {
+	Name     string
+	Sections []Section
+}
+
+// Load parses data. Syntax faults and sections given twice are added to
+// faults; a file that cannot be parsed at all has no sections.
+func Load(name string, data []byte, faults *Faults) File {
+	file := File{Name: name}
+	if !utf8.Valid(data) {
+		faults.Add(Fault{File: name, Want: "the file must be UTF-8 text"})
+		return file
+	}
+	if bytes.IndexByte(data, 0) >= 0 {
+		faults.Add(Fault{File: name, Want: "the file must not hold NUL bytes"})
+		return file
+	}
+	options := ini.LoadOptions{
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		AllowNonUniqueSections:     true,
+		SkipUnrecognizableLines:    false,
+	}
+	parsed, err := ini.LoadSources(options, data)
+	if err != nil {
+		faults.Add(Fault{File: name, Want: "the file must be INI text: " + err.Error()})
+		return file
+	}
+	seen := map[string]bool{}
+	for _, section := range parsed.Sections() {
+		if section.Name() == ini.DefaultSection {
+			for _, key := range section.Keys() {
+				faults.Add(Fault{File: name, Key: key.Name(), Value: key.String(), Want: "a key must stand in a section"})
+			}
+			continue
+		}
+		if seen[section.Name()] {
+			faults.Add(Fault{File: name, Section: section.Name(), Want: "a section may be given once"})
+			continue
+		}
+		seen[section.Name()] = true
+		kind, rest, _ := strings.Cut(section.Name(), " ")
+		file.Sections = append(file.Sections, Section{File: name, Kind: kind, Name: strings.TrimSpace(rest), section: section})
+	}
+	return file
+}
+
+// Decode fills the struct that target points to. Keys that are absent keep the
+// values that the struct holds already, which are thereby the defaults.
+func (s Section) Decode(target any, faults *Faults) {
+	value := reflect.ValueOf(target).Elem()
+	fields := map[string]reflect.Value{}
+	var names []string
+	for i := range value.NumField() {
+		field := value.Type().Field(i)
+		if field.Tag.Get("ini") == "-" || !field.IsExported() {
+			continue
+		}
+		fields[field.Name] = value.Field(i)
+		names = append(names, field.Name)
+	}
+	broken := map[string]bool{}
+	for _, key := range s.section.Keys() {
+		field, ok := fields[key.Name()]
+		if !ok {
+			s.fault(faults, key.Name(), key.String(), "this key is not known; the nearest known key is "+Nearest(key.Name(), names))
+			continue
+		}
+		if len(key.ValueWithShadows()) > 1 {
+			broken[key.Name()] = true
+			s.fault(faults, key.Name(), strings.Join(key.ValueWithShadows(), " | "), "a key may be given once")
+			continue
+		}
+		if want := set(field, key.String()); want != "" {
+			broken[key.Name()] = true
+			s.fault(faults, key.Name(), key.String(), want)
+		}
+	}
+	s.validate(target, broken, faults)
+}
+
+func (s Section) fault(faults *Faults, key, value, want string) {
+	faults.Add(Fault{File: s.File, Section: s.Title(), Key: key, Value: value, Want: want})
+}
+
+// validate runs the struct's `validate` tags, passing over fields that have a
+// fault already.
+func (s Section) validate(target any, broken map[string]bool, faults *Faults) {
+	err := validator.New(validator.WithRequiredStructEnabled()).Struct(target)
+	var list validator.ValidationErrors
+	if !errors.As(err, &list) {
+		return
+	}
+	for _, fault := range list {
+		name, _, _ := strings.Cut(fault.Field(), "[")
+		if broken[name] {
+			continue
+		}
+		s.fault(faults, name, fmt.Sprint(fault.Value()), wanted(fault.Tag(), fault.Param()))
+	}
+}
+
+// wanted puts a validation tag into words.
+func wanted(tag, param string) string {
+	switch tag {
+	case "required":
+		return "this key must be given"
+	case "oneof":
+		return "must be one of " + strings.ReplaceAll(param, " ", ", ")
+	case "gt":
+		return "must be over " + param
+	case "gte", "min":
+		return "must be at least " + param
+	case "lte", "max":
+		return "must be at most " + param
+	case "startswith":
+		return "must start with " + param
+	}
+	return strings.TrimSpace("must satisfy " + tag + " " + param)
+}
+
+// set parses text into field. It returns what would be right, or "".
+func set(field reflect.Value, text string) string {
+	if unmarshaler, ok := field.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		if err := unmarshaler.UnmarshalText([]byte(text)); err != nil {
+			return fmt.Sprintf("must be a %s: %v", field.Type().Name(), err)
+		}
+		return ""
+	}
+	if field.Type() == reflect.TypeFor[time.Duration]() {
+		duration, err := time.ParseDuration(text)
+		if err != nil {
+			return "must be a duration such as 540ms or 30s"
+		}
+		field.SetInt(int64(duration))
+		return ""
+	}
+	return setBasic(field, text)
+}
+
+func setBasic(field reflect.Value, text string) string {
+	switch field.Kind() {
+	case reflect.String:
+		field.SetString(text)
+	case reflect.Bool:
+		switch text {
+		case "Yes":
+			field.SetBool(true)
+		case "No":
+			field.SetBool(false)
+		default:
+			return "must be Yes or No"
+		}
+	case reflect.Int, reflect.Int64:
+		number, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return "must be a whole number"
+		}
+		field.SetInt(number)
+	case reflect.Float64:
+		number, err := strconv.ParseFloat(text, 64)
+		if err != nil || number != number || number > 1e300 || number < -1e300 {
+			return "must be a number"
+		}
+		field.SetFloat(number)
+	case reflect.Slice:
+		list := reflect.MakeSlice(field.Type(), 0, 4)
+		for _, word := range strings.Split(text, ",") {
+			word = strings.TrimSpace(word)
+			if word == "" {
+				continue
+			}
+			item := reflect.New(field.Type().Elem()).Elem()
+			if want := set(item, word); want != "" {
+				return "in the list, " + strconv.Quote(word) + " " + want
+			}
+			list = reflect.Append(list, item)
+		}
+		field.Set(list)
+	default:
+		return "has a type that cannot be read"
+	}
+	return ""
+}
+
+// Nearest returns the name with the smallest edit distance to word.
+func Nearest(word string, names []string) string {
+	best, distance := "", -1
+	for _, name := range names {
+		d := levenshtein.ComputeDistance(strings.ToLower(word), strings.ToLower(name))
+		if distance < 0 || d < distance {
+			best, distance = name, d
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/config/spec/parser.go
@@ -0,0 +1,162 @@
+package spec
+
+import (
+	"errors"
+	"sort"
+	"strings"
+	"time"
+
+	"ebonyscale.example/ebonyscale/internal/config/keys"
+)
+
+var errRole = errors.New("must be Mixed, Prefill or Decode")
+
+// Defaults of keys that a file leaves out.
+const (
+	defaultFirstToken   = 540 * time.Millisecond
+	defaultTokenGap     = 50 * time.Millisecond
+	defaultDeadline     = 30 * time.Second
+	defaultKeyRetention = 24 * time.Hour
+	defaultRetryShare   = 0.1
+	defaultLimit        = 10 * time.Second
+	defaultMaxTokens    = 65536
+	defaultKvBytes      = 131072
+	defaultSlots        = 16
+	defaultPrefillRate  = 8000
+	defaultDecodeRate   = 600
+)
+
+var kinds = []string{"Deployment", "Model", "BackendServer", "Service", "Account"}
+
+// parser collects the sections of all files.
+type parser struct {
+	faults     *keys.Faults
+	deployment Deployment
+	// places has the section of each kind and name, for faults found once
+	// everything is read.
+	places map[string]keys.Section
+}
+
+func (p *parser) section(s keys.Section) {
+	if s.Name == "" {
+		p.fault(s, "", "", "a section is named by its kind and its name, such as [Model verdict-llm]")
+		return
+	}
+	if strings.ContainsAny(s.Name, "/ \t") {
+		p.fault(s, "", "", "a name may not hold blanks or slashes")
+		return
+	}
+	place := s.Kind + " " + s.Name
+	if first, ok := p.places[place]; ok {
+		p.fault(s, "", "", "this stands in "+first.File+" already")
+		return
+	}
+	p.places[place] = s
+	switch s.Kind {
+	case "Deployment":
+		p.root(s)
+	case "Model":
+		m := Model{Name: s.Name, MaxTokens: defaultMaxTokens, KvBytes: defaultKvBytes}
+		s.Decode(&m, p.faults)
+		p.deployment.Models = append(p.deployment.Models, m)
+	case "BackendServer":
+		b := BackendServer{Name: s.Name, VM: s.Name, Slots: defaultSlots, PrefillRate: defaultPrefillRate, DecodeRate: defaultDecodeRate}
+		s.Decode(&b, p.faults)
+		p.deployment.Servers = append(p.deployment.Servers, b)
+	case "Service":
+		v := Service{Name: s.Name, Limit: defaultLimit}
+		s.Decode(&v, p.faults)
+		p.deployment.Services = append(p.deployment.Services, v)
+	case "Account":
+		a := Account{Name: s.Name, Share: 1}
+		s.Decode(&a, p.faults)
+		p.deployment.Accounts = append(p.deployment.Accounts, a)
+	default:
+		p.fault(s, "", "", "this kind of section is not known; the nearest known kind is "+keys.Nearest(s.Kind, kinds))
+	}
+}
+
+func (p *parser) root(s keys.Section) {
+	if p.deployment.Name != "" {
+		p.fault(s, "", "", "one directory declares one deployment; "+p.deployment.Name+" stands there already")
+		return
+	}
+	p.deployment.Name = s.Name
+	p.deployment.GoodputWeight = 1
+	p.deployment.RoleChangeWeight = 1
+	p.deployment.FirstToken = defaultFirstToken
+	p.deployment.TokenGap = defaultTokenGap
+	p.deployment.Deadline = defaultDeadline
+	p.deployment.KeyRetention = defaultKeyRetention
+	p.deployment.KeyedWithoutPlatform = "Refuse"
+	p.deployment.RetryShare = defaultRetryShare
+	s.Decode(&p.deployment, p.faults)
+}
+
+func (p *parser) fault(s keys.Section, key, value, want string) {
+	p.faults.Add(keys.Fault{File: s.File, Section: s.Title(), Key: key, Value: value, Want: want})
+}
+
+// finish checks what needs more than one section, and sorts.
+func (p *parser) finish() {
+	d := &p.deployment
+	if d.Name == "" {
+		p.faults.Add(keys.Fault{Want: "one file must have a section [Deployment NAME]"})
+	}
+	sort.Slice(d.Models, func(i, j int) bool { return d.Models[i].Name < d.Models[j].Name })
+	sort.Slice(d.Servers, func(i, j int) bool { return d.Servers[i].Name < d.Servers[j].Name })
+	sort.Slice(d.Services, func(i, j int) bool { return d.Services[i].Name < d.Services[j].Name })
+	sort.Slice(d.Accounts, func(i, j int) bool { return d.Accounts[i].Name < d.Accounts[j].Name })
+	d.servers = make(map[string]int, len(d.Servers))
+	addresses := map[string]string{}
+	for i, b := range d.Servers {
+		d.servers[b.Name] = i
+		p.server(b, addresses)
+	}
+	prefixes := map[string]string{}
+	for _, v := range d.Services {
+		p.service(v, prefixes)
+	}
+}
+
+func (p *parser) server(b BackendServer, addresses map[string]string) {
+	s := p.places["BackendServer "+b.Name]
+	address := b.Address.String()
+	if !b.Address.IsValid() {
+		p.fault(s, "Address", "", "this key must be given, as an IP number and a port")
+	} else if other, ok := addresses[address]; ok {
+		p.fault(s, "Address", address, "this address is "+other+"'s already")
+	}
+	addresses[address] = b.Name
+	if (b.Service == "") == (len(b.Models) == 0) {
+		p.fault(s, "Models", strings.Join(b.Models, ", "), "give either Models or Service")
+	}
+	for _, name := range b.Models {
+		if _, ok := p.deployment.Model(name); !ok {
+			p.fault(s, "Models", name, "no file has a section [Model "+name+"]")
+		}
+	}
+	if b.Service == "" {
+		return
+	}
+	if _, ok := p.places["Service "+b.Service]; !ok {
+		p.fault(s, "Service", b.Service, "no file has a section [Service "+b.Service+"]")
+	}
+}
+
+func (p *parser) service(v Service, prefixes map[string]string) {
+	s := p.places["Service "+v.Name]
+	if other, ok := prefixes[v.Prefix]; ok {
+		p.fault(s, "Prefix", v.Prefix, "this prefix is "+other+"'s already")
+	}
+	prefixes[v.Prefix] = v.Name
+	if strings.HasPrefix(v.Prefix, "/v1/") || v.Prefix == "/" {
+		p.fault(s, "Prefix", v.Prefix, "must not take the paths of the models under /v1/")
+	}
+	for _, pattern := range v.Idempotent {
+		method, path, ok := strings.Cut(pattern, " ")
+		if !ok || method != strings.ToUpper(method) || !strings.HasPrefix(path, v.Prefix) {
+			p.fault(s, "Idempotent", pattern, "must be a method and a path under the prefix, such as GET "+v.Prefix+"*")
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/board/ticket.go
@@ -0,0 +1,121 @@
+package board
+
+import "time"
+
+// Ticket is one request of this process at a backend server.
+type Ticket struct {
+	board   *Board
+	entry   *entry
+	started time.Time
+	first   time.Time
+	// tokens is the prompt less what was cached; ahead is what waited before.
+	tokens, ahead float64
+	streams       int
+	last          time.Time
+}
+
+// Start notes that a request was sent to the named server.
+func (b *Board) Start(now time.Time, name string, prompt int, cached, ahead float64, streams int) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := &Ticket{board: b, started: now, tokens: max(float64(prompt)-cached, 1), ahead: ahead, streams: streams}
+	if e := b.entries[name]; e != nil {
+		t.entry = e
+		e.tickets[t] = struct{}{}
+	}
+	return t
+}
+
+// First notes the first token and learns the engine's prefill rate from it.
+func (t *Ticket) First(now time.Time) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	if !t.first.IsZero() || t.entry == nil {
+		return
+	}
+	t.first, t.last = now, now
+	if t.streams < int(t.entry.server.Slots) {
+		t.entry.first.learn(t.ahead+t.tokens, now.Sub(t.started).Seconds())
+	}
+}
+
+// gapTokens is how many tokens one observation of the gap spans.
+const gapTokens = 16
+
+// Tokens notes that so many tokens have come, for the gap between them.
+func (t *Ticket) Tokens(now time.Time, count int) {
+	if count%gapTokens != 0 {
+		return
+	}
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	if t.entry == nil || t.first.IsZero() {
+		return
+	}
+	gap := now.Sub(t.last).Seconds() / gapTokens
+	t.last = now
+	if count > gapTokens {
+		streams := max(t.entry.load.Running, len(t.entry.tickets))
+		t.entry.gap.learn(float64(streams), gap)
+	}
+}
+
+// End notes that the request has ended, in whatever way.
+func (t *Ticket) End() {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	if t.entry != nil {
+		delete(t.entry.tickets, t)
+	}
+}
+
+// line is a straight line through observations, which forgets old ones. Both
+// its numbers are at least zero.
+type line struct {
+	// The sums are over the weighted observations.
+	weight, x, y, xx, xy float64
+	// at and slope hold until there are enough observations.
+	at, slope float64
+}
+
+const (
+	// keep is the weight of the past against a new observation.
+	keep = 0.98
+	// priorWeight is how many observations the first guess is worth.
+	priorWeight = 4
+)
+
+// start sets the first guess, in seconds.
+func (l *line) start(at, slope float64) {
+	l.at, l.slope = at, slope
+	for _, x := range []float64{0, 2 / max(slope, 1e-9) * 0.1} {
+		l.add(x, at+slope*x, priorWeight/2)
+	}
+}
+
+func (l *line) add(x, y, weight float64) {
+	l.weight += weight
+	l.x += weight * x
+	l.y += weight * y
+	l.xx += weight * x * x
+	l.xy += weight * x * y
+}
+
+// learn takes in an observation and fits the line anew.
+func (l *line) learn(x, y float64) {
+	l.weight, l.x, l.y, l.xx, l.xy = l.weight*keep, l.x*keep, l.y*keep, l.xx*keep, l.xy*keep
+	l.add(x, y, 1)
+	spread := l.weight*l.xx - l.x*l.x
+	if spread > 1e-9*l.weight*l.xx {
+		l.slope = max((l.weight*l.xy-l.x*l.y)/spread, 0)
+	}
+	l.at = max((l.y-l.slope*l.x)/l.weight, 0)
+	if l.at == 0 && l.x > 0 {
+		l.slope = l.y / l.x
+	}
+}
+
+// durations returns the line's value at zero and its slope.
+func (l *line) durations() (time.Duration, time.Duration) {
+	return time.Duration(l.at * float64(time.Second)), time.Duration(l.slope * float64(time.Second))
+}
--- /dev/null
+++ b/internal/node/entry/server.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ebonyscale.example/ebonyscale/internal/config/setup"
+	"ebonyscale.example/ebonyscale/internal/fleet/engine"
+	"ebonyscale.example/ebonyscale/internal/route/retry"
+)
+
+// Names of the header fields towards callers.
+const (
+	DeadlineHeader = "X-Deadline-Ms"
+	PriorityHeader = "X-Priority"
+	AccountHeader  = "X-Account"
+	KeyHeader      = "Idempotency-Key"
+	OutcomeHeader  = "X-Outcome"
+	ReasonHeader   = "X-Reason"
+	IDHeader       = "X-Request-Id"
+)
+
+// maxKey is the largest account name or idempotency key, in bytes.
+const maxKey = 256
+
+// maxPriority bounds the priority on both sides of zero.
+const maxPriority = 9
+
+// Server is the HTTP form of a Core.
+type Server struct {
+	Core   *Core
+	Limits setup.Limits
+
+	http *fasthttp.Server
+}
+
+// Serve answers requests on the listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	return s.http.Serve(listener)
+}
+
+// Prepare makes the server ready for Serve.
+func (s *Server) Prepare() {
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          malformed,
+		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    int(s.Limits.MaxBody),
+		ReadBufferSize:        int(s.Limits.MaxHeader),
+		ReadTimeout:           s.Limits.HeaderTimeout,
+		IdleTimeout:           s.Limits.IdleTimeout,
+		CloseOnShutdown:       true,
+		Logger:                silent{},
+		// Callers' header names go to plain services as they came.
+		DisableHeaderNamesNormalizing: false,
+	}
+}
+
+// Shutdown closes the listener and waits for the requests under way.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("shut down callers' server: %w", err)
+	}
+	return nil
+}
+
+// silent drops what the HTTP library logs of callers' connections.
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+// malformed answers requests that could not be read.
+func malformed(c *fasthttp.RequestCtx, err error) {
+	status, code := 400, "Malformed"
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		status, code = 431, "HeaderTooLarge"
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status, code = 413, "BodyTooLarge"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status, code = 408, "TooSlow"
+	}
+	write(c, refusal(status, retry.NotRun, code, "the request could not be read", 0))
+	c.SetConnectionClose()
+}
+
+func (s *Server) handle(c *fasthttp.RequestCtx) {
+	request, err := read(c, time.Now())
+	if m, ok := asMistake(err); ok {
+		write(c, refusal(m.status, retry.NotRun, m.code, m.detail, 0))
+		return
+	}
+	// The context of the connection is not used: it ends with the handler,
+	// while a streamed answer goes on.
+	write(c, s.Core.Serve(context.Background(), request))
+	if s.Core.closing.Load() {
+		c.SetConnectionClose()
+	}
+}
+
+// write gives the reply to the caller.
+func write(c *fasthttp.RequestCtx, r *Reply) {
+	c.SetStatusCode(r.Status)
+	header := &c.Response.Header
+	for _, f := range r.Fields {
+		header.Add(f.Name, f.Value)
+	}
+	header.Set(OutcomeHeader, r.Outcome.String())
+	if r.ID != "" {
+		header.Set(IDHeader, r.ID)
+	}
+	if r.Reason != "" {
+		header.Set(ReasonHeader, r.Reason)
+	}
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	if r.Streamed {
+		c.SetBodyStream(r.Body, -1)
+		return
+	}
+	defer r.Close()
+	var body bytes.Buffer
+	_, _ = body.ReadFrom(r.Body)
+	c.SetBody(body.Bytes())
+}
+
+// read makes a Request of what the caller sent.
+func read(c *fasthttp.RequestCtx, now time.Time) (Request, error) {
+	header := &c.Request.Header
+	r := Request{Method: string(c.Method()), Path: string(c.RequestURI()), Body: append([]byte(nil), c.PostBody()...)}
+	for _, name := range []string{DeadlineHeader, PriorityHeader, AccountHeader, KeyHeader} {
+		if len(header.PeekAll(name)) > 1 {
+			return r, wrong(400, "DuplicateHeader", "%s was given more than once", name)
+		}
+	}
+	if !strings.HasPrefix(r.Path, "/") || strings.Contains(string(c.Path()), "..") {
+		return r, wrong(400, "BadPath", "the path must begin with a slash")
+	}
+	var err error
+	if r.Deadline, err = readDeadline(string(header.Peek(DeadlineHeader)), now); err != nil {
+		return r, err
+	}
+	if text := string(header.Peek(PriorityHeader)); text != "" {
+		r.Priority, err = strconv.Atoi(text)
+		if err != nil || r.Priority > maxPriority || r.Priority < -maxPriority {
+			return r, wrong(400, "BadHeader", "%s must be a whole number from -%d to %d", PriorityHeader, maxPriority, maxPriority)
+		}
+	}
+	r.Account, r.Key = string(header.Peek(AccountHeader)), string(header.Peek(KeyHeader))
+	if len(r.Account) > maxKey || len(r.Key) > maxKey {
+		return r, wrong(400, "BadHeader", "%s and %s may have %d bytes at most", AccountHeader, KeyHeader, maxKey)
+	}
+	for name, value := range header.All() {
+		if !own(string(name)) {
+			r.Fields = append(r.Fields, engine.Field{Name: string(name), Value: string(value)})
+		}
+	}
+	return r, nil
+}
+
+// own reports whether a header field is not handed on to backend servers,
+// because it is about this connection or this system.
+func own(name string) bool {
+	switch strings.ToLower(name) {
+	case "host", "connection", "content-length", "transfer-encoding", "keep-alive", "upgrade", "te", "trailer", "expect",
+		"proxy-connection", "x-deadline-ms", "x-priority", "x-request-id", "x-resume-offset", "x-phase", "x-kv-from":
+		return true
+	}
+	return false
+}
+
+func readDeadline(text string, now time.Time) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms > math.MaxInt64/int64(time.Millisecond) {
+		return time.Time{}, wrong(400, "BadHeader", "%s must be a whole number of milliseconds", DeadlineHeader)
+	}
+	if ms <= 0 {
+		return time.Time{}, wrong(400, "DeadlinePassed", "%s must be over 0", DeadlineHeader)
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// Operators answers on the operators' address: health, readiness and metrics.
+type Operators struct {
+	Ready func() bool
+	JSON  func() string
+	// SetLevel changes the level of the log.
+	SetLevel func(text string) error
+}
+
+// Handler is the HTTP handler.
+func (o *Operators) Handler(c *fasthttp.RequestCtx) {
+	switch string(c.Path()) {
+	case "/healthz":
+		c.SetBodyString("ok\n")
+	case "/readyz":
+		if !o.Ready() {
+			c.SetStatusCode(503)
+			c.SetBodyString("not ready\n")
+			return
+		}
+		c.SetBodyString("ready\n")
+	case "/debug/vars":
+		c.SetContentType("application/json")
+		c.SetBodyString(o.JSON())
+	case "/log/level":
+		if !c.IsPut() {
+			c.SetStatusCode(405)
+			return
+		}
+		if err := o.SetLevel(string(c.PostBody())); err != nil {
+			c.SetStatusCode(400)
+			c.SetBodyString(err.Error() + "\n")
+		}
+	default:
+		c.SetStatusCode(404)
+	}
+}
+
+// Listen opens a TCP listener.
+func Listen(address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
--- /dev/null
+++ b/internal/peer/link/link.go
@@ -0,0 +1,208 @@
+// Package link carries the messages between the processes of the system over
+// drpc.
+//
+// Client calls other processes over a few kept connections each; Serve answers
+// them. Both count the bytes that pass, since the bytes a process spends on
+// control are bounded.
+//
+// # Usage
+//
+//	client := &link.Client{Meters: set}
+//	answer, err := client.Exchange(ctx, address, gossip)
+//
+//	err := link.Serve(ctx, listener, handler, set)
+//
+// A connection carries one call at a time. Calls that find the kept connection
+// busy open another, so that a long transfer of configuration does not hold up
+// the short exchanges.
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"ebonyscale.example/ebonyscale/internal/node/meter"
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
+)
+
+// Names of the metrics.
+const (
+	BytesIn  = "PeerBytesIn"
+	BytesOut = "PeerBytesOut"
+)
+
+// callTimeout bounds a call, connecting included.
+const callTimeout = 2 * time.Second
+
+// idlePerPeer is how many connections to a process are kept.
+const idlePerPeer = 2
+
+// Client calls other processes. The zero value works once Meters is set.
+type Client struct {
+	Meters *meter.Set
+	// Cut, if set, says which addresses cannot be reached, for experiments.
+	Cut func(address netip.AddrPort) bool
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*drpcconn.Conn
+}
+
+// invoke makes one call on a connection of its own.
+func invoke[Q, A any](ctx context.Context, c *Client, address netip.AddrPort, query Q, method func(wire.DRPCPeerClient, context.Context, Q) (A, error)) (A, error) {
+	var none A
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := c.take(ctx, address)
+	if err != nil {
+		return none, fmt.Errorf("call %s: %w", address, err)
+	}
+	answer, err := method(wire.NewDRPCPeerClient(conn), ctx, query)
+	if err != nil {
+		conn.Close()
+		return none, fmt.Errorf("call %s: %w", address, err)
+	}
+	c.give(address, conn)
+	return answer, nil
+}
+
+func (c *Client) take(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
+	if c.Cut != nil && c.Cut(address) {
+		return nil, fmt.Errorf("connection to %s is cut", address)
+	}
+	c.mu.Lock()
+	list := c.idle[address]
+	for len(list) > 0 {
+		conn := list[len(list)-1]
+		list = list[:len(list)-1]
+		c.idle[address] = list
+		select {
+		case <-conn.Closed():
+			continue
+		default:
+		}
+		c.mu.Unlock()
+		return conn, nil
+	}
+	c.mu.Unlock()
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	return drpcconn.New(&counted{Conn: raw, meters: c.Meters}), nil
+}
+
+func (c *Client) give(address netip.AddrPort, conn *drpcconn.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil {
+		c.idle = map[netip.AddrPort][]*drpcconn.Conn{}
+	}
+	if len(c.idle[address]) >= idlePerPeer {
+		conn.Close()
+		return
+	}
+	c.idle[address] = append(c.idle[address], conn)
+}
+
+// Close closes the kept connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, list := range c.idle {
+		for _, conn := range list {
+			conn.Close()
+		}
+	}
+	c.idle = nil
+}
+
+// Exchange swaps news with a process.
+func (c *Client) Exchange(ctx context.Context, address netip.AddrPort, g *wire.Gossip) (*wire.Gossip, error) {
+	return invoke(ctx, c, address, g, wire.DRPCPeerClient.Exchange)
+}
+
+// Probe asks a process to exchange with another.
+func (c *Client) Probe(ctx context.Context, address netip.AddrPort, q *wire.ProbeQuery) (*wire.ProbeAnswer, error) {
+	return invoke(ctx, c, address, q, wire.DRPCPeerClient.Probe)
+}
+
+// Demand reads what a process was asked for.
+func (c *Client) Demand(ctx context.Context, address netip.AddrPort, q *wire.DemandQuery) (*wire.DemandAnswer, error) {
+	return invoke(ctx, c, address, q, wire.DRPCPeerClient.Demand)
+}
+
+// Pieces reads a process's configuration.
+func (c *Client) Pieces(ctx context.Context, address netip.AddrPort, q *wire.PieceQuery) (*wire.PieceAnswer, error) {
+	return invoke(ctx, c, address, q, wire.DRPCPeerClient.Pieces)
+}
+
+// Status reads a process's status.
+func (c *Client) Status(ctx context.Context, address netip.AddrPort, q *wire.StatusQuery) (*wire.StatusAnswer, error) {
+	return invoke(ctx, c, address, q, wire.DRPCPeerClient.Status)
+}
+
+// Events reads a process's time line.
+func (c *Client) Events(ctx context.Context, address netip.AddrPort, q *wire.EventQuery) (*wire.EventAnswer, error) {
+	return invoke(ctx, c, address, q, wire.DRPCPeerClient.Events)
+}
+
+// Drain tells a process who is leaving.
+func (c *Client) Drain(ctx context.Context, address netip.AddrPort, q *wire.DrainQuery) (*wire.DrainAnswer, error) {
+	return invoke(ctx, c, address, q, wire.DRPCPeerClient.Drain)
+}
+
+// Serve answers calls on the listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, handler wire.DRPCPeerServer, meters *meter.Set) error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, handler); err != nil {
+		return fmt.Errorf("register peer service: %w", err)
+	}
+	err := drpcserver.New(mux).Serve(ctx, &countedListener{Listener: listener, meters: meters})
+	if err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serve peers: %w", err)
+	}
+	return nil
+}
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	meters *meter.Set
+}
+
+// Read implements io.Reader.
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meters.Add(BytesIn, int64(n))
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meters.Add(BytesOut, int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	meters *meter.Set
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &counted{Conn: conn, meters: l.meters}, nil
+}
--- /dev/null
+++ b/internal/route/prefix/prefix.go
@@ -0,0 +1,107 @@
+// Package prefix names the beginnings of prompts, so that a request can be
+// sent to an engine that has the KV cache of its beginning already.
+//
+// A prompt is cut into blocks of BlockBytes. The name of a block is a hash over
+// the prompt up to the block's end, so that equal names mean equal beginnings.
+//
+// # Usage
+//
+//	blocks := prefix.Blocks(nil, prompt)
+//	known.Apply(events)
+//	cached := known.Match(blocks) * prefix.BlockTokens
+//
+// Known follows an engine's cache events. Events arrive late and with gaps: a
+// gap makes the entries older than it doubtful, which halves their worth until
+// an event confirms them, since they may have been evicted.
+package prefix
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/engine"
+)
+
+// Sizes of a block. A token is taken to be four bytes of text.
+const (
+	BytesPerToken = 4
+	BlockTokens   = 256
+	BlockBytes    = BlockTokens * BytesPerToken
+)
+
+// Blocks appends the names of the whole blocks of the prompt to list.
+func Blocks(list []uint64, prompt []byte) []uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for len(prompt) >= BlockBytes {
+		_, _ = digest.Write(prompt[:BlockBytes])
+		list = append(list, digest.Sum64())
+		prompt = prompt[BlockBytes:]
+	}
+	return list
+}
+
+// Known is what is known of one engine's prefix cache. The zero value knows
+// nothing.
+type Known struct {
+	// entries has the sequence number of the event that added a block.
+	entries map[uint64]uint64
+	last    uint64
+	// doubt is the sequence number before which entries may have been evicted
+	// unseen.
+	doubt uint64
+}
+
+// Limit bounds the entries that are kept of one engine.
+const Limit = 4096
+
+// Apply takes in events, oldest first. Events that are old news are passed over.
+func (k *Known) Apply(events []engine.CacheEvent) {
+	if k.entries == nil {
+		k.entries = map[uint64]uint64{}
+	}
+	for _, event := range events {
+		if event.Sequence <= k.last {
+			continue
+		}
+		if event.Sequence != k.last+1 {
+			k.doubt = event.Sequence
+		}
+		k.last = event.Sequence
+		if event.Evicted {
+			delete(k.entries, event.Prefix)
+			continue
+		}
+		k.entries[event.Prefix] = event.Sequence
+	}
+	for name := range k.entries {
+		if len(k.entries) <= Limit {
+			break
+		}
+		delete(k.entries, name)
+	}
+}
+
+// Reset forgets everything, as after the engine's restart.
+func (k *Known) Reset() { *k = Known{} }
+
+// Match returns how many leading blocks the engine is expected to have. A
+// doubtful entry counts a half.
+func (k *Known) Match(blocks []uint64) float64 {
+	if len(blocks) == 0 {
+		return 0
+	}
+	if _, ok := k.entries[blocks[0]]; !ok {
+		return 0
+	}
+	for i := len(blocks) - 1; i >= 0; i-- {
+		sequence, ok := k.entries[blocks[i]]
+		if !ok {
+			continue
+		}
+		if sequence < k.doubt {
+			return float64(i+1) / 2
+		}
+		return float64(i + 1)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/route/retry/retry_test.go
@@ -0,0 +1,62 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/call"
+)
+
+func TestDecide(t *testing.T) {
+	const left = time.Minute
+	cases := []struct {
+		name    string
+		failure Failure
+		again   bool
+		outcome Outcome
+		reason  Reason
+	}{
+		{"never dialled, may not repeat", Failure{Stage: call.StageDialing, Tries: 1, Left: left}, true, NotRun, NoReason},
+		{"refused, may not repeat", Failure{Refused: true, Stage: call.StageReading, Tries: 1, Left: left}, true, NotRun, NoReason},
+		{"half written, may not repeat", Failure{Stage: call.StageWriting, Tries: 1, Left: left}, false, Unknown, MayHaveRun},
+		{"no answer, may not repeat", Failure{Stage: call.StageReading, Tries: 1, Left: left}, false, Unknown, MayHaveRun},
+		{"no answer, repeatable", Failure{Stage: call.StageReading, Repeatable: true, Tries: 1, Left: left}, true, Unknown, NoReason},
+		{"tries used up", Failure{Stage: call.StageDialing, Tries: MaxTries, Left: left}, false, NotRun, TriesUsedUp},
+		{"deadline near", Failure{Stage: call.StageDialing, Tries: 1, Left: time.Millisecond}, false, NotRun, DeadlineNear},
+		{"last try may have run", Failure{Stage: call.StageReading, Repeatable: true, Tries: MaxTries, Left: left}, false, Unknown, TriesUsedUp},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := Decide(c.failure, &Budget{}, 7)
+			assert.Equal(t, c.again, d.Again)
+			assert.Equal(t, c.outcome, d.Outcome)
+			assert.Equal(t, c.reason, d.Reason)
+		})
+	}
+}
+
+func TestBudgetBoundsRetriesToAShare(t *testing.T) {
+	budget := Budget{Share: 0.1}
+	retries := 0
+	for range 10000 {
+		budget.Earn()
+		if Decide(Failure{Tries: 1, Left: time.Minute}, &budget, 0).Again {
+			retries++
+		}
+	}
+	assert.LessOrEqual(t, retries, 10000/10+burst+1)
+	assert.Greater(t, retries, 900)
+}
+
+func TestDelayGrowsAndStaysWithinItsBounds(t *testing.T) {
+	for tries := 1; tries < 10; tries++ {
+		for _, random := range []uint64{0, 1, 1 << 40, 1<<64 - 1} {
+			d := Delay(tries, random)
+			assert.GreaterOrEqual(t, d, firstDelay/2)
+			assert.LessOrEqual(t, d, maxDelay)
+		}
+	}
+	assert.Greater(t, Delay(3, 0), Delay(1, 0))
+}
--- /dev/null
+++ b/internal/stand/platf/platf.go
@@ -0,0 +1,285 @@
+// Package platf is a stand-in for the platform: its object API, its list of
+// VMs and its weight store.
+//
+// A Platform is used directly in tests, where it implements store.API, or
+// behind Handler, which is its HTTP form. Faults are switched on in its Faults:
+// an outage, slow answers, stale reads, and answers that are lost after the
+// write took effect.
+//
+// # Usage
+//
+//	platform := &platf.Platform{Writes: 300, Reads: 2000}
+//	platform.SetVM(store.VM{Name: "entry-1", AvailabilityZone: "calicut", Entry: true})
+//	server := fasthttp.Server{Handler: platform.Handler}
+package platf
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// Faults are the ways in which the platform misbehaves.
+type Faults struct {
+	// Down refuses every call.
+	Down bool
+	// Silent takes calls and never answers; writes take no effect.
+	Silent bool
+	// Delay is added to every answer.
+	Delay time.Duration
+	// LoseAnswers is how many of the next writes take effect and go
+	// unanswered.
+	LoseAnswers int
+	// Stale is how many of the next reads answer with the value before the
+	// last write.
+	Stale int
+}
+
+// Calls counts the calls that were taken.
+type Calls struct{ Reads, Writes, Waits, Refused int64 }
+
+// ErrLost is the error of a call whose answer did not arrive.
+var ErrLost = errors.New("answer lost")
+
+// Platform is the stand-in. The zero value is ready to use and has no rate
+// limits.
+type Platform struct {
+	// Writes and Reads are the limits in calls per second; 0 means none.
+	Writes, Reads float64
+	// ListLag is how late the list of VMs is.
+	ListLag time.Duration
+
+	mu       sync.Mutex
+	faults   Faults
+	calls    Calls
+	revision uint64
+	objects  map[string]store.Object
+	previous map[string]store.Object
+	changed  chan struct{}
+	vms      map[string]store.VM
+	lists    []datedList
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+}
+
+type datedList struct {
+	at   time.Time
+	list store.List
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Calls returns the calls so far.
+func (p *Platform) Calls() Calls {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// admit applies the faults that come before a call, and the rate limit.
+func (p *Platform) admit(ctx context.Context, write bool) error {
+	p.mu.Lock()
+	p.start()
+	f := p.faults
+	limiter, counter := p.reads, &p.calls.Reads
+	if write {
+		limiter, counter = p.writes, &p.calls.Writes
+	}
+	if f.Down || limiter != nil && !limiter.Allow() {
+		p.calls.Refused++
+		p.mu.Unlock()
+		return store.ErrRefused
+	}
+	*counter++
+	p.mu.Unlock()
+	if f.Silent {
+		<-ctx.Done()
+		return errors.Join(ErrLost, ctx.Err())
+	}
+	return sleep(ctx, f.Delay)
+}
+
+// start fills what the zero value lacks.
+func (p *Platform) start() {
+	if p.objects != nil {
+		return
+	}
+	p.objects = map[string]store.Object{}
+	p.previous = map[string]store.Object{}
+	p.vms = map[string]store.VM{}
+	p.changed = make(chan struct{})
+	if p.Writes > 0 {
+		p.writes = rate.NewLimiter(rate.Limit(p.Writes), int(p.Writes)+1)
+	}
+	if p.Reads > 0 {
+		p.reads = rate.NewLimiter(rate.Limit(p.Reads), int(p.Reads)+1)
+	}
+}
+
+// Get implements store.API.
+func (p *Platform) Get(ctx context.Context, key string) (store.Object, error) {
+	if err := p.admit(ctx, false); err != nil {
+		return store.Object{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	object, ok := p.objects[key]
+	if p.faults.Stale > 0 {
+		p.faults.Stale--
+		object, ok = p.previous[key]
+	}
+	if !ok {
+		return store.Object{}, store.ErrAbsent
+	}
+	return object, nil
+}
+
+// Put implements store.API.
+func (p *Platform) Put(ctx context.Context, object store.Object) (uint64, error) {
+	if len(object.Value) > store.MaxValue {
+		return 0, store.ErrTooLarge
+	}
+	if err := p.admit(ctx, true); err != nil {
+		return 0, err
+	}
+	p.mu.Lock()
+	if p.objects[object.Key].Version != object.Version {
+		p.mu.Unlock()
+		return 0, store.ErrConflict
+	}
+	p.revision++
+	if old, ok := p.objects[object.Key]; ok {
+		p.previous[object.Key] = old
+	}
+	value := append([]byte(nil), object.Value...)
+	p.objects[object.Key] = store.Object{Key: object.Key, Value: value, Version: p.revision}
+	if len(value) == 0 {
+		delete(p.objects, object.Key)
+	}
+	version := p.revision
+	close(p.changed)
+	p.changed = make(chan struct{})
+	lost := p.faults.LoseAnswers > 0
+	if lost {
+		p.faults.LoseAnswers--
+	}
+	p.mu.Unlock()
+	if lost {
+		return 0, ErrLost
+	}
+	return version, nil
+}
+
+// Watch implements store.API.
+func (p *Platform) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Page, error) {
+	if err := p.admit(ctx, false); err != nil {
+		return store.Page{}, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		page, changed := p.page(prefix, after)
+		if len(page.Objects) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return page, nil
+		case <-ctx.Done():
+			return store.Page{}, ctx.Err()
+		}
+		p.mu.Lock()
+		p.calls.Waits++
+		p.mu.Unlock()
+	}
+}
+
+func (p *Platform) page(prefix string, after uint64) (store.Page, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	page := store.Page{Revision: p.revision}
+	for key, object := range p.objects {
+		if object.Version > after && strings.HasPrefix(key, prefix) {
+			page.Objects = append(page.Objects, object)
+		}
+	}
+	sort.Slice(page.Objects, func(i, j int) bool { return page.Objects[i].Version < page.Objects[j].Version })
+	return page, p.changed
+}
+
+// SetVM adds a VM to the list or changes it.
+func (p *Platform) SetVM(vm store.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.start()
+	p.vms[vm.Name] = vm
+	p.record()
+}
+
+// RemoveVM takes a VM off the list.
+func (p *Platform) RemoveVM(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.start()
+	delete(p.vms, name)
+	p.record()
+}
+
+// record keeps the list as of now, for readers that see it late.
+func (p *Platform) record() {
+	list := store.List{Revision: uint64(len(p.lists) + 1)}
+	if n := len(p.lists); n > 0 {
+		list.Revision = p.lists[n-1].list.Revision + 1
+	}
+	for _, vm := range p.vms {
+		list.VMs = append(list.VMs, vm)
+	}
+	sort.Slice(list.VMs, func(i, j int) bool { return list.VMs[i].Name < list.VMs[j].Name })
+	p.lists = append(p.lists, datedList{time.Now(), list})
+	for len(p.lists) > 2 && time.Since(p.lists[1].at) >= p.ListLag {
+		p.lists = p.lists[1:]
+	}
+}
+
+// VMs implements store.API.
+func (p *Platform) VMs(ctx context.Context) (store.List, error) {
+	if err := p.admit(ctx, false); err != nil {
+		return store.List{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list store.List
+	for _, dated := range p.lists {
+		if time.Since(dated.at) >= p.ListLag {
+			list = dated.list
+		}
+	}
+	return list, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(ErrLost, ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/state/store/client.go
@@ -0,0 +1,146 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/call"
+)
+
+// Names of the platform's HTTP form.
+const (
+	VersionHeader = "X-Object-Version"
+	ObjectPath    = "/objects/"
+	WatchPath     = "/watch"
+	VMPath        = "/vms"
+)
+
+// bodySlack is what a list may hold beyond one value, in bytes.
+const bodySlack = 64 * MaxValue
+
+// Client speaks the platform's HTTP form. It implements API.
+type Client struct {
+	Address netip.AddrPort
+	// Timeout bounds a call, not counting the time that a watch waits.
+	Timeout time.Duration
+
+	calls call.Client
+	count atomic.Int64
+}
+
+// Bytes returns how many bytes passed in both directions.
+func (c *Client) Bytes() int64 { return c.calls.Bytes() }
+
+// Calls returns how many calls were made.
+func (c *Client) Calls() int64 { return c.count.Load() }
+
+// Get reads an object. The errors are ErrAbsent, ErrRefused, or unknown.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	body, version, err := c.do(ctx, fasthttp.MethodGet, ObjectPath+key, nil, 0)
+	if err != nil {
+		return Object{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	return Object{Key: key, Value: body, Version: version}, nil
+}
+
+// Put writes an object on the version that it names and returns the new one.
+// An error that is not Certain leaves the outcome unknown.
+func (c *Client) Put(ctx context.Context, object Object) (uint64, error) {
+	if len(object.Value) > MaxValue {
+		return 0, fmt.Errorf("put %s: %w", object.Key, ErrTooLarge)
+	}
+	path := ObjectPath + object.Key + "?version=" + strconv.FormatUint(object.Version, 10)
+	_, version, err := c.do(ctx, fasthttp.MethodPut, path, object.Value, 0)
+	if err != nil {
+		return 0, fmt.Errorf("put %s: %w", object.Key, err)
+	}
+	return version, nil
+}
+
+// Watch returns the objects under prefix that are newer than after, waiting
+// for the first of them.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error) {
+	query := url.Values{}
+	query.Set("prefix", prefix)
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("wait", wait.String())
+	var page Page
+	body, _, err := c.do(ctx, fasthttp.MethodGet, WatchPath+"?"+query.Encode(), nil, wait)
+	if err != nil {
+		return page, fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	if err := json.Unmarshal(body, &page); err != nil {
+		return page, fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	return page, nil
+}
+
+// VMs reads the list of VMs.
+func (c *Client) VMs(ctx context.Context) (List, error) {
+	var list List
+	body, _, err := c.do(ctx, fasthttp.MethodGet, VMPath, nil, 0)
+	if err != nil {
+		return list, fmt.Errorf("list VMs: %w", err)
+	}
+	if err := json.Unmarshal(body, &list); err != nil {
+		return list, fmt.Errorf("list VMs: %w", err)
+	}
+	return list, nil
+}
+
+// defaultTimeout bounds a call if the client's Timeout is zero.
+const defaultTimeout = 10 * time.Second
+
+func (c *Client) do(ctx context.Context, method, path string, value []byte, wait time.Duration) ([]byte, uint64, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+wait)
+	defer cancel()
+	c.count.Add(1)
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(path)
+	request.Header.SetHost(c.Address.String())
+	request.SetBodyRaw(value)
+	x, err := c.calls.Do(ctx, c.Address, request, call.Options{Fresh: method == fasthttp.MethodPut})
+	if err != nil {
+		if call.StageOf(err) == call.StageDialing {
+			return nil, 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return nil, 0, err
+	}
+	defer x.Close()
+	body, err := x.Body(bodySlack)
+	if err != nil {
+		return nil, 0, err
+	}
+	version, _ := strconv.ParseUint(string(x.Response.Header.Peek(VersionHeader)), 10, 64)
+	return body, version, statusError(x.Status())
+}
+
+func statusError(status int) error {
+	switch status {
+	case fasthttp.StatusOK:
+		return nil
+	case fasthttp.StatusNotFound:
+		return ErrAbsent
+	case fasthttp.StatusConflict:
+		return ErrConflict
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return ErrRefused
+	case fasthttp.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	}
+	return fmt.Errorf("platform answered with status %d", status)
+}
