internal/bench/fault: strike the real duties in virtual time

Cause: the nine promises were claimed by mechanisms that no failure had been brought about against.

Change: a world of real processes joined to the stand-ins at their interfaces under synctest: kills, pauses, cuts in both and one way, platform outages, lost answers, engine crashes within orders, leaving VMs, competing applies and planned stops, at random times or at a named step of a protocol. Package judge reads callers and stand-ins only. Operators' commands: check, diff, apply, get, history, status, drain, undrain, timeline, version.

The time line shows the list asked for at 30.4 s while the platform took 5 s to answer, which was the client's timeout, so that the answer was thrown away.

--- a/cmd/ebonyscale/main.go
+++ b/cmd/ebonyscale/main.go
@@ -23,6 +23,12 @@
 	for _, c := range []subcommands.Command{&serveCommand{}, &demoCommand{}} {
 		subcommands.Register(c, "processes")
 	}
+	for _, c := range []subcommands.Command{&checkCommand{}, &diffCommand{}, &applyCommand{}, &getCommand{}, &historyCommand{}} {
+		subcommands.Register(c, "configuration")
+	}
+	for _, c := range []subcommands.Command{&statusCommand{}, &drainCommand{}, &drainCommand{undo: true}, &timelineCommand{}, &versionCommand{}} {
+		subcommands.Register(c, "operation")
+	}
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/cmd/ebonyscale/version.go
@@ -0,0 +1,24 @@
+package main
+
+import "runtime/debug"
+
+// version is what this program was built from.
+type version struct {
+	Version string
+	Go      string
+}
+
+func buildVersion() version {
+	v := version{Version: "development"}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return v
+	}
+	v.Go = info.GoVersion
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v.Version = s.Value
+		}
+	}
+	return v
+}
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -17,12 +17,12 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	sample "ebonyscale.example/ebonyscale/examples"
+	"ebonyscale.example/ebonyscale/internal/bench/judge"
 	"ebonyscale.example/ebonyscale/internal/bench/load"
 	"ebonyscale.example/ebonyscale/internal/config/apply"
 	"ebonyscale.example/ebonyscale/internal/config/setup"
@@ -211,10 +211,11 @@
 			return 0.6
 		},
 	})
-	runner := &load.Runner{Deployment: d.Deployment}
+	door := &load.HTTP{}
 	for _, p := range d.Processes {
-		runner.Targets = append(runner.Targets, p.Settings.Addresses.Callers)
+		door.Targets = append(door.Targets, p.Settings.Addresses.Callers)
 	}
+	runner := &load.Runner{Deployment: d.Deployment, Door: door, Targets: len(door.Targets)}
 	progress := d.progress(ctx, len(trace))
 	runner.Done = progress.done
 	changed := make(chan error, 1)
@@ -223,7 +224,7 @@
 		changed <- d.change(ctx)
 	}()
 	d.report.Result = runner.Run(ctx, trace)
-	d.report.Again = d.sendAgain(ctx, runner, trace)
+	d.report.Again = d.sendAgain(ctx, door, trace)
 	err := <-changed
 	progress.stop()
 	return err
@@ -231,8 +232,9 @@
 
 // sendAgain repeats the keyed calls at other entry VMs, as callers do that did
 // not get an answer.
-func (d *Demo) sendAgain(ctx context.Context, runner *load.Runner, trace []load.Entry) *load.Result {
-	again := &load.Runner{Deployment: d.Deployment, Targets: append(runner.Targets[1:len(runner.Targets):len(runner.Targets)], runner.Targets[0])}
+func (d *Demo) sendAgain(ctx context.Context, door *load.HTTP, trace []load.Entry) *load.Result {
+	moved := &load.HTTP{Targets: append(door.Targets[1:len(door.Targets):len(door.Targets)], door.Targets[0])}
+	again := &load.Runner{Deployment: d.Deployment, Door: moved, Targets: len(moved.Targets)}
 	result := &load.Result{}
 	for i, e := range trace {
 		if e.Kind() == load.Write {
@@ -344,41 +346,23 @@
 	return p
 }
 
-// judge reads what the stand-ins saw.
+// judge reads what the callers and the stand-ins saw.
 func (d *Demo) judge() {
 	r := d.report
-	runs := map[string]int{}
-	for _, s := range d.Scene.Plains {
-		for _, run := range s.Seen() {
-			if run.Method == "POST" {
-				runs[run.Body]++
-			}
-		}
-	}
-	for _, n := range runs {
-		if n > 1 {
-			r.Doubled++
-		}
-	}
-	for _, o := range append(r.Result.Outcomes, r.Again.Outcomes...) {
-		if o.Entry.Kind() == load.Write && o.Said == 1 && !o.Lost && o.Status != 200 && runs[string(o.Entry.Body(o.Number, true))] > 0 && strings.HasPrefix(o.Reason, "Claim") {
-			r.FalseNotRun++
-		}
-	}
+	runs := judge.Runs(d.Scene.Plains)
+	outcomes := append(r.Result.Outcomes[:len(r.Result.Outcomes):len(r.Result.Outcomes)], r.Again.Outcomes...)
+	r.Violations = append(r.Violations, judge.RunTwice(runs)...)
+	r.Violations = append(r.Violations, judge.FalseNotRun(r.Result.Outcomes, runs)...)
+	r.Violations = append(r.Violations, judge.SaidRun(outcomes, runs)...)
+	r.Violations = append(r.Violations, judge.Answers(outcomes)...)
 	for name, e := range d.Scene.Engines {
 		seen := e.Seen()
 		r.RoleChanges += len(seen.Orders)
-		r.CutAtEngines += seen.Cut
-		if name != r.Drained {
-			continue
-		}
-		for _, at := range seen.Started {
-			if at.After(r.drainedAt.Add(leavingWithin)) {
-				r.WorkAfterLeaving++
-			}
+		r.MovedByOrders += len(seen.Cut)
+		r.Violations = append(r.Violations, judge.Orders(name, seen.Orders)...)
+		if name == r.Drained {
+			none := func(string, time.Time) bool { return false }
+			r.Violations = append(r.Violations, judge.AfterLeaving(name, r.drainedAt, seen.Started, none)...)
 		}
 	}
 }
-
-// leavingWithin is how long a leaving backend server may still get new work.
-const leavingWithin = 5 * time.Second
--- a/internal/bench/demo/report.go
+++ b/internal/bench/demo/report.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/bench/judge"
 	"ebonyscale.example/ebonyscale/internal/bench/load"
 )
 
@@ -14,14 +15,11 @@
 	Result     *load.Result
 	// Again is the result of the second arrivals of keyed calls.
 	Again *load.Result
-	// Doubled counts non-idempotent requests that ran more than once.
-	Doubled int
-	// FalseNotRun counts requests that were said not to have run and had.
-	FalseNotRun int
-	// CutAtEngines counts streams that ran on an engine when it took an order.
-	CutAtEngines int
-	// WorkAfterLeaving counts calls that a leaving engine got too late.
-	WorkAfterLeaving int
+	// Violations are the broken promises that the checkers found.
+	Violations []judge.Violation
+	// MovedByOrders counts streams that ran on an engine when it took an order
+	// and went on elsewhere.
+	MovedByOrders    int
 	RoleChanges      int
 	Drained, Changed string
 	// InForce is the time from the apply to the last process; ChangeTook to
@@ -45,16 +43,22 @@
 func (r *Report) Promises() []Promise {
 	all := r.Result.All()
 	count := func(name string, n int) Promise { return Promise{name, n == 0, fmt.Sprint(n)} }
-	return []Promise{
-		count("answers cut", all.Cut),
-		count("answers of another request", all.Crossed),
-		count("connections lost", all.Lost),
-		count("non-idempotent requests run twice", r.Doubled),
-		count("false 'not run'", r.FalseNotRun),
-		count("calls to the leaving engine after 5s", r.WorkAfterLeaving),
-		{"configuration in force within 7s", r.InForce > 0 && r.InForce <= inForceWithin, r.InForce.Round(time.Millisecond).String()},
-		{"role change carried out", r.ChangeTook > 0, r.ChangeTook.Round(time.Millisecond).String()},
+	list := []Promise{count("answers cut", all.Cut), count("connections lost", all.Lost)}
+	for _, p := range judge.Promises {
+		n := 0
+		for _, v := range r.Violations {
+			if v.Promise == p {
+				n++
+			}
+		}
+		if p != judge.ConfigInForceInTime && p != judge.ConfigNeverReverts {
+			list = append(list, count(p.String(), n))
+		}
 	}
+	return append(list,
+		Promise{"configuration in force within 7s", r.InForce > 0 && r.InForce <= inForceWithin, r.InForce.Round(time.Millisecond).String()},
+		Promise{"role change carried out", r.ChangeTook > 0, r.ChangeTook.Round(time.Millisecond).String()},
+	)
 }
 
 // Broken reports whether a promise was broken.
@@ -72,7 +76,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s: %d requests in %v\n\n", r.Deployment, len(r.Result.Outcomes), r.Result.Took.Round(time.Millisecond))
 	text.WriteString(load.Table(r.Result.Rows()))
-	fmt.Fprintf(&text, "\nDrained %s and changed the role of %s half-way; role changes: %d; streams moved off the changing engine: %d\n", r.Drained, r.Changed, r.RoleChanges, r.CutAtEngines)
+	fmt.Fprintf(&text, "\nDrained %s and changed the role of %s half-way; role changes: %d; streams moved off the changing engine: %d\n", r.Drained, r.Changed, r.RoleChanges, r.MovedByOrders)
 	replayed := 0
 	for _, o := range r.Again.Outcomes {
 		if o.Whole {
--- /dev/null
+++ b/internal/bench/fault/fault_test.go
@@ -0,0 +1,208 @@
+package fault
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"text/tabwriter"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonyscale.example/ebonyscale/internal/bench/judge"
+)
+
+var (
+	seeds = flag.Int("seeds", 6, "how many random schedules to run")
+	from  = flag.Uint64("from", 1, "the first seed")
+)
+
+// run runs one schedule in virtual time.
+func run(t *testing.T, w *World, s Schedule) []judge.Violation {
+	var violations []judge.Violation
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		violations, err = w.Run(t.Context(), s)
+		require.NoError(t, err)
+	})
+	return violations
+}
+
+// table counts violations by promise.
+type table struct {
+	mu    sync.Mutex
+	runs  int
+	count map[judge.Promise]int
+	where map[judge.Promise][]string
+	whole int
+	total int
+	// strikes counts the strikes that found their call.
+	strikes int
+}
+
+func (c *table) add(name string, w *World, violations []judge.Violation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.count == nil {
+		c.count, c.where = map[judge.Promise]int{}, map[judge.Promise][]string{}
+	}
+	c.runs++
+	for _, o := range w.Outcomes() {
+		c.total++
+		if o.Whole {
+			c.whole++
+		}
+	}
+	for _, v := range violations {
+		c.count[v.Promise]++
+		c.where[v.Promise] = append(c.where[v.Promise], name+" "+v.What)
+	}
+}
+
+func (c *table) print() {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PROMISE\tSCHEDULES\tVIOLATIONS\tWHERE")
+	for _, p := range judge.Promises {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", p, c.runs, c.count[p], strings.Join(c.where[p][:min(len(c.where[p]), 6)], "; "))
+	}
+	w.Flush()
+	fmt.Printf("requests %d, whole answers %d\n", c.total, c.whole)
+}
+
+func TestFaultRandom(t *testing.T) {
+	var c table
+	t.Run("seeds", func(t *testing.T) {
+		for seed := *from; seed < *from+uint64(*seeds); seed++ {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				w := &World{Seed: seed}
+				if seed%2 == 0 {
+					w.Example = "Quetzal"
+					w.NodesPerZone = 2
+				}
+				violations := run(t, w, Random(seed))
+				c.add(fmt.Sprintf("seed %d", seed), w, violations)
+				assert.Empty(t, violations)
+			})
+		}
+	})
+	if testing.Verbose() {
+		c.print()
+	}
+}
+
+// TestFaultVariants breaks the system on purpose and expects the checkers to
+// catch it. Each schedule is run on the correct system too, which must pass.
+func TestFaultVariants(t *testing.T) {
+	changes := []Event{{At: time.Second, Kind: ChangeRole, Pick: 7}}
+	cases := []struct {
+		variant Variant
+		caught  judge.Promise
+		rate    float64
+		events  []Event
+		strikes []Strike
+	}{
+		{FenceNotSent, judge.NoEffectWithoutAuthority, 0, changes, []Strike{{Operation: "Order ", Kind: PauseLong}}},
+		{NoMargin, judge.NoEffectWithoutAuthority, 0, []Event{{At: time.Second, Kind: ChangeRole, Pick: 9}}, []Strike{{Operation: "Order ", Kind: PauseLong}}},
+		{RetryAfterSend, judge.RunsAtMostOnce, 0, []Event{{At: time.Second, Kind: PlainLose, For: 10 * time.Second}}, nil},
+		{StageMisjudged, judge.RunsAtMostOnce, 0, []Event{{At: time.Second, Kind: PlainLose, For: 10 * time.Second}}, nil},
+		{NoVersionCheck, judge.ConfigNeverReverts, 0, []Event{{At: time.Second, Kind: CompetingApplies, Pick: 7}}, nil},
+		{DrainIgnored, judge.NoWorkAfterLeaving, 0, []Event{{At: time.Second, Kind: VMLeaves, For: 8 * time.Second}}, nil},
+		{IdentityUnchecked, judge.WholeAnswerToItsCaller, 0, []Event{{At: time.Second, Kind: EngineCross, For: 10 * time.Second}}, nil},
+		{ResumeFromStart, judge.WholeAnswerToItsCaller, 0, []Event{{At: time.Second, Kind: EngineCut, Pick: 9, For: 10 * time.Second}}, nil},
+		{StopAtOnce, judge.NoCutByPlannedStop, 16, []Event{{At: 5 * time.Second, Kind: PlannedStop, For: 3 * time.Second}}, nil},
+		{NotEmptied, judge.NoCutByPlannedChange, 40, []Event{{At: time.Second, Kind: ChangeRole, Pick: 7}, {At: 7 * time.Second, Kind: ChangeRole, Pick: 8}, {At: 14 * time.Second, Kind: ChangeRole, Pick: 11}, {At: 20 * time.Second, Kind: ChangeRole, Pick: 10}}, nil},
+		{
+			OrderForgotten, judge.NoConflictingOrders, 0,
+			[]Event{{At: time.Second, Kind: ChangeRole, Pick: 7}, {At: 10 * time.Second, Kind: ChangeRole, Pick: 7 + 70}},
+			nil,
+		},
+		{ConfigDeaf, judge.ConfigInForceInTime, 0, changes, nil},
+	}
+	var mu sync.Mutex
+	var lines []string
+	t.Run("variants", func(t *testing.T) {
+		for _, c := range cases {
+			t.Run(c.variant.String(), func(t *testing.T) {
+				t.Parallel()
+				schedule := func() Schedule {
+					s := Schedule{Events: c.events}
+					for _, strike := range c.strikes {
+						s.Strikes = append(s.Strikes, &strike)
+					}
+					return s
+				}
+				world := func(variant Variant) *World {
+					w := &World{Seed: 3, Length: 30 * time.Second, Rate: c.rate, Variant: variant}
+					if c.variant == OrderForgotten {
+						w.ChangeTakes = 25 * time.Second
+					}
+					return w
+				}
+				assert.Empty(t, run(t, world(Correct), schedule()), "the correct system")
+				found := 0
+				for _, v := range run(t, world(c.variant), schedule()) {
+					if v.Promise == c.caught {
+						found++
+					}
+				}
+				assert.Positive(t, found, "%s is to be caught by %s", c.variant, c.caught)
+				mu.Lock()
+				defer mu.Unlock()
+				lines = append(lines, fmt.Sprintf("%-18s caught by %-26s %d violations", c.variant, c.caught, found))
+			})
+		}
+	})
+	sort.Strings(lines)
+	if testing.Verbose() {
+		fmt.Println(strings.Join(lines, "\n"))
+	}
+}
+
+// TestFaultSteps strikes at each step of each protocol.
+func TestFaultSteps(t *testing.T) {
+	var c table
+	t.Run("steps", func(t *testing.T) {
+		for i, operation := range Operations {
+			for _, kind := range StrikeKinds {
+				for _, after := range []bool{false, true} {
+					if kind == LoseAnswer && !after {
+						continue
+					}
+					strike := &Strike{Operation: operation, After: after, Kind: kind, Skip: i % 2}
+					t.Run(strings.ReplaceAll(strike.String(), "/", ""), func(t *testing.T) {
+						t.Parallel()
+						w := &World{Seed: uint64(100 + i), Length: 22 * time.Second, Rate: 6}
+						violations := run(t, w, Schedule{Strikes: []*Strike{strike}, Events: []Event{
+							{At: time.Second, Kind: ChangeRole, Pick: 7},
+							{At: 3 * time.Second, Kind: Drain, Pick: 4, For: 2 * time.Second},
+							{At: 9 * time.Second, Kind: ChangeRole, Pick: 15},
+						}})
+						c.add(strike.String(), w, violations)
+						assert.Empty(t, violations)
+						c.struck(strike.struck)
+					})
+				}
+			}
+		}
+	})
+	if testing.Verbose() {
+		c.print()
+	}
+	assert.Greater(t, c.strikes, c.runs*8/10, "most strikes must find their call")
+}
+
+// struck counts the strikes that found their call.
+func (c *table) struck(did bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if did {
+		c.strikes++
+	}
+}
--- /dev/null
+++ b/internal/bench/load/door.go
@@ -0,0 +1,62 @@
+package load
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/call"
+	"ebonyscale.example/ebonyscale/internal/node/entry"
+	"ebonyscale.example/ebonyscale/internal/route/retry"
+)
+
+// HTTP is the way in over the network.
+type HTTP struct {
+	Targets []netip.AddrPort
+
+	client call.Client
+}
+
+// Enter implements Door.
+func (h *HTTP) Enter(ctx context.Context, target int, r entry.Request) (*entry.Reply, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	address := h.Targets[target]
+	request.Header.SetMethod(r.Method)
+	request.SetRequestURI(r.Path)
+	request.Header.SetHost(address.String())
+	request.Header.Set(entry.DeadlineHeader, strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 1), 10))
+	request.Header.Set(entry.PriorityHeader, strconv.Itoa(r.Priority))
+	if r.Account != "" {
+		request.Header.Set(entry.AccountHeader, r.Account)
+	}
+	if r.Key != "" {
+		request.Header.Set(entry.KeyHeader, r.Key)
+	}
+	if r.Body != nil {
+		request.SetBodyRaw(r.Body)
+	}
+	x, err := h.client.Do(ctx, address, request, call.Options{Fresh: r.Key != ""})
+	if err != nil {
+		return nil, err
+	}
+	header := &x.Response.Header
+	return &entry.Reply{
+		ID: string(header.Peek(entry.IDHeader)), Status: x.Status(), Body: x,
+		Outcome: said(string(header.Peek(entry.OutcomeHeader))), Reason: string(header.Peek(entry.ReasonHeader)),
+	}, nil
+}
+
+// said reads the outcome that the system claims.
+func said(text string) retry.Outcome {
+	switch text {
+	case retry.NotRun.String():
+		return retry.NotRun
+	case retry.Run.String():
+		return retry.Run
+	}
+	return retry.Unknown
+}
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/valyala/fasthttp"
 
 	"ebonyscale.example/ebonyscale/internal/config/spec"
-	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/node/entry"
 	"ebonyscale.example/ebonyscale/internal/route/retry"
 	"ebonyscale.example/ebonyscale/internal/stand/model"
@@ -23,7 +21,12 @@
 // Outcome is what became of a request, as its caller sees it.
 type Outcome struct {
 	Number int
+	// Target is the entry VM that the request was sent to last.
+	Target int
 	Entry  Entry
+	Began  time.Time
+	// Earlier is what the system said of earlier tries of a keyed call.
+	Earlier []retry.Outcome
 	// ID is the identity that the system gave the request.
 	ID     string
 	Status int
@@ -45,20 +48,30 @@
 // InTime reports whether the answer was whole, right and within its deadline.
 func (o Outcome) InTime() bool { return o.Whole && o.Right && o.Total <= o.Entry.Deadline }
 
+// Door is the way into the system: a network client, or the nodes themselves in
+// a test.
+type Door interface {
+	// Enter sends a request to the entry VM with the number. An error means
+	// that the connection failed.
+	Enter(ctx context.Context, target int, r entry.Request) (*entry.Reply, error)
+}
+
 // Runner sends a trace.
 type Runner struct {
 	Deployment *spec.Deployment
-	// Targets are the entry VMs; requests go to them in turn.
-	Targets []netip.AddrPort
+	Door       Door
+	// Targets is how many entry VMs there are; requests go to them in turn.
+	Targets int
 	// Live, if set, says which targets the balancer would use.
-	Live func(target netip.AddrPort) bool
+	Live func(target int) bool
 	// Done, if set, is called for each request that has ended.
 	Done func(Outcome)
 	// Base is added to the numbers of the requests, so that several runs
 	// against the same stand-ins differ.
 	Base int
-
-	client call.Client
+	// Repeats is how often a keyed call is sent again, to another entry VM, if
+	// its caller does not know what became of it.
+	Repeats int
 }
 
 // Run sends the trace and waits for the answers.
@@ -77,7 +90,7 @@
 			return result
 		}
 		group.Go(func() {
-			o := r.send(ctx, r.Base+i, e)
+			o := r.call(ctx, r.Base+i, e)
 			result.Outcomes[i] = o
 			if r.Done != nil {
 				r.Done(o)
@@ -90,88 +103,90 @@
 }
 
 // target returns the entry VM for a request, as a balancer would.
-func (r *Runner) target(number int) netip.AddrPort {
+func (r *Runner) target(number int) int {
 	for i := range r.Targets {
-		t := r.Targets[(number+i)%len(r.Targets)]
+		t := (number + i) % r.Targets
 		if r.Live == nil || r.Live(t) {
 			return t
 		}
 	}
-	return r.Targets[number%len(r.Targets)]
+	return number % r.Targets
+}
+
+// repeatPause is how long a caller waits before it sends a keyed call again.
+const repeatPause = 500 * time.Millisecond
+
+// call sends a request, and a keyed call again while its outcome is not known.
+func (r *Runner) call(ctx context.Context, number int, e Entry) Outcome {
+	o := r.send(ctx, number, r.target(number), e)
+	for i := 1; i <= r.Repeats && e.Kind() == Write && !o.Whole && ctx.Err() == nil; i++ {
+		timer := time.NewTimer(repeatPause << i)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+		again := r.send(ctx, number, r.target(number+i), e)
+		again.Earlier = append(o.Earlier, o.Said)
+		o = again
+	}
+	return o
 }
 
 // grace is how long after its deadline an answer is still waited for.
 const grace = 10 * time.Second
 
-func (r *Runner) send(ctx context.Context, number int, e Entry) Outcome {
+func (r *Runner) send(ctx context.Context, number, target int, e Entry) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, e.Deadline+grace)
 	defer cancel()
-	o := Outcome{Number: number, Entry: e}
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	method, path := e.Target(r.Deployment)
-	request.Header.SetMethod(method)
-	request.SetRequestURI(path)
-	target := r.target(number)
-	request.Header.SetHost(target.String())
-	request.Header.Set(entry.DeadlineHeader, strconv.FormatInt(e.Deadline.Milliseconds(), 10))
-	request.Header.Set(entry.AccountHeader, e.Account)
-	request.Header.Set(entry.PriorityHeader, strconv.Itoa(e.Priority))
+	o := Outcome{Number: number, Target: target, Entry: e, Began: time.Now()}
+	request := entry.Request{Account: e.Account, Priority: e.Priority, Deadline: o.Began.Add(e.Deadline)}
+	request.Method, request.Path = e.Target(r.Deployment)
 	if e.Kind() == Write {
-		request.Header.Set(entry.KeyHeader, "key-"+strconv.Itoa(number))
+		request.Key = "key-" + strconv.Itoa(number)
 	}
-	if method == fasthttp.MethodPost {
-		request.SetBodyRaw(e.Body(number, true))
+	if request.Method == fasthttp.MethodPost {
+		request.Body = e.Body(number, true)
 	}
-	began := time.Now()
-	x, err := r.client.Do(ctx, target, request, call.Options{Fresh: e.Kind() == Write})
+	reply, err := r.Door.Enter(ctx, target, request)
 	if err != nil {
-		o.Lost, o.Err, o.Total = true, err, time.Since(began)
+		o.Lost, o.Err, o.Total = true, err, time.Since(o.Began)
 		return o
 	}
-	defer x.Close()
-	o.Status = x.Status()
-	o.ID = string(x.Response.Header.Peek(entry.IDHeader))
-	o.Reason = string(x.Response.Header.Peek(entry.ReasonHeader))
-	o.Said = said(string(x.Response.Header.Peek(entry.OutcomeHeader)))
+	defer reply.Close()
+	o.Status, o.ID, o.Reason, o.Said = reply.Status, reply.ID, reply.Reason, reply.Outcome
 	if o.Status != 200 || e.PromptTokens == 0 {
-		o.readPlain(x, began)
+		o.readPlain(reply.Body)
 		return o
 	}
-	o.readEvents(x, began, model.Text(e.Prompt(number), e.OutputTokens))
+	o.readEvents(reply.Body, model.Text(e.Prompt(number), e.OutputTokens))
 	return o
 }
 
-func said(text string) retry.Outcome {
-	switch text {
-	case retry.NotRun.String():
-		return retry.NotRun
-	case retry.Run.String():
-		return retry.Run
-	}
-	return retry.Unknown
-}
+// maxBody is the largest answer of a plain service, in bytes.
+const maxBody = 64 << 20
 
-func (o *Outcome) readPlain(x *call.Exchange, began time.Time) {
-	body, err := x.Body(64 << 20)
-	o.Total = time.Since(began)
+func (o *Outcome) readPlain(r io.Reader) {
+	body, err := io.ReadAll(io.LimitReader(r, maxBody))
+	o.Total = time.Since(o.Began)
 	o.First = o.Total
 	if err != nil {
 		o.Cut, o.Err = true, err
 		return
 	}
 	o.Whole = o.Status == 200
-	o.Right = bytes.Contains(body, []byte(o.ID))
+	// A replayed answer carries the identity of the first arrival.
+	o.Right = o.Entry.Kind() == Write || bytes.Contains(body, []byte(o.ID))
 }
 
 // readEvents reads a streamed answer and compares it with what it should be.
-func (o *Outcome) readEvents(x *call.Exchange, began time.Time, want string) {
+func (o *Outcome) readEvents(r io.Reader, want string) {
 	var text, rest []byte
 	buffer := make([]byte, 16<<10)
-	last := began
+	last := o.Began
 	ended := false
 	for {
-		n, err := x.Read(buffer)
+		n, err := r.Read(buffer)
 		now := time.Now()
 		rest = append(rest, buffer[:n]...)
 		for {
@@ -194,8 +209,8 @@
 				o.Err = errors.New("an event carries another identity")
 			}
 			text = append(text, content(event)...)
-			if last == began {
-				o.First = now.Sub(began)
+			if last.Equal(o.Began) {
+				o.First = now.Sub(o.Began)
 			} else {
 				o.Gaps = append(o.Gaps, now.Sub(last))
 			}
@@ -208,7 +223,7 @@
 			break
 		}
 	}
-	o.Total = time.Since(began)
+	o.Total = time.Since(o.Began)
 	o.Whole = ended && !o.Cut
 	o.Cut = !o.Whole
 	o.Right = string(text) == want && o.Err == nil
--- a/internal/config/setup/setup.go
+++ b/internal/config/setup/setup.go
@@ -37,6 +37,15 @@
 	Platform  Platform
 	Limits    Limits
 	Log       Log
+	// Experiment is for experiments only.
+	Experiment Experiment
+}
+
+// Experiment has switches that no deployment in use needs.
+type Experiment struct {
+	// Cuts lets PUT /experiment/cuts on the operators' address make addresses
+	// unreachable for this process.
+	Cuts bool
 }
 
 // Node says who the process is.
@@ -102,7 +111,7 @@
 // Default returns the settings that hold for keys that are left out.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{Timeout: 5 * time.Second, WatchFor: 30 * time.Second, ListEvery: 5 * time.Second},
+		Platform: Platform{Timeout: 12 * time.Second, WatchFor: 30 * time.Second, ListEvery: 5 * time.Second},
 		Limits: Limits{
 			MaxBody: 8 << 20, MaxHeader: 16 << 10, MaxRequests: 4096,
 			HeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
@@ -131,11 +140,12 @@
 	return settings, faults.Err()
 }
 
-var sectionNames = []string{"Node", "Addresses", "Platform", "Limits", "Log"}
+var sectionNames = []string{"Node", "Addresses", "Platform", "Limits", "Log", "Experiment"}
 
 func (s *Settings) sections() map[string]any {
 	return map[string]any{
 		"Node": &s.Node, "Addresses": &s.Addresses, "Platform": &s.Platform, "Limits": &s.Limits, "Log": &s.Log,
+		"Experiment": &s.Experiment,
 	}
 }
 
--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -89,6 +89,9 @@
 
 // Client keeps idle connections per address. The zero value is ready to use.
 type Client struct {
+	// Cut, if set, says which addresses cannot be reached, for experiments.
+	Cut func(address netip.AddrPort) bool
+
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*connection
 	// bytes counts what passed in both directions.
@@ -259,6 +262,9 @@
 }
 
 func (c *Client) take(ctx context.Context, address netip.AddrPort, fresh bool) (*connection, error) {
+	if c.Cut != nil && c.Cut(address) {
+		return nil, errCut
+	}
 	for !fresh {
 		conn := c.pop(address)
 		if conn == nil {
@@ -282,6 +288,9 @@
 	}, nil
 }
 
+// errCut is the error of a connection that an experiment has cut.
+var errCut = errors.New("connection is cut")
+
 func (c *Client) pop(address netip.AddrPort) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/engine/client.go
+++ b/internal/fleet/engine/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -40,6 +41,11 @@
 	orders call.Client
 }
 
+// SetCut says which addresses cannot be reached, for experiments.
+func (c *Client) SetCut(cut func(address netip.AddrPort) bool) {
+	c.calls.Cut, c.orders.Cut = cut, cut
+}
+
 // ControlBytes returns how many bytes reports and orders took.
 func (c *Client) ControlBytes() int64 { return c.orders.Bytes() }
 
--- a/internal/fleet/leave/leave.go
+++ b/internal/fleet/leave/leave.go
@@ -57,7 +57,8 @@
 	leaving map[string]int
 }
 
-// Merge takes in an entry and reports whether it was news.
+// Merge takes in an entry and reports whether it changed what the source says.
+// A name of which nothing was known is not leaving.
 func (s *Set) Merge(e Entry) bool {
 	if s.entries == nil {
 		s.entries = map[key]Entry{}
@@ -78,7 +79,7 @@
 	if s.leaving[e.Name] == 0 {
 		delete(s.leaving, e.Name)
 	}
-	return old.Leaving != e.Leaving || !known
+	return old.Leaving != e.Leaving
 }
 
 // Leaving reports whether any source says that the name is leaving.
--- a/internal/node/proc/proc.go
+++ b/internal/node/proc/proc.go
@@ -88,7 +88,15 @@
 	p.server = &entry.Server{Core: p.Node.Core, Limits: s.Limits}
 	p.server.Prepare()
 	operators := &entry.Operators{Ready: p.Node.Ready, JSON: p.Node.Meters.JSON, SetLevel: func(text string) error { return p.Level.UnmarshalText([]byte(text)) }}
-	p.admin = &fasthttp.Server{Handler: operators.Handler, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	handler := operators.Handler
+	if s.Experiment.Cuts {
+		cuts := &cuts{next: handler}
+		platform.SetCut(cuts.cut)
+		servers.SetCut(cuts.cut)
+		p.Peers.Cut = cuts.cut
+		handler = cuts.handle
+	}
+	p.admin = &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, CloseOnShutdown: true}
 	p.stopped = make(chan struct{})
 }
 
--- a/internal/node/tree/gossip.go
+++ b/internal/node/tree/gossip.go
@@ -179,8 +179,11 @@
 	for _, l := range g.Loads {
 		n.Board.Hear(n.fromLoad(l, now))
 	}
-	if g.ConfigVersion > n.Config.Version() {
+	switch {
+	case g.ConfigVersion > n.Config.Version():
 		n.fetch.Push(from.Address)
+	case from.AvailabilityZone == n.Self.AvailabilityZone:
+		n.greeted.Store(true)
 	}
 }
 
--- a/internal/node/tree/node.go
+++ b/internal/node/tree/node.go
@@ -100,7 +100,11 @@
 	random *rand.Rand
 	period int
 
-	reached  atomic.Bool
+	reached atomic.Bool
+	// greeted is set once a process of the zone was exchanged with; began is
+	// when the process started.
+	greeted  atomic.Bool
+	began    time.Time
 	stopping atomic.Bool
 	fetch    *ring.Ring[netip.AddrPort]
 	finish   *ring.Ring[func(context.Context) error]
@@ -162,6 +166,8 @@
 	n.Meters.Gauge("Ring.Fetch.Dropped", n.fetch.Dropped)
 	n.Meters.Gauge("Ring.Finish.Dropped", n.finish.Dropped)
 	n.Meters.Gauge("Ring.Prompt.Dropped", n.prompt.Dropped)
+	n.began = time.Now()
+	gauge("UptimeSeconds", func() int { return int(time.Since(n.began).Seconds()) })
 	gauge("Members", func() int { return len(n.Members()) })
 }
 
@@ -212,9 +218,14 @@
 	return ctx.Err()
 }
 
+// greetWithin is how long a process that has just started waits to hear from a
+// peer before it takes what the platform says for the newest configuration.
+const greetWithin = 5 * time.Second
+
 // Ready reports whether the process should get callers' requests.
 func (n *Node) Ready() bool {
-	return n.Config.Current() != nil && !n.stopping.Load() && !n.Board.Leaving(n.Self.Name)
+	heard := n.greeted.Load() || time.Since(n.began) > greetWithin
+	return n.Config.Current() != nil && heard && !n.stopping.Load() && !n.Board.Leaving(n.Self.Name)
 }
 
 // Members returns every process known, this one first.
--- a/internal/stand/model/control.go
+++ b/internal/stand/model/control.go
@@ -71,7 +71,9 @@
 	if seen.Refused != nil {
 		return seen.Refused
 	}
-	e.record.Cut += len(e.running) + len(e.waiting)
+	for _, s := range append(e.running, e.waiting...) {
+		e.record.Cut = append(e.record.Cut, s.id)
+	}
 	e.breakAll()
 	e.take(order)
 	if e.faults.LoseOrderAnswers > 0 {
--- a/internal/stand/model/model.go
+++ b/internal/stand/model/model.go
@@ -112,8 +112,8 @@
 // Record is what an engine saw.
 type Record struct {
 	Orders []SeenOrder
-	// Cut counts streams that were running when an order was taken.
-	Cut int
+	// Cut names the streams that were running when an order was taken.
+	Cut []string
 	// Started is when each call arrived, by id; the last call wins.
 	Started map[string]time.Time
 	// Refused counts calls that were refused as not run.
@@ -162,6 +162,7 @@
 	defer e.mu.Unlock()
 	seen := e.record
 	seen.Orders = append([]SeenOrder(nil), e.record.Orders...)
+	seen.Cut = append([]string(nil), e.record.Cut...)
 	seen.Started = make(map[string]time.Time, len(e.record.Started))
 	for id, at := range e.record.Started {
 		seen.Started[id] = at
--- a/internal/stand/model/stream.go
+++ b/internal/stand/model/stream.go
@@ -106,7 +106,11 @@
 		s.err = io.EOF
 		return false
 	}
-	word := words[(s.seed+uint64(s.next)*7)%uint64(len(words))]
+	said := s.seed
+	if cross {
+		said++
+	}
+	word := words[(said+uint64(s.next)*7)%uint64(len(words))]
 	s.next++
 	if s.whole {
 		s.text = append(s.text, word...)
--- a/internal/stand/platf/platf.go
+++ b/internal/stand/platf/platf.go
@@ -211,7 +211,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	page := store.Page{Revision: p.revision}
-	for key, object := range p.objects {
+	objects := p.objects
+	if p.faults.Stale > 0 {
+		p.faults.Stale--
+		objects = p.previous
+	}
+	for key, object := range objects {
 		if object.Version > after && strings.HasPrefix(key, prefix) {
 			page.Objects = append(page.Objects, object)
 		}
@@ -283,3 +288,11 @@
 		return errors.Join(ErrLost, ctx.Err())
 	}
 }
+
+// Peek returns an object without a call, for checkers.
+func (p *Platform) Peek(key string) (store.Object, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	object, ok := p.objects[key]
+	return object, ok
+}
--- /dev/null
+++ b/internal/stand/scene/settings.go
@@ -0,0 +1,71 @@
+package scene
+
+import (
+	"net/netip"
+	"time"
+
+	"ebonyscale.example/ebonyscale/internal/config/keys"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// Settings are the stand-ins of an experiment, read from an INI file:
+//
+//	[Stand]
+//	Deployment = examples/malabar
+//	Platform = 127.0.20.250:7000
+//
+//	[EntryVM entry-1]
+//	Address = 127.0.20.200
+//	AvailabilityZone = ernakulam
+type Settings struct {
+	Stand   Stand
+	Entries []store.VM
+}
+
+// Stand says what the stand-ins are and how they behave.
+type Stand struct {
+	// Deployment is the directory of the deployment whose servers are stood in
+	// for.
+	Deployment string `validate:"required"`
+	// Platform is the address of the platform.
+	Platform netip.AddrPort
+	// Writes and Reads are the platform's limits in calls per second.
+	Writes float64 `validate:"gte=0"`
+	Reads  float64 `validate:"gte=0"`
+	// ListLag is how late the list of VMs is.
+	ListLag time.Duration `validate:"gte=0"`
+	// ReportLag is the age of engines' reports.
+	ReportLag time.Duration `validate:"gte=0"`
+	// Vendor makes every engine of one make.
+	Vendor string `validate:"omitempty,oneof=Kestrel Heron Instant"`
+	Seed   int64
+}
+
+type entryVM struct {
+	Address          netip.Addr
+	AvailabilityZone string `validate:"required"`
+}
+
+var standSections = []string{"Stand", "EntryVM NAME"}
+
+// ParseSettings reads the settings. The error is a *keys.Error.
+func ParseSettings(name string, data []byte) (Settings, error) {
+	var faults keys.Faults
+	s := Settings{Stand: Stand{Writes: 300, Reads: 2000, ListLag: time.Second, ReportLag: 200 * time.Millisecond}}
+	for _, section := range keys.Load(name, data, &faults).Sections {
+		switch section.Kind {
+		case "Stand":
+			section.Decode(&s.Stand, &faults)
+		case "EntryVM":
+			var vm entryVM
+			section.Decode(&vm, &faults)
+			s.Entries = append(s.Entries, store.VM{Name: section.Name, Address: vm.Address, AvailabilityZone: vm.AvailabilityZone, Entry: true})
+		default:
+			faults.Add(keys.Fault{File: name, Section: section.Title(), Want: "this section is not known; the nearest known section is " + keys.Nearest(section.Title(), standSections)})
+		}
+	}
+	if !s.Stand.Platform.IsValid() {
+		faults.Add(keys.Fault{File: name, Section: "Stand", Key: "Platform", Want: "must be an IP number and a port"})
+	}
+	return s, faults.Err()
+}
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -36,6 +36,9 @@
 	count atomic.Int64
 }
 
+// SetCut says which addresses cannot be reached, for experiments.
+func (c *Client) SetCut(cut func(address netip.AddrPort) bool) { c.calls.Cut = cut }
+
 // Bytes returns how many bytes passed in both directions.
 func (c *Client) Bytes() int64 { return c.calls.Bytes() }
 
