--- a/cmd/ebonybench/fault.go
+++ b/cmd/ebonybench/fault.go
@@ -23,7 +23,7 @@
 	seed                uint64
 }
 
-func (*faultCommand) Name() string { return "fault" }
+func (*faultCommand) Name() string     { return "fault" }
 func (*faultCommand) Synopsis() string { return "strike separate processes with failures under load" }
 
 func (*faultCommand) Usage() string {
--- /dev/null
+++ b/cmd/ebonyscale/session_test.go
@@ -0,0 +1,351 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	sample "ebonyscale.example/ebonyscale/examples"
+	"ebonyscale.example/ebonyscale/internal/config/apply"
+	"ebonyscale.example/ebonyscale/internal/config/setup"
+	"ebonyscale.example/ebonyscale/internal/config/spec"
+	"ebonyscale.example/ebonyscale/internal/node/proc"
+	"ebonyscale.example/ebonyscale/internal/stand/scene"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// site is a deployment with its stand-ins and one process, on loopback.
+type site struct {
+	name      string
+	scene     *scene.Scene
+	process   *proc.Process
+	directory string
+	ctx       context.Context
+}
+
+// networks are apart from those of the examples, so that a demo can run beside
+// the tests.
+var networks = map[string]string{"Malabar": "127.0.61.", "Quetzal": "127.0.62."}
+
+func newSite(t *testing.T, name string) *site {
+	s := &site{name: name, directory: t.TempDir()}
+	network := networks[name]
+	files, err := sample.Files(name)
+	require.NoError(t, err)
+	for i, f := range files {
+		files[i].Data = regexp.MustCompile(`127\.0\.\d+\.`).ReplaceAll(f.Data, []byte(network))
+		require.NoError(t, os.WriteFile(filepath.Join(s.directory, f.Name), files[i].Data, 0o600))
+	}
+	deployment, err := spec.Parse(files)
+	require.NoError(t, err)
+	address := func(host string, port uint16) netip.AddrPort {
+		return netip.AddrPortFrom(netip.MustParseAddr(network+host), port)
+	}
+	zone := deployment.Servers[0].AvailabilityZone
+	s.scene = &scene.Scene{
+		Deployment: deployment, PlatformAddress: address("250", 7000), Vendor: "Instant",
+		Entries: []store.VM{{Name: "entry-1", AvailabilityZone: zone, Address: address("200", 0).Addr(), Entry: true}},
+	}
+	require.NoError(t, s.scene.Listen(scene.Everything))
+	t.Cleanup(s.scene.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	s.ctx = ctx
+	s.scene.Start(ctx)
+	settings := setup.Default()
+	settings.Node = setup.Node{Name: "entry-1", AvailabilityZone: zone, Deployment: deployment.Name}
+	settings.Addresses = setup.Addresses{Callers: address("200", 8180), Operators: address("200", 8181), Peers: address("200", 8182)}
+	settings.Platform.Address = s.scene.PlatformAddress
+	settings.Limits.MaxBody, settings.Limits.MaxHeader = 64<<10, 4<<10
+	settings.Limits.HeaderTimeout = 500 * time.Millisecond
+	s.process = &proc.Process{Settings: settings, Log: zap.NewNop(), Level: zap.NewAtomicLevel()}
+	require.NoError(t, s.process.Listen())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.process.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return s
+}
+
+// ready applies the deployment and waits for the process.
+func (s *site) ready(t *testing.T) {
+	files, err := readDirectory(s.directory)
+	require.NoError(t, err)
+	_, err = apply.Apply(s.ctx, s.scene.Platform, files, apply.Request{Author: "test"})
+	require.NoError(t, err)
+	s.await(t)
+}
+
+func (s *site) await(t *testing.T) {
+	require.Eventually(t, s.process.Node.Ready, 30*time.Second, 10*time.Millisecond)
+}
+
+// raw sends text as it is and returns the answer.
+func (s *site) raw(t *testing.T, text string) string {
+	conn, err := net.Dial("tcp", s.process.Settings.Addresses.Callers.String())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(30*time.Second)))
+	_, _ = conn.Write([]byte(text))
+	if tcp, ok := conn.(*net.TCPConn); ok && strings.HasSuffix(text, "(end)") {
+		_ = tcp.CloseWrite()
+	}
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+// unstable is what differs from run to run.
+var unstable = []struct {
+	pattern *regexp.Regexp
+	text    string
+}{
+	{regexp.MustCompile(`entry-1-[0-9a-f]+-[0-9a-z]+`), "REQUEST"},
+	{regexp.MustCompile(`(?m)^Date: .*\r?\n`), ""},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+	{regexp.MustCompile(`"At": "[^"]*"`), `"At": "TIME"`},
+	{regexp.MustCompile(`[A-Z][a-z]{2} [ \d]\d \d\d:\d\d:\d\d\.\d+`), "TIME"},
+	{regexp.MustCompile(`127\.0\.6\d\.`), "127.0.N."},
+	{regexp.MustCompile(`\d+ ms after`), "N ms after"},
+	{regexp.MustCompile(`\d+(\.\d+)?(ms|µs|s) after it`), "D after it"},
+	{regexp.MustCompile(`first \d\S* gap \d\S*`), "first D gap D"},
+	{regexp.MustCompile(`"server":"[^"]*","number":\d+`), `"server":"S","number":N`},
+	{regexp.MustCompile(`\b\d+ms\b`), "Nms"},
+}
+
+func stable(text string) string {
+	for _, u := range unstable {
+		text = u.pattern.ReplaceAllString(text, u.text)
+	}
+	return strings.ReplaceAll(text, "\r\n", "\n")
+}
+
+// golden compares a session with its file.
+func golden(t *testing.T, name, got string) {
+	path := filepath.Join("testdata", name)
+	if *update {
+		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	assert.Equal(t, string(want), got)
+}
+
+func post(path, headers, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n%s\r\n%s", path, len(body), headers, body)
+}
+
+func get(path, headers string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n", path, headers)
+}
+
+type step struct{ title, request string }
+
+// callerSteps is a caller's session, right and wrong requests alike.
+func callerSteps(model, prefix, read string) []step {
+	chat := func(extra string) string {
+		return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"motor 7 മോട്ടോർ"}],"max_tokens":4%s}`, model, extra)
+	}
+	const path = "/v1/chat/completions"
+	return []step{
+		{"models", get("/v1/models", "")},
+		{"chat, streamed", post(path, "X-Account: a\r\nX-Priority: 2\r\n", chat(`,"stream":true`))},
+		{"chat, whole", post(path, "", chat(""))},
+		{"completion, whole", post("/v1/completions", "", fmt.Sprintf(`{"model":%q,"prompt":"hub motor","max_tokens":3}`, model))},
+		{"keyed call", post(prefix+"orders", "Idempotency-Key: k1\r\n", `{"Claim":"c1"}`)},
+		{"keyed call again", post(prefix+"orders", "Idempotency-Key: k1\r\n", `{"Claim":"c1"}`)},
+		{"same key, other call", post(prefix+"orders", "Idempotency-Key: k1\r\n", `{"Claim":"c2"}`)},
+		{"idempotent call", get(read, "")},
+		{"unknown path", get("/nowhere", "")},
+		{"unknown model", post(path, "", `{"model":"none","messages":[{"role":"user","content":"x"}]}`)},
+		{"no JSON", post(path, "", `{"model":`)},
+		{"JSON of another kind", post(path, "", `[1]`)},
+		{"no UTF-8", post(path, "", "{\"model\":\"\xff\"}")},
+		{"no messages", post(path, "", fmt.Sprintf(`{"model":%q}`, model))},
+		{"negative tokens", post(path, "", fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":-1}`, model))},
+		{"huge tokens", post(path, "", fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":99999999999999999999}`, model))},
+		{"too many tokens", post(path, "", fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":70000}`, model))},
+		{"wrong type of stream", post(path, "", chat(`,"stream":"yes"`))},
+		{"deadline in the past", post(path, "X-Deadline-Ms: -5\r\n", chat(""))},
+		{"deadline of words", post(path, "X-Deadline-Ms: soon\r\n", chat(""))},
+		{"huge deadline", post(path, "X-Deadline-Ms: 99999999999999999999\r\n", chat(""))},
+		{"unmeetable deadline", post(path, "X-Deadline-Ms: 1\r\n", chat(""))},
+		{"priority out of bounds", post(path, "X-Priority: 1000\r\n", chat(""))},
+		{"header given twice", post(path, "X-Account: a\r\nX-Account: b\r\n", chat(""))},
+		{"wrong method", get(path, "")},
+		{"body over the limit", post(path, "", strings.Repeat("x", 80<<10))},
+		{"header over the limit", get("/v1/models", "X-Long: "+strings.Repeat("y", 8<<10)+"\r\n")},
+		{"malformed HTTP", "NONSENSE\r\n\r\n"},
+		{"slow caller", "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{"},
+	}
+}
+
+func TestCallerSession(t *testing.T) {
+	for name, parts := range map[string][3]string{
+		"Malabar": {"verdict-llm", "/jobs/", "/jobs/records/7"},
+		"Quetzal": {"quetzal-lm", "/store/", "/store/watchlist/7"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, name)
+			s.ready(t)
+			var text strings.Builder
+			for _, step := range callerSteps(parts[0], parts[1], parts[2]) {
+				answer := stable(s.raw(t, step.request))
+				fmt.Fprintf(&text, "== %s\n%s\n", step.title, sortHeader(answer))
+			}
+			golden(t, strings.ToLower(name)+"-caller.txt", text.String())
+			for _, e := range s.scene.Engines {
+				assert.Empty(t, e.Seen().Refused, "nothing wrong reaches an engine")
+			}
+		})
+	}
+}
+
+// sortHeader sorts the header's lines, whose order means nothing.
+func sortHeader(answer string) string {
+	head, body, _ := strings.Cut(answer, "\n\n")
+	lines := strings.Split(head, "\n")
+	if len(lines) > 1 {
+		sort.Strings(lines[1:])
+	}
+	return strings.Join(lines, "\n") + "\n\n" + body
+}
+
+// operate runs a command as main does and returns what it printed.
+func operate(ctx context.Context, command subcommands.Command, arguments ...string) string {
+	flags := flag.NewFlagSet(command.Name(), flag.ContinueOnError)
+	command.SetFlags(flags)
+	out, errs := os.Stdout, os.Stderr
+	r, w, err := os.Pipe()
+	if err != nil {
+		return err.Error()
+	}
+	os.Stdout, os.Stderr = w, w
+	flags.SetOutput(w)
+	printed := make(chan string)
+	go func() {
+		var b bytes.Buffer
+		_, _ = b.ReadFrom(r)
+		printed <- b.String()
+	}()
+	code := subcommands.ExitUsageError
+	if flags.Parse(arguments) == nil {
+		code = command.Execute(ctx, flags)
+	}
+	w.Close()
+	os.Stdout, os.Stderr = out, errs
+	return fmt.Sprintf("== %s %s\n%s(exit code %d)\n\n", command.Name(), strings.Join(arguments, " "), <-printed, code)
+}
+
+func TestOperatorSession(t *testing.T) {
+	for _, name := range sample.Names {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, name)
+			platform := s.scene.PlatformAddress.String()
+			node := s.process.Settings.Addresses.Peers.String()
+			deployment := strings.ToLower(name)
+			engine := s.scene.Deployment.Servers[6].Name
+			faulty := t.TempDir()
+			writeFaulty(t, s.directory, faulty)
+			var text strings.Builder
+			do := func(command subcommands.Command, arguments ...string) {
+				text.WriteString(operate(s.ctx, command, arguments...))
+			}
+			do(&checkCommand{}, s.directory)
+			do(&checkCommand{}, faulty)
+			do(&checkCommand{output: outputFlag{"Json"}}, faulty)
+			do(&applyCommand{}, "-platform", platform, "-author", "asha", s.directory)
+			s.await(t)
+			do(&applyCommand{}, "-platform", platform, "-base", "1", faulty)
+			do(&applyCommand{}, "-platform", platform, "-base", "0", "-author", "late", s.directory)
+			edit(t, s.directory, "TokenGap = 50ms", "TokenGap = 45ms")
+			do(&diffCommand{}, "-platform", platform, s.directory)
+			do(&applyCommand{}, "-platform", platform, "-base", "1", "-author", "ravi", "-node", node, s.directory)
+			do(&diffCommand{}, "-platform", platform, s.directory)
+			do(&historyCommand{}, "-platform", platform, "-deployment", deployment)
+			do(&getCommand{}, "-platform", platform, "-deployment", deployment, "-version", "9")
+			do(&drainCommand{}, "-node", node, engine)
+			do(&timelineCommand{}, "-node", node, "-kind", "LeavingSet")
+			do(&drainCommand{undo: true}, "-node", node, engine)
+			do(&timelineCommand{}, "-node", node, "-engine", engine)
+			do(&timelineCommand{}, "-node", node, "-kind", "ConfigInForce")
+			do(&statusCommand{})
+			do(&applyCommand{}, "-platform", "nowhere", s.directory)
+			got := strings.ReplaceAll(strings.ReplaceAll(text.String(), s.directory, "DIR"), faulty, "FAULTY")
+			golden(t, deployment+"-operator.txt", stable(got))
+			status := operate(s.ctx, &statusCommand{}, "-node", node)
+			assert.Contains(t, status, engine)
+			assert.Contains(t, status, "entry-1")
+			assert.Contains(t, status, "(exit code 0)")
+		})
+	}
+}
+
+// edit replaces text in the deployment's main file.
+func edit(t *testing.T, directory, before, after string) {
+	path := filepath.Join(directory, "deployment.ini")
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Contains(t, string(data), before)
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(data), before, after, 1)), 0o600))
+}
+
+// writeFaulty copies a deployment and puts five faults into it.
+func writeFaulty(t *testing.T, from, to string) {
+	paths, err := filepath.Glob(filepath.Join(from, "*.ini"))
+	require.NoError(t, err)
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		require.NoError(t, err)
+		text := strings.Replace(string(data), "RetryShare = 0.1", "RetryShare = 7\nGoodputWieght = 1", 1)
+		text = strings.Replace(text, "Role = Mixed", "Role = Both", 1)
+		text = strings.Replace(text, "Slots = 16", "Slots = many", 1)
+		text = strings.Replace(text, "\n[Account", "\n[Acount x]\n\n[Account", 1)
+		require.NoError(t, os.WriteFile(filepath.Join(to, filepath.Base(path)), []byte(text), 0o600))
+	}
+}
+
+func TestOperatorsAddress(t *testing.T) {
+	s := newSite(t, "Malabar")
+	ask := func(path string) (int, string) {
+		response, err := http.Get("http://" + s.process.Settings.Addresses.Operators.String() + path)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.StatusCode, string(body)
+	}
+	code, _ := ask("/readyz")
+	assert.Equal(t, 503, code, "no configuration is in force")
+	code, _ = ask("/healthz")
+	assert.Equal(t, 200, code)
+	s.ready(t)
+	code, _ = ask("/readyz")
+	assert.Equal(t, 200, code)
+	_, vars := ask("/debug/vars")
+	assert.Contains(t, vars, "ConfigVersion")
+	code, _ = ask("/nowhere")
+	assert.Equal(t, 404, code)
+}
--- a/internal/bench/havoc/havoc.go
+++ b/internal/bench/havoc/havoc.go
@@ -44,17 +44,17 @@
 
 // Timing of the failures.
 const (
-	killedFor = 2 * time.Second
+	killedFor = time.Second
 	// pausedFor is longer than a lease.
 	pausedFor = 12 * time.Second
 	cutFor    = 6 * time.Second
 	// every is the time between two failures.
-	every = 2 * time.Second
+	every = 1300 * time.Millisecond
 	// recoverFor is left at the end without failures.
 	recoverFor = 15 * time.Second
 	plainShare = 0.4
 	// leastLive is how many processes are always left alone.
-	leastLive = 2
+	leastLive = 1
 )
 
 // Report is what a run showed.
--- a/internal/bench/load/door.go
+++ b/internal/bench/load/door.go
@@ -39,7 +39,9 @@
 	if r.Body != nil {
 		request.SetBodyRaw(r.Body)
 	}
-	x, err := h.client.Do(ctx, address, request, call.Options{Fresh: r.Key != ""})
+	// A kept connection may be to a process that has ended since, which would
+	// count as a lost request.
+	x, err := h.client.Do(ctx, address, request, call.Options{Fresh: true})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/procs/procs.go
+++ b/internal/bench/procs/procs.go
@@ -87,6 +87,8 @@
 	Nodes            []*Node
 	// Stand is added to the [Stand] section of the stand-ins' file.
 	Stand string
+	// Environment is added to each process's environment.
+	Environment []string
 	// Settings is added to each process's settings.
 	Settings string
 
@@ -156,6 +158,9 @@
 	defer log.Close()
 	command := exec.Command(program, arguments...)
 	command.Stdout, command.Stderr = log, log
+	if program == c.Product {
+		command.Env = append(os.Environ(), c.Environment...)
+	}
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", name, err)
--- a/internal/config/keys/keys.go
+++ b/internal/config/keys/keys.go
@@ -230,7 +230,7 @@
 func set(field reflect.Value, text string) string {
 	if unmarshaler, ok := field.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		if err := unmarshaler.UnmarshalText([]byte(text)); err != nil {
-			return fmt.Sprintf("must be a %s: %v", field.Type().Name(), err)
+			return wantedType(field.Type().Name(), err)
 		}
 		return ""
 	}
@@ -245,6 +245,17 @@
 	return setBasic(field, text)
 }
 
+// wantedType says what text of a type must be.
+func wantedType(name string, err error) string {
+	switch name {
+	case "AddrPort":
+		return "must be an IP number and a port, such as 127.0.0.1:7100"
+	case "Addr":
+		return "must be an IP number, such as 127.0.0.1"
+	}
+	return err.Error()
+}
+
 func setBasic(field reflect.Value, text string) string {
 	switch field.Kind() {
 	case reflect.String:
--- a/internal/config/spec/spec_test.go
+++ b/internal/config/spec/spec_test.go
@@ -65,7 +65,7 @@
 	var faults *keys.Error
 	require.ErrorAs(t, err, &faults)
 	want := []struct{ section, key, text string }{
-		{"BackendServer q", "Address", "must be a AddrPort"},
+		{"BackendServer q", "Address", "must be an IP number and a port"},
 		{"BackendServer q", "Modles", "nearest known key is Models"},
 		{"BackendServer q", "Role", "must be Mixed, Prefill or Decode"},
 		{"BackendServer q", "Slots", "must be over 0"},
--- a/internal/fleet/board/ticket.go
+++ b/internal/fleet/board/ticket.go
@@ -42,11 +42,11 @@
 // gapTokens is how many tokens one observation of the gap spans.
 const gapTokens = 16
 
+// Counts reports whether Tokens should be called at so many tokens.
+func Counts(count int) bool { return count%gapTokens == 0 }
+
 // Tokens notes that so many tokens have come, for the gap between them.
 func (t *Ticket) Tokens(now time.Time, count int) {
-	if count%gapTokens != 0 {
-		return
-	}
 	t.board.mu.Lock()
 	defer t.board.mu.Unlock()
 	if t.entry == nil || t.first.IsZero() {
--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -150,6 +150,8 @@
 	connection  *connection
 	stop        func() bool
 	readTimeout time.Duration
+	// extended is when the read deadline was set last.
+	extended time.Time
 	// whole is set once the body was read to its end; only then may the
 	// connection be kept.
 	whole bool
@@ -197,11 +199,19 @@
 	return nil
 }
 
-// extend gives the next read its time.
+// extend gives the next read its time. Setting a deadline costs as much as a
+// small read, so that the deadline is moved only once an eighth of the time has
+// passed: a read then has at least seven eighths of its time.
 func (x *Exchange) extend() {
-	if x.readTimeout > 0 {
-		_ = x.connection.SetReadDeadline(time.Now().Add(x.readTimeout))
+	if x.readTimeout <= 0 {
+		return
+	}
+	now := time.Now()
+	if now.Sub(x.extended) < x.readTimeout/8 {
+		return
 	}
+	x.extended = now
+	_ = x.connection.SetReadDeadline(now.Add(x.readTimeout))
 }
 
 // Status returns the status code of the answer.
--- a/internal/node/entry/complete.go
+++ b/internal/node/entry/complete.go
@@ -149,11 +149,12 @@
 }
 
 func (j *job) onEvent(count int) {
-	now := time.Now()
-	if count == 1 || j.ticket != nil && count%8 == 0 {
-		j.ticket.First(now)
+	if count == j.offset+1 {
+		j.ticket.First(time.Now())
+	}
+	if board.Counts(count) {
+		j.ticket.Tokens(time.Now(), count)
 	}
-	j.ticket.Tokens(now, count)
 }
 
 // failEvent is the last event of an answer that could not be made whole.
--- a/internal/node/entry/parse.go
+++ b/internal/node/entry/parse.go
@@ -113,14 +113,12 @@
 		}
 		return text, nil
 	}
-	messages, err := value.Get("messages").Array()
-	if value.Get("messages") == nil || err != nil || len(messages) == 0 {
+	messages := value.GetArray("messages")
+	if len(messages) == 0 {
 		return nil, wrong(400, "BadField", "give messages, a list of at least one, or prompt")
 	}
-	if len(messages) == 1 && messages[0].Get("content").Type() == fastjson.TypeString {
-		return messages[0].Get("content").GetStringBytes(), nil
-	}
 	var text []byte
+	var err error
 	for _, m := range messages {
 		text, err = appendContent(text, m.Get("content"))
 		if err != nil {
--- a/internal/node/entry/server.go
+++ b/internal/node/entry/server.go
@@ -8,11 +8,14 @@
 	"math"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
+	"go.uber.org/zap"
 
 	"ebonyscale.example/ebonyscale/internal/config/setup"
 	"ebonyscale.example/ebonyscale/internal/fleet/engine"
@@ -97,6 +100,7 @@
 }
 
 func (s *Server) handle(c *fasthttp.RequestCtx) {
+	defer s.recovered(c)
 	request, err := read(c, time.Now())
 	if m, ok := asMistake(err); ok {
 		write(c, refusal(m.status, retry.NotRun, m.code, m.detail, 0))
@@ -110,6 +114,18 @@
 	}
 }
 
+// recovered answers a request on which this process failed, and goes on.
+func (s *Server) recovered(c *fasthttp.RequestCtx) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	s.Core.Meters.Add("Panics", 1)
+	s.Core.Log.Error("a request made this process fail", zap.Any("Fault", fault), zap.ByteString("Stack", debug.Stack()))
+	c.Response.Reset()
+	write(c, refusal(500, retry.Unknown, "Internal", "this process failed on the request", 0))
+}
+
 // write gives the reply to the caller.
 func write(c *fasthttp.RequestCtx, r *Reply) {
 	c.SetStatusCode(r.Status)
@@ -196,7 +212,8 @@
 	return now.Add(time.Duration(ms) * time.Millisecond), nil
 }
 
-// Operators answers on the operators' address: health, readiness and metrics.
+// Operators answers on the operators' address: health, readiness, metrics and
+// profiles.
 type Operators struct {
 	Ready func() bool
 	JSON  func() string
@@ -229,6 +246,10 @@
 			c.SetBodyString(err.Error() + "\n")
 		}
 	default:
+		if strings.HasPrefix(string(c.Path()), "/debug/pprof/") {
+			pprofhandler.PprofHandler(c)
+			return
+		}
 		c.SetStatusCode(404)
 	}
 }
--- a/internal/node/tree/node.go
+++ b/internal/node/tree/node.go
@@ -101,8 +101,8 @@
 	period int
 
 	reached atomic.Bool
-	// greeted is set once a process of the zone was exchanged with; began is
-	// when the process started.
+	// greeted is set once a process of the zone was exchanged with, or if there
+	// is no other; began is when the process started.
 	greeted  atomic.Bool
 	began    time.Time
 	stopping atomic.Bool
--- a/internal/node/tree/watch.go
+++ b/internal/node/tree/watch.go
@@ -245,12 +245,14 @@
 	others := map[string][]member.Member{}
 	listed := map[string]bool{}
 	now := time.Now()
+	alone := len(list.VMs) > 0
 	for _, vm := range list.VMs {
 		n.leaving(leave.Entry{Name: vm.Name, Source: leave.VMList, Sequence: list.Revision, Leaving: vm.Leaving})
 		listed[vm.Name] = true
 		if !vm.Entry {
 			continue
 		}
+		alone = alone && (vm.Name == n.Self.Name || vm.AvailabilityZone != n.Self.AvailabilityZone)
 		m := member.Member{Name: vm.Name, AvailabilityZone: vm.AvailabilityZone, Address: netip.AddrPortFrom(vm.Address, n.Self.Address.Port())}
 		if vm.AvailabilityZone != n.Self.AvailabilityZone {
 			others[vm.AvailabilityZone] = append(others[vm.AvailabilityZone], m)
@@ -266,6 +268,9 @@
 	n.mu.Lock()
 	n.table.Forget(listed)
 	n.mu.Unlock()
+	if alone {
+		n.greeted.Store(true)
+	}
 }
 
 // addContacts makes some processes of another zone known, different ones for
