internal/plan/roles: plan roles by cost and benefit

Cause: roles were as declared only; a drain or an emptying reached other zones after up to 5 s, as a broken variant's time line showed (LeavingSet at 10.0 s in the planner's zone, 14.97 s in the last), while an order waits 4 s for it.

News of who is leaving goes at once to a process of each other zone and, where it is news, on to three of the own.

--- a/internal/bench/fault/fault_test.go
+++ b/internal/bench/fault/fault_test.go
@@ -1,4 +1,4 @@
-package fault
+package fault_test
 
 import (
 	"flag"
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ebonyscale.example/ebonyscale/internal/bench/judge"
+	"ebonyscale.example/ebonyscale/internal/bench/world"
 )
 
 var (
@@ -24,7 +25,7 @@
 )
 
 // run runs one schedule in virtual time.
-func run(t *testing.T, w *World, s Schedule) []judge.Violation {
+func run(t *testing.T, w *world.World, s world.Schedule) []judge.Violation {
 	var violations []judge.Violation
 	synctest.Test(t, func(t *testing.T) {
 		var err error
@@ -46,7 +47,7 @@
 	strikes int
 }
 
-func (c *table) add(name string, w *World, violations []judge.Violation) {
+func (c *table) add(name string, w *world.World, violations []judge.Violation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.count == nil {
@@ -81,12 +82,12 @@
 		for seed := *from; seed < *from+uint64(*seeds); seed++ {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
-				w := &World{Seed: seed}
+				w := &world.World{Seed: seed}
 				if seed%2 == 0 {
 					w.Example = "Quetzal"
 					w.NodesPerZone = 2
 				}
-				violations := run(t, w, Random(seed))
+				violations := run(t, w, world.Random(seed))
 				c.add(fmt.Sprintf("seed %d", seed), w, violations)
 				assert.Empty(t, violations)
 			})
@@ -100,30 +101,30 @@
 // TestFaultVariants breaks the system on purpose and expects the checkers to
 // catch it. Each schedule is run on the correct system too, which must pass.
 func TestFaultVariants(t *testing.T) {
-	changes := []Event{{At: time.Second, Kind: ChangeRole, Pick: 7}}
+	changes := []world.Event{{At: time.Second, Kind: world.ChangeRole, Pick: 7}}
 	cases := []struct {
-		variant Variant
+		variant world.Variant
 		caught  judge.Promise
 		rate    float64
-		events  []Event
-		strikes []Strike
+		events  []world.Event
+		strikes []world.Strike
 	}{
-		{FenceNotSent, judge.NoEffectWithoutAuthority, 0, changes, []Strike{{Operation: "Order ", Kind: PauseLong}}},
-		{NoMargin, judge.NoEffectWithoutAuthority, 0, []Event{{At: time.Second, Kind: ChangeRole, Pick: 9}}, []Strike{{Operation: "Order ", Kind: PauseLong}}},
-		{RetryAfterSend, judge.RunsAtMostOnce, 0, []Event{{At: time.Second, Kind: PlainLose, For: 10 * time.Second}}, nil},
-		{StageMisjudged, judge.RunsAtMostOnce, 0, []Event{{At: time.Second, Kind: PlainLose, For: 10 * time.Second}}, nil},
-		{NoVersionCheck, judge.ConfigNeverReverts, 0, []Event{{At: time.Second, Kind: CompetingApplies, Pick: 7}}, nil},
-		{DrainIgnored, judge.NoWorkAfterLeaving, 0, []Event{{At: time.Second, Kind: VMLeaves, For: 8 * time.Second}}, nil},
-		{IdentityUnchecked, judge.WholeAnswerToItsCaller, 0, []Event{{At: time.Second, Kind: EngineCross, For: 10 * time.Second}}, nil},
-		{ResumeFromStart, judge.WholeAnswerToItsCaller, 0, []Event{{At: time.Second, Kind: EngineCut, Pick: 9, For: 10 * time.Second}}, nil},
-		{StopAtOnce, judge.NoCutByPlannedStop, 16, []Event{{At: 5 * time.Second, Kind: PlannedStop, For: 3 * time.Second}}, nil},
-		{NotEmptied, judge.NoCutByPlannedChange, 40, []Event{{At: time.Second, Kind: ChangeRole, Pick: 7}, {At: 7 * time.Second, Kind: ChangeRole, Pick: 8}, {At: 14 * time.Second, Kind: ChangeRole, Pick: 11}, {At: 20 * time.Second, Kind: ChangeRole, Pick: 10}}, nil},
+		{world.FenceNotSent, judge.NoEffectWithoutAuthority, 0, changes, []world.Strike{{Operation: "Order ", Kind: world.PauseLong}}},
+		{world.NoMargin, judge.NoEffectWithoutAuthority, 0, []world.Event{{At: time.Second, Kind: world.ChangeRole, Pick: 9}}, []world.Strike{{Operation: "Order ", Kind: world.PauseLong}}},
+		{world.RetryAfterSend, judge.RunsAtMostOnce, 0, []world.Event{{At: time.Second, Kind: world.PlainLose, For: 10 * time.Second}}, nil},
+		{world.StageMisjudged, judge.RunsAtMostOnce, 0, []world.Event{{At: time.Second, Kind: world.PlainLose, For: 10 * time.Second}}, nil},
+		{world.NoVersionCheck, judge.ConfigNeverReverts, 0, []world.Event{{At: time.Second, Kind: world.CompetingApplies, Pick: 7}}, nil},
+		{world.DrainIgnored, judge.NoWorkAfterLeaving, 0, []world.Event{{At: time.Second, Kind: world.VMLeaves, For: 8 * time.Second}}, nil},
+		{world.IdentityUnchecked, judge.WholeAnswerToItsCaller, 0, []world.Event{{At: time.Second, Kind: world.EngineCross, For: 10 * time.Second}}, nil},
+		{world.ResumeFromStart, judge.WholeAnswerToItsCaller, 0, []world.Event{{At: time.Second, Kind: world.EngineCut, Pick: 9, For: 10 * time.Second}}, nil},
+		{world.StopAtOnce, judge.NoCutByPlannedStop, 16, []world.Event{{At: 5 * time.Second, Kind: world.PlannedStop, For: 3 * time.Second}}, nil},
+		{world.NotEmptied, judge.NoCutByPlannedChange, 40, []world.Event{{At: time.Second, Kind: world.ChangeRole, Pick: 7}, {At: 13 * time.Second, Kind: world.ChangeRole, Pick: 11}}, nil},
 		{
-			OrderForgotten, judge.NoConflictingOrders, 0,
-			[]Event{{At: time.Second, Kind: ChangeRole, Pick: 7}, {At: 10 * time.Second, Kind: ChangeRole, Pick: 7 + 70}},
+			world.OrderForgotten, judge.NoConflictingOrders, 0,
+			[]world.Event{{At: time.Second, Kind: world.ChangeRole, Pick: 7}, {At: 10 * time.Second, Kind: world.ChangeRole, Pick: 7 + 70}},
 			nil,
 		},
-		{ConfigDeaf, judge.ConfigInForceInTime, 0, changes, nil},
+		{world.ConfigDeaf, judge.ConfigInForceInTime, 0, changes, nil},
 	}
 	var mu sync.Mutex
 	var lines []string
@@ -131,23 +132,23 @@
 		for _, c := range cases {
 			t.Run(c.variant.String(), func(t *testing.T) {
 				t.Parallel()
-				schedule := func() Schedule {
-					s := Schedule{Events: c.events}
+				schedule := func() world.Schedule {
+					s := world.Schedule{Events: c.events}
 					for _, strike := range c.strikes {
 						s.Strikes = append(s.Strikes, &strike)
 					}
 					return s
 				}
-				world := func(variant Variant) *World {
-					w := &World{Seed: 3, Length: 30 * time.Second, Rate: c.rate, Variant: variant}
-					if c.variant == OrderForgotten {
+				fleet := func(variant world.Variant) *world.World {
+					w := &world.World{Seed: 3, Length: 30 * time.Second, Rate: c.rate, Variant: variant}
+					if c.variant == world.OrderForgotten {
 						w.ChangeTakes = 25 * time.Second
 					}
 					return w
 				}
-				assert.Empty(t, run(t, world(Correct), schedule()), "the correct system")
+				assert.Empty(t, run(t, fleet(world.Correct), schedule()), "the correct system")
 				found := 0
-				for _, v := range run(t, world(c.variant), schedule()) {
+				for _, v := range run(t, fleet(c.variant), schedule()) {
 					if v.Promise == c.caught {
 						found++
 					}
@@ -169,24 +170,24 @@
 func TestFaultSteps(t *testing.T) {
 	var c table
 	t.Run("steps", func(t *testing.T) {
-		for i, operation := range Operations {
-			for _, kind := range StrikeKinds {
+		for i, operation := range world.Operations {
+			for _, kind := range world.StrikeKinds {
 				for _, after := range []bool{false, true} {
-					if kind == LoseAnswer && !after {
+					if kind == world.LoseAnswer && !after {
 						continue
 					}
-					strike := &Strike{Operation: operation, After: after, Kind: kind, Skip: i % 2}
+					strike := &world.Strike{Operation: operation, After: after, Kind: kind, Skip: i % 2}
 					t.Run(strings.ReplaceAll(strike.String(), "/", ""), func(t *testing.T) {
 						t.Parallel()
-						w := &World{Seed: uint64(100 + i), Length: 22 * time.Second, Rate: 6}
-						violations := run(t, w, Schedule{Strikes: []*Strike{strike}, Events: []Event{
-							{At: time.Second, Kind: ChangeRole, Pick: 7},
-							{At: 3 * time.Second, Kind: Drain, Pick: 4, For: 2 * time.Second},
-							{At: 9 * time.Second, Kind: ChangeRole, Pick: 15},
+						w := &world.World{Seed: uint64(100 + i), Length: 22 * time.Second, Rate: 6}
+						violations := run(t, w, world.Schedule{Strikes: []*world.Strike{strike}, Events: []world.Event{
+							{At: time.Second, Kind: world.ChangeRole, Pick: 7},
+							{At: 3 * time.Second, Kind: world.Drain, Pick: 4, For: 2 * time.Second},
+							{At: 9 * time.Second, Kind: world.ChangeRole, Pick: 15},
 						}})
 						c.add(strike.String(), w, violations)
 						assert.Empty(t, violations)
-						c.struck(strike.struck)
+						c.struck(strike.Struck)
 					})
 				}
 			}
--- a/internal/bench/fault/life.go
+++ b/internal/bench/world/life.go
@@ -1,4 +1,4 @@
-package fault
+package world
 
 import (
 	"context"
@@ -186,6 +186,7 @@
 func (p platform) VMs(ctx context.Context) (store.List, error) {
 	list, err := toPlatform(ctx, p, "VMs", 0, func(ctx context.Context) (store.List, error) { return p.world.Scene.Platform.VMs(ctx) })
 	if p.world.Variant == DrainIgnored {
+		list.VMs = append([]store.VM(nil), list.VMs...)
 		for i := range list.VMs {
 			list.VMs[i].Leaving = false
 		}
@@ -355,7 +356,11 @@
 	case ConfigDeaf:
 		g.ConfigVersion = min(g.ConfigVersion, 1)
 	}
-	return toPeer(ctx, p, "Exchange", address, func(ctx context.Context, n *tree.Node) (*wire.Gossip, error) { return n.Exchange(ctx, g) })
+	answer, err := toPeer(ctx, p, "Exchange", address, func(ctx context.Context, n *tree.Node) (*wire.Gossip, error) { return n.Exchange(ctx, g) })
+	if err == nil && (p.world.Variant == DrainIgnored || p.world.Variant == NotEmptied) {
+		answer.Leaves = nil
+	}
+	return answer, err
 }
 
 func (p peers) Probe(ctx context.Context, address netip.AddrPort, q *wire.ProbeQuery) (*wire.ProbeAnswer, error) {
--- a/internal/bench/fault/schedule.go
+++ b/internal/bench/world/schedule.go
@@ -1,4 +1,4 @@
-package fault
+package world
 
 import (
 	"context"
@@ -96,6 +96,8 @@
 	ChangeRole
 	CompetingApplies
 	PlannedStop
+	// Custom calls the world's OnCustom.
+	Custom
 	// LoseAnswer is for strikes only: the answer of the call does not arrive.
 	LoseAnswer
 )
@@ -104,14 +106,14 @@
 	"Kill", "PauseShort", "PauseLong", "PauseOverLease", "CutPlatform", "CutPeers", "CutOneWay", "CutZone",
 	"PlatformDown", "PlatformSilent", "PlatformSlow", "LoseWrites", "StaleReads", "EngineCrash", "EngineCut", "EngineCross",
 	"CrashInOrder", "LoseOrderAnswer", "EngineSlow", "PlainLose", "PlainDown", "PlainRefuse", "PlainCross", "VMLeaves", "Drain",
-	"ChangeRole", "CompetingApplies", "PlannedStop", "LoseAnswer",
+	"ChangeRole", "CompetingApplies", "PlannedStop", "Custom", "LoseAnswer",
 }
 
 // String returns the kind's name.
 func (k Kind) String() string { return kindNames[k] }
 
 // randomKinds is how many kinds a random schedule draws from.
-const randomKinds = int(LoseAnswer)
+const randomKinds = int(Custom)
 
 // Event is a fault at a time.
 type Event struct {
@@ -132,7 +134,8 @@
 	Skip int
 	Kind Kind
 
-	struck bool
+	// Struck is set once the strike has found its call.
+	Struck bool
 }
 
 // String describes the strike.
@@ -228,6 +231,8 @@
 		w.compete(ctx, e.Pick)
 	case PlannedStop:
 		w.plannedStop(ctx, h, e.For)
+	case Custom:
+		w.OnCustom(w.Scene)
 	}
 }
 
@@ -402,6 +407,10 @@
 func (w *World) leaveVM(ctx context.Context, e Event) {
 	names := w.engines()
 	b, _ := w.deployment.Server(names[e.Pick%len(names)])
+	if !w.reserve(b.Name) {
+		return
+	}
+	defer w.free(b.Name)
 	vm := store.VM{Name: b.VM, AvailabilityZone: b.AvailabilityZone, Address: b.Address.Addr(), Leaving: true}
 	w.Scene.Platform.SetVM(vm)
 	since := time.Now().Add(listDelay)
@@ -419,6 +428,24 @@
 	return w.platform
 }
 
+// reserve takes an engine for one event that makes it leave: a second one would
+// be undone by the end of the first.
+func (w *World) reserve(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reserved[name] {
+		return false
+	}
+	w.reserved[name] = true
+	return true
+}
+
+func (w *World) free(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.reserved, name)
+}
+
 // judgeLeaving judges the calls that an engine got since it began to leave. It
 // is called while the engine still is leaving.
 func (w *World) judgeLeaving(name string, since time.Time, excused func(id string, at time.Time) bool) {
@@ -432,9 +459,10 @@
 	names := w.engines()
 	name := names[e.Pick%len(names)]
 	node := h.live()
-	if node == nil {
+	if node == nil || !w.reserve(name) {
 		return
 	}
+	defer w.free(name)
 	if _, err := node.Drain(ctx, &wire.DrainQuery{Name: name, Leaving: true}); err != nil {
 		return
 	}
@@ -572,14 +600,14 @@
 	w.mu.Lock()
 	var due *Strike
 	for _, s := range w.strikes {
-		if s.struck || s.After != after || !strings.HasPrefix(operation, s.Operation) {
+		if s.Struck || s.After != after || !strings.HasPrefix(operation, s.Operation) {
 			continue
 		}
 		if s.Skip > 0 {
 			s.Skip--
 			continue
 		}
-		s.struck = true
+		s.Struck = true
 		due = s
 		break
 	}
--- a/internal/bench/fault/world.go
+++ b/internal/bench/world/world.go
@@ -1,4 +1,4 @@
-// Package fault brings failures about in virtual time and looks for broken
+// Package world brings failures about in virtual time and looks for broken
 // promises.
 //
 // A World is a small fleet: the real duties of some processes, joined to the
@@ -9,15 +9,15 @@
 // # Usage
 //
 //	synctest.Test(t, func(t *testing.T) {
-//		w := fault.World{Seed: 7}
-//		violations := w.Run(t.Context(), fault.Random(7))
+//		w := world.World{Seed: 7}
+//		violations := w.Run(t.Context(), world.Random(7))
 //	})
 //
 // A process fails only where it touches the outside: a killed one makes no call
 // any more and its answers break off, a paused one stands still at its next
 // call or answer. What else it does cannot be seen from outside. The checkers
 // of package judge read what the stand-ins and the callers saw.
-package fault
+package world
 
 import (
 	"context"
@@ -40,6 +40,9 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/member"
 	"ebonyscale.example/ebonyscale/internal/node/trace"
 	"ebonyscale.example/ebonyscale/internal/node/tree"
+	"ebonyscale.example/ebonyscale/internal/plan/roles"
+	"ebonyscale.example/ebonyscale/internal/route/place"
+	"ebonyscale.example/ebonyscale/internal/stand/model"
 	"ebonyscale.example/ebonyscale/internal/stand/scene"
 	"ebonyscale.example/ebonyscale/internal/state/lease"
 	"ebonyscale.example/ebonyscale/internal/state/store"
@@ -58,6 +61,21 @@
 	// Rate is the requests per second, 8 if zero.
 	Rate    float64
 	Variant Variant
+	// Trace is what is sent, instead of an even mix.
+	Trace []load.Entry
+	// Place and Roles are the policies of the processes.
+	Place place.Policy
+	Roles roles.Policy
+	// Edit changes the example's files before they are applied.
+	Edit func(files []spec.File) []spec.File
+	// Shape changes the stand-ins before they start.
+	Shape func(s *scene.Scene)
+	// OnCustom is called by events of the kind Custom.
+	OnCustom func(s *scene.Scene)
+	// Vendor makes every engine of one make, if set.
+	Vendor string
+	// Calm leaves out what looks for late configurations, for long runs.
+	Calm bool
 	// ChangeTakes, if set, is how long engines are out of service for an order.
 	ChangeTakes time.Duration
 
@@ -77,6 +95,8 @@
 	random  *rand.Rand
 	// accepted has the time of each accepted version.
 	accepted map[uint64]time.Time
+	// reserved has the engines that an event makes leave.
+	reserved map[string]bool
 	// outages are the times in which the platform gave no answers.
 	outages []disturbance
 	// shaken is the time of the last fault of the platform.
@@ -108,6 +128,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.ctx = ctx
+	w.strikes = s.Strikes
 	w.Scene.Start(ctx)
 	if err := w.applyFirst(ctx); err != nil {
 		return nil, err
@@ -117,8 +138,9 @@
 	}
 	sleep(ctx, 8*time.Second)
 	var group sync.WaitGroup
-	group.Go(func() { w.watchConfig(ctx) })
-	w.strikes = s.Strikes
+	if !w.Calm {
+		group.Go(func() { w.watchConfig(ctx) })
+	}
 	group.Go(func() { w.play(ctx, s.Events) })
 	w.load(ctx)
 	w.heal()
@@ -140,6 +162,9 @@
 	if err != nil {
 		return err
 	}
+	if w.Edit != nil {
+		files = w.Edit(files)
+	}
 	w.files = files
 	w.deployment, err = spec.Parse(files)
 	if err != nil {
@@ -148,12 +173,16 @@
 	w.began = time.Now()
 	w.random = rand.New(rand.NewPCG(w.Seed, 5))
 	w.accepted = map[uint64]time.Time{}
+	w.reserved = map[string]bool{}
 	w.Scene = &scene.Scene{
 		Deployment: w.deployment, Writes: 300, Reads: 2000, ReportLag: 300 * time.Millisecond,
-		ListLag: 500 * time.Millisecond, Seed: w.Seed,
+		ListLag: 500 * time.Millisecond, Seed: w.Seed, Vendor: w.Vendor,
 	}
 	w.addHosts()
 	w.Scene.Build()
+	if w.Shape != nil {
+		w.Shape(w.Scene)
+	}
 	if w.ChangeTakes > 0 {
 		for _, e := range w.Scene.Engines {
 			e.Vendor.Change = w.ChangeTakes
@@ -162,6 +191,22 @@
 	return nil
 }
 
+// Preview returns an example deployment and its stand-in engines, for
+// experiments that need to know a fleet before they run it.
+func Preview(example, vendor string) (*spec.Deployment, map[string]*model.Engine, error) {
+	files, err := sample.Files(example)
+	if err != nil {
+		return nil, nil, err
+	}
+	deployment, err := spec.Parse(files)
+	if err != nil {
+		return nil, nil, fmt.Errorf("example: %w", err)
+	}
+	s := &scene.Scene{Deployment: deployment, Vendor: vendor}
+	s.Build()
+	return deployment, s.Engines, nil
+}
+
 func (w *World) defaults() {
 	if w.Example == "" {
 		w.Example = "Malabar"
@@ -205,7 +250,10 @@
 
 // load sends the callers' requests.
 func (w *World) load(ctx context.Context) {
-	trace := load.Mix(w.deployment, load.Plan{Seed: w.Seed, Length: w.Length, Rate: w.Rate, PlainShare: plainShare})
+	trace := w.Trace
+	if trace == nil {
+		trace = load.Mix(w.deployment, load.Plan{Seed: w.Seed, Length: w.Length, Rate: w.Rate, PlainShare: plainShare})
+	}
 	runner := &load.Runner{
 		Deployment: w.deployment, Door: w, Targets: len(w.Hosts), Repeats: 2,
 		Live: func(i int) bool { return w.Hosts[i].ready() },
@@ -373,7 +421,7 @@
 	l.node = &tree.Node{
 		Self:       member.Member{Name: h.name, AvailabilityZone: h.zone, Address: h.address, Incarnation: uint64(time.Now().UnixMilli()) << 8},
 		Deployment: w.deployment.Name, Platform: platform{l}, Servers: servers{l}, Peers: peers{l}, Log: zap.NewNop(),
-		Limits: limits, WatchFor: 30 * time.Second, ListEvery: time.Second,
+		Limits: limits, WatchFor: 30 * time.Second, ListEvery: time.Second, Policy: w.Place, Roles: w.Roles,
 		Seed: w.Seed*1000 + uint64(h.index) + uint64(time.Since(w.began)),
 	}
 	if w.Variant == NoMargin {
--- a/internal/config/spec/parser.go
+++ b/internal/config/spec/parser.go
@@ -90,6 +90,7 @@
 	p.deployment.KeyRetention = defaultKeyRetention
 	p.deployment.KeyedWithoutPlatform = "Refuse"
 	p.deployment.RetryShare = defaultRetryShare
+	p.deployment.Roles = "Declared"
 	s.Decode(&p.deployment, p.faults)
 }
 
--- a/internal/config/spec/spec.go
+++ b/internal/config/spec/spec.go
@@ -95,6 +95,9 @@
 	// KeyedWithoutPlatform says what happens to keyed calls during an outage
 	// of the platform: Refuse or SendOnce.
 	KeyedWithoutPlatform string `validate:"oneof=Refuse SendOnce"`
+	// Roles says who decides on engines' roles: Declared keeps them as the files
+	// say, Planned lets the planner change them as the mix shifts.
+	Roles string `validate:"oneof=Declared Planned"`
 	// RetryShare bounds retries as a share of first tries.
 	RetryShare float64 `validate:"gte=0,lte=1"`
 
--- a/internal/fleet/board/board.go
+++ b/internal/fleet/board/board.go
@@ -96,6 +96,8 @@
 	tickets map[*Ticket]struct{}
 	first   line
 	gap     line
+	// floor is the least token gap seen lately, in seconds.
+	floor float64
 	// failures counts tries that failed in a row; avoid is until when the
 	// server gets no work for it.
 	failures int
@@ -262,6 +264,39 @@
 	return list
 }
 
+// Rate is what an engine can do, as learned from answers or as declared.
+type Rate struct {
+	// Prefill and Decode are in tokens per second, each if the engine does
+	// nothing else.
+	Prefill, Decode float64
+	// Gap is the token gap with full slots and no prefill.
+	Gap     time.Duration
+	Running int
+	Leaving bool
+}
+
+// Rate returns what the named engine can do.
+func (b *Board) Rate(name string) (Rate, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[name]
+	if e == nil {
+		return Rate{}, false
+	}
+	r := Rate{Running: e.load.Running, Prefill: e.server.PrefillRate, Decode: e.server.DecodeRate}
+	r.Leaving = !b.usable(time.Now(), e)
+	if e.first.slope > 0 {
+		r.Prefill = 1 / e.first.slope
+	}
+	gap := float64(e.server.Slots) / e.server.DecodeRate
+	if e.floor > 0 {
+		gap = e.floor
+		r.Decode = float64(e.server.Slots) / gap
+	}
+	r.Gap = time.Duration(gap * float64(time.Second))
+	return r, true
+}
+
 // Leave takes in an entry of who is leaving and reports whether it was news.
 func (b *Board) Leave(e leave.Entry) bool {
 	b.mu.Lock()
--- a/internal/fleet/board/ticket.go
+++ b/internal/fleet/board/ticket.go
@@ -54,12 +54,25 @@
 	}
 	gap := now.Sub(t.last).Seconds() / gapTokens
 	t.last = now
+	t.entry.lowerFloor(gap)
 	if count > gapTokens {
 		streams := max(t.entry.load.Running, len(t.entry.tickets))
 		t.entry.gap.learn(float64(streams), gap)
 	}
 }
 
+// floorRise is how fast the least gap is forgotten.
+const floorRise = 0.01
+
+// lowerFloor follows the least gap seen lately: that of steps without prefill.
+func (e *entry) lowerFloor(gap float64) {
+	if e.floor == 0 || gap < e.floor {
+		e.floor = gap
+		return
+	}
+	e.floor += floorRise * (gap - e.floor)
+}
+
 // End notes that the request has ended, in whatever way.
 func (t *Ticket) End() {
 	t.board.mu.Lock()
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -290,6 +290,28 @@
 	return list
 }
 
+// Contacts returns one process of each other zone that is not gone.
+func (t *Table) Contacts(random uint64) []Member {
+	zones := map[string][]Member{}
+	var names []string
+	for _, m := range t.All()[1:] {
+		zone := m.AvailabilityZone
+		if m.State == Gone || zone == t.Self.AvailabilityZone {
+			continue
+		}
+		if zones[zone] == nil {
+			names = append(names, zone)
+		}
+		zones[zone] = append(zones[zone], m)
+	}
+	var list []Member
+	for _, zone := range names {
+		members := zones[zone]
+		list = append(list, members[(random>>5)%uint64(len(members))])
+	}
+	return list
+}
+
 // News returns the changes to pass on, at most limit, and counts them as passed
 // on. The changes that were passed on least come first.
 func (t *Table) News(limit int) []Member {
--- a/internal/fleet/order/desk.go
+++ b/internal/fleet/order/desk.go
@@ -80,20 +80,34 @@
 	return w.intent, true
 }
 
-// Step takes one engine a step further. want is nil if the plan has no wish.
-// It returns what was done.
-func (d *Desk) Step(ctx context.Context, server spec.BackendServer, want *Want, reason string) (Kind, error) {
+// Last returns the last intent of an engine, reading it if need be. It returns
+// false if this process does not hold the lease.
+func (d *Desk) Last(ctx context.Context, name string) (Intent, bool, error) {
 	grant, ok := d.Authority.Grant()
 	if !ok {
-		return Wait, nil
+		return Intent{}, false, nil
 	}
 	d.begin(grant.Fence)
-	w := d.work(server.Name)
+	w := d.work(name)
 	if !w.read {
-		if err := d.load(ctx, server.Name, w); err != nil {
-			return Wait, fmt.Errorf("load intent: %w", err)
+		if err := d.load(ctx, name, w); err != nil {
+			return Intent{}, false, fmt.Errorf("load intent: %w", err)
 		}
 	}
+	return w.intent, true, nil
+}
+
+// Step takes one engine a step further. want is nil if the plan has no wish.
+// It returns what was done.
+func (d *Desk) Step(ctx context.Context, server spec.BackendServer, want *Want, reason string) (Kind, error) {
+	if _, ok, err := d.Last(ctx, server.Name); !ok || err != nil {
+		return Wait, err
+	}
+	grant, ok := d.Authority.Grant()
+	if !ok || grant.Fence != d.fence {
+		return Wait, nil
+	}
+	w := d.work(server.Name)
 	if want != nil || w.intent.Open() {
 		d.observe(ctx, server, w)
 	}
@@ -159,7 +173,7 @@
 func (d *Desk) do(ctx context.Context, kind Kind, server spec.BackendServer, w *work, grant lease.Grant, want *Want, reason string) error {
 	switch kind {
 	case Intend:
-		next := Intent{ID: uuid.NewString(), Engine: server.Name, Fence: grant.Fence, Want: *want, State: Intended, Reason: reason}
+		next := Intent{ID: uuid.NewString(), Engine: server.Name, Fence: grant.Fence, Want: *want, Declared: server.Role, State: Intended, Reason: reason}
 		return d.record(ctx, w, next, trace.OrderIntended)
 	case Empty:
 		w.emptiedSince = time.Now()
@@ -175,7 +189,7 @@
 		return d.send(ctx, server, w)
 	case Adopt:
 		next := w.intent
-		next.ID, next.Fence = uuid.NewString(), grant.Fence
+		next.ID, next.Fence, next.Declared = uuid.NewString(), grant.Fence, server.Role
 		w.sentAt = time.Time{}
 		d.empty(server.Name, true)
 		return d.record(ctx, w, next, trace.OrderIntended)
--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -67,7 +67,9 @@
 	Engine string
 	Fence  uint64
 	Want   Want
-	State  State
+	// Declared is the role that the files declared when the order was made.
+	Declared spec.Role
+	State    State
 	// Reason says why the change is made.
 	Reason string
 	// Write is different for each write, by which a writer knows its own.
--- a/internal/node/entry/complete.go
+++ b/internal/node/entry/complete.go
@@ -78,10 +78,12 @@
 	}
 	now := time.Now()
 	j := &job{core: c, id: id, deployment: d, request: r, work: w, started: now}
-	c.Demand.Add(w.prompt, w.output)
 	chosen, found := j.place(now)
 	estimate := admit.Estimate{Found: found}
-	if found {
+	if !found {
+		c.Demand.Add(w.prompt, w.output)
+	} else {
+		c.Demand.Add(max(w.prompt-int(chosen.cached), 1), w.output)
 		estimate.Wait, estimate.Finish = chosen.decision.Wait, chosen.decision.Finish
 	}
 	decision := admit.Decide(admit.Request{
--- a/internal/node/trace/trace.go
+++ b/internal/node/trace/trace.go
@@ -53,6 +53,7 @@
 	OrderAbandoned  Kind = "OrderAbandoned"
 	OrderHeldBack   Kind = "OrderHeldBack"
 	RolePlanned     Kind = "RolePlanned"
+	RoleKept        Kind = "RoleKept"
 	LeavingSet      Kind = "LeavingSet"
 	LeavingCleared  Kind = "LeavingCleared"
 	MemberJoined    Kind = "MemberJoined"
--- a/internal/node/tree/gossip.go
+++ b/internal/node/tree/gossip.go
@@ -173,8 +173,12 @@
 	}
 	n.note(changes)
 	n.mu.Unlock()
+	learned := false
 	for _, e := range g.Leaves {
-		n.leaving(fromLeave(e))
+		learned = n.leaving(fromLeave(e)) || learned
+	}
+	if learned {
+		n.tellSome()
 	}
 	for _, l := range g.Loads {
 		n.Board.Hear(n.fromLoad(l, now))
--- a/internal/node/tree/node.go
+++ b/internal/node/tree/node.go
@@ -49,6 +49,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/trace"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/plan/mix"
+	"ebonyscale.example/ebonyscale/internal/plan/roles"
 	"ebonyscale.example/ebonyscale/internal/route/place"
 	"ebonyscale.example/ebonyscale/internal/state/lease"
 	"ebonyscale.example/ebonyscale/internal/state/store"
@@ -84,6 +85,7 @@
 	ListEvery  time.Duration
 	Seed       uint64
 	Policy     place.Policy
+	Roles      roles.Policy
 	// Margin is a variant of the lease's margin, for tests.
 	Margin func(time.Duration) time.Duration
 
@@ -281,14 +283,16 @@
 	}
 }
 
-// leaving takes in who is leaving and tells the time line of news.
-func (n *Node) leaving(e leave.Entry) {
+// leaving takes in who is leaving, tells the time line of news, and reports
+// whether it was news.
+func (n *Node) leaving(e leave.Entry) bool {
 	if !n.Board.Leave(e) {
-		return
+		return false
 	}
 	kind := trace.LeavingCleared
 	if e.Leaving {
 		kind = trace.LeavingSet
 	}
 	n.Trace.Add(trace.Event{Kind: kind, Engine: e.Name, Detail: "says " + e.Source.String()})
+	return true
 }
--- a/internal/node/tree/peer.go
+++ b/internal/node/tree/peer.go
@@ -114,7 +114,7 @@
 	e := leave.Entry{Name: q.Name, Source: leave.Operator, Leaving: q.Leaving}
 	e.Sequence = n.Board.LeaveSequence(q.Name, leave.Operator) + 1
 	n.leaving(e)
-	n.tellSome()
+	n.tellZones()
 	err := n.recordDrain(ctx, e)
 	if err != nil {
 		n.finish.Push(func(ctx context.Context) error { return n.recordDrain(ctx, e) })
--- a/internal/node/tree/watch.go
+++ b/internal/node/tree/watch.go
@@ -175,17 +175,30 @@
 	n.tellSome()
 }
 
-// eager is how many peers are told at once of a new configuration.
+// eager is how many peers of the zone are told at once of news.
 const eager = 3
 
-// tellSome exchanges with some peers at once, so that news need not wait for
-// the period.
+// tellSome exchanges at once with some peers of the zone, so that news that
+// matters need not wait for the period. Each that learns of it does the same.
 func (n *Node) tellSome() {
 	random := n.draw()
 	n.mu.Lock()
-	helpers := n.table.Helpers("", eager, random)
+	told := n.table.Helpers("", eager, random)
 	n.mu.Unlock()
-	for _, m := range helpers {
+	for _, m := range told {
+		n.prompt.Push(m.Address)
+	}
+}
+
+// tellZones tells a process of each other zone, besides some of the own. It is
+// for the process where the news arose.
+func (n *Node) tellZones() {
+	n.tellSome()
+	random := n.draw()
+	n.mu.Lock()
+	told := n.table.Contacts(random)
+	n.mu.Unlock()
+	for _, m := range told {
 		n.prompt.Push(m.Address)
 	}
 }
--- a/internal/plan/mix/mix.go
+++ b/internal/plan/mix/mix.go
@@ -34,6 +34,11 @@
 	return Demand{d.Prompt + other.Prompt, d.Output + other.Output, d.Requests + other.Requests}
 }
 
+// Times scales a demand.
+func (d Demand) Times(k float64) Demand {
+	return Demand{d.Prompt * k, d.Output * k, d.Requests * k}
+}
+
 // Tally counts the demand since the start of a process. Totals only grow, so
 // that a reader who misses some readings loses nothing. The zero value is ready
 // to use and safe for concurrent use.
--- a/internal/stand/model/model.go
+++ b/internal/stand/model/model.go
@@ -48,6 +48,8 @@
 var Vendors = map[string]Vendor{
 	"Kestrel": {Step: 8 * time.Millisecond, PerDecode: 300 * time.Microsecond, PerPrompt: 60 * time.Microsecond, Chunk: 512, KvPerSecond: 200000, Change: 4 * time.Second},
 	"Heron":   {Step: 12 * time.Millisecond, PerDecode: 500 * time.Microsecond, PerPrompt: 110 * time.Microsecond, Chunk: 384, KvPerSecond: 120000, Change: 6 * time.Second},
+	// Osprey prefills in large chunks, which hold up the streams beside them.
+	"Osprey":  {Step: 10 * time.Millisecond, PerDecode: 200 * time.Microsecond, PerPrompt: 150 * time.Microsecond, Chunk: 1024, KvPerSecond: 400000, Change: 5 * time.Second},
 	"Instant": {Step: 200 * time.Microsecond, PerDecode: time.Microsecond, PerPrompt: 0, Chunk: 1 << 20, KvPerSecond: 1e9, Change: 500 * time.Millisecond},
 }
 
--- a/internal/stand/scene/settings.go
+++ b/internal/stand/scene/settings.go
@@ -37,7 +37,7 @@
 	// ReportLag is the age of engines' reports.
 	ReportLag time.Duration `validate:"gte=0"`
 	// Vendor makes every engine of one make.
-	Vendor string `validate:"omitempty,oneof=Kestrel Heron Instant"`
+	Vendor string `validate:"omitempty,oneof=Kestrel Heron Osprey Instant"`
 	Seed   int64
 }
 
