internal/route/place: count the wait for a slot when decoding apart

Change: the pair's prediction has the slot wait; the distance to the end is half the mean of the outputs of late; a token gap over its target costs the planner a fifth of an answer, not the whole. Reports carry only cache events that the reader lacks.

--- /dev/null
+++ b/cmd/ebonybench/slope.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"ebonyscale.example/ebonyscale/internal/bench/slope"
+)
+
+// slopeCommand measures what control costs as a zone grows.
+type slopeCommand struct {
+	points, product, csv, plot string
+	settle, over, split        int
+}
+
+func (*slopeCommand) Name() string     { return "slope" }
+func (*slopeCommand) Synopsis() string { return "measure what control costs as a zone grows" }
+func (*slopeCommand) Usage() string {
+	return `ebonybench slope [-points NODESxRUNNERS,...] [-settle SECONDS] [-over SECONDS] [-split SECONDS] [-csv FILE] [-plot FILE] [-product FILE]
+
+Starts a zone of separate processes for each point, lets it settle, and measures
+bytes, processor time, memory and platform calls at rest, then how fast a
+configuration and a drain spread and how fast the engines of a killed process
+are read by others. -split cuts the last point's zone in half for that long.
+
+Example:
+  ebonybench slope -points 6x10,45x488 -split 60 -csv slope.csv
+
+Exit codes: 0 measured, 1 could not run, 2 wrong usage.
+
+`
+}
+
+func (c *slopeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.points, "points", "1x100,6x100,12x100,24x100,45x100,45x10,45x488", "the points to measure, each as nodes and runners")
+	f.StringVar(&c.product, "product", "", "the program ebonyscale; that beside this one if empty")
+	f.StringVar(&c.csv, "csv", "", "write the points to this file")
+	f.StringVar(&c.plot, "plot", "", "draw bytes and processor time over nodes to this file")
+	f.IntVar(&c.settle, "settle", 15, "seconds before a point is measured")
+	f.IntVar(&c.over, "over", 20, "seconds at rest that are measured")
+	f.IntVar(&c.split, "split", 0, "seconds for which the last point's zone is cut in half")
+}
+
+func (c *slopeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	self, err := os.Executable()
+	if err != nil {
+		return fail("slope", err)
+	}
+	if c.product == "" {
+		c.product = filepath.Join(filepath.Dir(self), "ebonyscale")
+	}
+	var points []slope.Point
+	words := strings.Split(c.points, ",")
+	for i, word := range words {
+		left, right, _ := strings.Cut(word, "x")
+		nodes, err1 := strconv.Atoi(left)
+		runners, err2 := strconv.Atoi(right)
+		if err1 != nil || err2 != nil || nodes < 1 || runners < 2 {
+			fmt.Fprintf(os.Stderr, "slope: %q must be nodes and runners, such as 45x488\n", word)
+			return subcommands.ExitUsageError
+		}
+		o := slope.Options{
+			Product: c.product, Bench: self, Nodes: nodes, Runners: runners,
+			Settle: time.Duration(c.settle) * time.Second, Over: time.Duration(c.over) * time.Second,
+		}
+		if i == len(words)-1 {
+			o.Split = time.Duration(c.split) * time.Second
+		}
+		point, err := slope.Measure(ctx, o)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "slope: %s: %v\n", word, err)
+		}
+		points = append(points, point)
+	}
+	if err := slope.WriteCSV(os.Stdout, points); err != nil {
+		return fail("slope", err)
+	}
+	if c.plot != "" {
+		if err := slope.Plot(c.plot, points); err != nil {
+			return fail("slope", err)
+		}
+	}
+	if c.csv == "" {
+		return subcommands.ExitSuccess
+	}
+	file, err := os.Create(c.csv)
+	if err != nil {
+		return fail("slope", err)
+	}
+	defer file.Close()
+	if err := slope.WriteCSV(file, points); err != nil {
+		return fail("slope", err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -27,6 +27,7 @@
 	"ebonyscale.example/ebonyscale/internal/config/apply"
 	"ebonyscale.example/ebonyscale/internal/config/setup"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
+	"ebonyscale.example/ebonyscale/internal/fleet/engine"
 	"ebonyscale.example/ebonyscale/internal/node/proc"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/stand/scene"
@@ -272,7 +273,7 @@
 		if d.allOn(2) && d.report.InForce == 0 {
 			d.report.InForce = time.Since(d.report.appliedAt)
 		}
-		report, err := d.Scene.Engines[engines[1].Name].Report(ctx)
+		report, err := d.Scene.Engines[engines[1].Name].Report(ctx, engine.NoEvents)
 		if err == nil && report.Role == spec.Prefill && !report.Changing {
 			d.report.ChangeTook = time.Since(d.report.appliedAt)
 			return nil
--- a/internal/bench/fault/fault_test.go
+++ b/internal/bench/fault/fault_test.go
@@ -16,7 +16,9 @@
 	"github.com/stretchr/testify/require"
 
 	"ebonyscale.example/ebonyscale/internal/bench/judge"
+	"ebonyscale.example/ebonyscale/internal/bench/load"
 	"ebonyscale.example/ebonyscale/internal/bench/world"
+	"ebonyscale.example/ebonyscale/internal/route/retry"
 )
 
 var (
@@ -207,3 +209,52 @@
 		c.strikes++
 	}
 }
+
+// TestFaultDegraded holds the table of what still works in docs/OPERATING.md:
+// what callers get while something is away.
+func TestFaultDegraded(t *testing.T) {
+	const refused, served = 0.0, 1.0
+	cases := []struct {
+		kind world.Kind
+		// models, reads and keyed are the parts that are answered, of requests
+		// to the zone that is cut off, or to all.
+		models, reads, keyed float64
+		zone                 bool
+	}{
+		{world.PlatformDown, served, served, refused, false},
+		{world.PlatformSilent, served, served, refused, false},
+		{world.PlatformSlow, served, served, refused, false},
+		{world.CutZonePeers, served, served, served, true},
+		{world.CutZonePlatform, served, served, refused, true},
+		{world.CutZone, served, served, refused, true},
+	}
+	const from, to = 6 * time.Second, 36 * time.Second
+	for _, c := range cases {
+		t.Run(c.kind.String(), func(t *testing.T) {
+			t.Parallel()
+			w := &world.World{Seed: 9, Length: 44 * time.Second, Rate: 12, Once: true}
+			violations := run(t, w, world.Schedule{Events: []world.Event{{At: from - 2*time.Second, Kind: c.kind, For: to - from + 4*time.Second}}})
+			assert.Empty(t, violations)
+			got, asked := map[load.Kind]float64{}, map[load.Kind]float64{}
+			for _, o := range w.Outcomes() {
+				inZone := w.Hosts[o.Target].Zone() == w.Hosts[0].Zone()
+				if o.Entry.At < from || o.Entry.At > to-o.Entry.Deadline/4 || c.zone && !inZone {
+					continue
+				}
+				kind := o.Entry.Kind()
+				asked[kind]++
+				switch {
+				case o.Whole:
+					got[kind]++
+				case kind == load.Write:
+					assert.Equal(t, retry.NotRun, o.Said, "%s", o.Reason)
+				}
+			}
+			part := func(kind load.Kind) float64 { return got[kind] / asked[kind] }
+			assert.InDelta(t, c.models, part(load.LongPrompt), 0.05)
+			assert.InDelta(t, c.models, part(load.LongOutput), 0.05)
+			assert.InDelta(t, c.reads, part(load.Read), 0.05)
+			assert.InDelta(t, c.keyed, part(load.Write), 0.05)
+		})
+	}
+}
--- a/internal/bench/mix/run.go
+++ b/internal/bench/mix/run.go
@@ -224,16 +224,25 @@
 	return s
 }
 
+// worst is the goodput of the account that fared worst.
+func (s Score) worst() float64 {
+	least := 1.0
+	for _, g := range s.Accounts {
+		least = min(least, g)
+	}
+	return least
+}
+
 // Table formats scores.
 func Table(scores []Score) string {
 	var text strings.Builder
 	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "Trace\tPolicy\tRequests\tGoodput\tBound\tOfBound\tChanges\tEngineS\tRefused\tFirst50\tFirst95\tFirst99\tGap50\tGap95\tGap99\tWasted\t")
+	fmt.Fprintln(w, "Trace\tPolicy\tRequests\tGoodput\tBound\tOfBound\tChanges\tEngineS\tRefused\tFirst50\tFirst95\tFirst99\tGap50\tGap95\tGap99\tWorstAccount\tWasted\t")
 	for _, s := range scores {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%d\t%.0f\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%d\t\n", s.Trace, s.Policy, s.Row.Requests, s.Goodput, s.Bound,
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%d\t%.0f\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.3f\t%d\t\n", s.Trace, s.Policy, s.Row.Requests, s.Goodput, s.Bound,
 			s.Goodput/max(s.Bound, 1e-9), s.RoleChanges, s.Lost.Seconds(), s.Row.NotRun,
 			s.Row.First.P50.Milliseconds(), s.Row.First.P95.Milliseconds(), s.Row.First.P99.Milliseconds(),
-			s.Row.Gap.P50.Seconds()*1000, s.Row.Gap.P95.Seconds()*1000, s.Row.Gap.P99.Seconds()*1000, s.Wasted)
+			s.Row.Gap.P50.Seconds()*1000, s.Row.Gap.P95.Seconds()*1000, s.Row.Gap.P99.Seconds()*1000, s.worst(), s.Wasted)
 	}
 	w.Flush()
 	return text.String()
--- a/internal/bench/speed/speed.go
+++ b/internal/bench/speed/speed.go
@@ -125,13 +125,13 @@
 	for at := time.Duration(0); at < o.Length; at += step {
 		trace = append(trace, entryOf(at))
 	}
-	before, err := processorTime(pid)
+	before, err := ProcessorTime(pid)
 	if err != nil {
 		return err
 	}
 	runner := &load.Runner{Deployment: o.Deployment, Door: d, Targets: 2}
 	result := runner.Run(ctx, trace)
-	after, err := processorTime(pid)
+	after, err := ProcessorTime(pid)
 	if err != nil {
 		return err
 	}
@@ -151,11 +151,11 @@
 
 // long relays long answers at once.
 func (o Options) long(ctx context.Context, d *door, report *Report, pid int) error {
-	before, err := processorTime(pid)
+	before, err := ProcessorTime(pid)
 	if err != nil {
 		return err
 	}
-	memory, err := residentBytes(pid)
+	memory, err := ResidentBytes(pid)
 	if err != nil {
 		return err
 	}
@@ -178,13 +178,13 @@
 	}
 	go func() {
 		time.Sleep(time.Second)
-		if now, err := residentBytes(pid); err == nil {
+		if now, err := ResidentBytes(pid); err == nil {
 			highest.Store(now)
 		}
 	}()
 	group.Wait()
 	took := time.Since(began)
-	after, err := processorTime(pid)
+	after, err := ProcessorTime(pid)
 	if err != nil {
 		return err
 	}
@@ -209,8 +209,8 @@
 // ticksPerSecond is the unit of processor times that the kernel tells.
 const ticksPerSecond = 100
 
-// processorTime returns the processor time that a process has used.
-func processorTime(pid int) (time.Duration, error) {
+// ProcessorTime returns the processor time that a process has used.
+func ProcessorTime(pid int) (time.Duration, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0, fmt.Errorf("read processor time: %w", err)
@@ -231,17 +231,17 @@
 
 // cores returns how many cores a process uses over a time.
 func cores(pid int, over time.Duration) (float64, error) {
-	before, err := processorTime(pid)
+	before, err := ProcessorTime(pid)
 	if err != nil {
 		return 0, err
 	}
 	time.Sleep(over)
-	after, err := processorTime(pid)
+	after, err := ProcessorTime(pid)
 	return (after - before).Seconds() / over.Seconds(), err
 }
 
-// residentBytes returns the memory that a process holds.
-func residentBytes(pid int) (int64, error) {
+// ResidentBytes returns the memory that a process holds.
+func ResidentBytes(pid int) (int64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return 0, fmt.Errorf("read memory: %w", err)
--- a/internal/bench/world/life.go
+++ b/internal/bench/world/life.go
@@ -235,13 +235,13 @@
 	return answer, nil
 }
 
-func (s servers) Report(ctx context.Context, b spec.BackendServer) (engine.Report, error) {
+func (s servers) Report(ctx context.Context, b spec.BackendServer, since uint64) (engine.Report, error) {
 	return around(ctx, s.life, "Report "+b.Name, func() (engine.Report, error) {
 		if s.isCut(b.Name, false) {
 			sleep(ctx, dialTimeout)
 			return engine.Report{}, errCut
 		}
-		report, err := s.world.Scene.Report(ctx, b)
+		report, err := s.world.Scene.Report(ctx, b, since)
 		switch s.world.Variant {
 		case NotEmptied:
 			report.Running, report.Queued = 0, 0
--- a/internal/bench/world/schedule.go
+++ b/internal/bench/world/schedule.go
@@ -96,6 +96,10 @@
 	ChangeRole
 	CompetingApplies
 	PlannedStop
+	// CutZonePeers cuts a zone off from other zones, CutZonePlatform from the
+	// platform; CutZone does both.
+	CutZonePeers
+	CutZonePlatform
 	// Custom calls the world's OnCustom.
 	Custom
 	// LoseAnswer is for strikes only: the answer of the call does not arrive.
@@ -106,7 +110,7 @@
 	"Kill", "PauseShort", "PauseLong", "PauseOverLease", "CutPlatform", "CutPeers", "CutOneWay", "CutZone",
 	"PlatformDown", "PlatformSilent", "PlatformSlow", "LoseWrites", "StaleReads", "EngineCrash", "EngineCut", "EngineCross",
 	"CrashInOrder", "LoseOrderAnswer", "EngineSlow", "PlainLose", "PlainDown", "PlainRefuse", "PlainCross", "VMLeaves", "Drain",
-	"ChangeRole", "CompetingApplies", "PlannedStop", "Custom", "LoseAnswer",
+	"ChangeRole", "CompetingApplies", "PlannedStop", "CutZonePeers", "CutZonePlatform", "Custom", "LoseAnswer",
 }
 
 // String returns the kind's name.
@@ -213,7 +217,7 @@
 		w.pauseHost(ctx, h, 30*time.Second)
 	case PauseOverLease:
 		w.pauseHost(ctx, h, 14*time.Second)
-	case CutPlatform, CutPeers, CutOneWay, CutZone:
+	case CutPlatform, CutPeers, CutOneWay, CutZone, CutZonePeers, CutZonePlatform:
 		w.cutHosts(ctx, h, e)
 	case PlatformDown, PlatformSilent, PlatformSlow, LoseWrites, StaleReads:
 		w.shakePlatform(ctx, e)
@@ -274,17 +278,8 @@
 		}
 	case CutOneWay:
 		cuts[h] = []string{"*"}
-	case CutZone:
-		for _, a := range w.Hosts {
-			for _, b := range w.Hosts {
-				if (a.zone == h.zone) != (b.zone == h.zone) {
-					cuts[a] = append(cuts[a], b.name)
-				}
-			}
-			if a.zone == h.zone {
-				cuts[a] = append(cuts[a], "platform")
-			}
-		}
+	case CutZone, CutZonePeers, CutZonePlatform:
+		w.cutZone(h.zone, e.Kind, cuts)
 	}
 	for host, names := range cuts {
 		defer host.disturb()()
@@ -296,6 +291,20 @@
 	}
 }
 
+// cutZone cuts a zone's hosts off from the others', the platform, or both.
+func (w *World) cutZone(zone string, kind Kind, cuts map[*Host][]string) {
+	for _, a := range w.Hosts {
+		for _, b := range w.Hosts {
+			if (a.zone == zone) != (b.zone == zone) && kind != CutZonePlatform {
+				cuts[a] = append(cuts[a], b.name)
+			}
+		}
+		if a.zone == zone && kind != CutZonePeers {
+			cuts[a] = append(cuts[a], "platform")
+		}
+	}
+}
+
 func (h *Host) setCut(names []string, cut bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/bench/world/world.go
+++ b/internal/bench/world/world.go
@@ -74,6 +74,8 @@
 	OnCustom func(s *scene.Scene)
 	// Vendor makes every engine of one make, if set.
 	Vendor string
+	// Once has callers send keyed calls once, whatever they are told.
+	Once bool
 	// Calm leaves out what looks for late configurations, for long runs.
 	Calm bool
 	// ChangeTakes, if set, is how long engines are out of service for an order.
@@ -258,6 +260,9 @@
 		Deployment: w.deployment, Door: w, Targets: len(w.Hosts), Repeats: 2,
 		Live: func(i int) bool { return w.Hosts[i].ready() },
 	}
+	if w.Once {
+		runner.Repeats = 0
+	}
 	w.outcomes = runner.Run(ctx, trace).Outcomes
 }
 
@@ -440,6 +445,9 @@
 	}()
 }
 
+// Zone returns the host's availability zone.
+func (h *Host) Zone() string { return h.zone }
+
 // live returns the process, or nil if there is none or it stands still.
 func (h *Host) live() *tree.Node {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/config/setup/settings_test.go
@@ -0,0 +1,151 @@
+package setup
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonyscale.example/ebonyscale/internal/config/keys"
+	"ebonyscale.example/ebonyscale/internal/config/spec"
+)
+
+var update = flag.Bool("update", false, "write docs/SETTINGS.md anew")
+
+// documented reads the comments of the fields of a file's structs.
+func documented(t *testing.T, path string) map[string]map[string]string {
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ParseComments)
+	require.NoError(t, err)
+	structs := map[string]map[string]string{}
+	ast.Inspect(file, func(n ast.Node) bool {
+		named, ok := n.(*ast.TypeSpec)
+		if !ok {
+			return true
+		}
+		body, ok := named.Type.(*ast.StructType)
+		if !ok {
+			return true
+		}
+		fields := map[string]string{}
+		for _, f := range body.Fields.List {
+			for _, name := range f.Names {
+				fields[name.Name] = strings.Join(strings.Fields(f.Doc.Text()), " ")
+			}
+		}
+		structs[named.Name.Name] = fields
+		return true
+	})
+	return structs
+}
+
+// section writes the keys of a struct.
+func section(out *strings.Builder, title string, value any, comments map[string]string) {
+	previous := ""
+	fmt.Fprintf(out, "\n## %s\n\n| Key | Type | Default | Meaning |\n|---|---|---|---|\n", title)
+	v := reflect.ValueOf(value)
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		if !f.IsExported() || f.Tag.Get("ini") == "-" {
+			continue
+		}
+		standard := fmt.Sprint(v.Field(i).Interface())
+		if v.Field(i).IsZero() || strings.HasPrefix(standard, "invalid") {
+			standard = "none"
+		}
+		comment := comments[f.Name]
+		if comment == "" {
+			comment = previous
+		}
+		previous = comment
+		kind := f.Type.String()
+		if f.Tag.Get("validate") != "" {
+			kind += " (" + f.Tag.Get("validate") + ")"
+		}
+		fmt.Fprintf(out, "| %s | %s | %s | %s |\n", f.Name, strings.ReplaceAll(kind, "|", "/"), standard, comment)
+	}
+}
+
+// TestSettingsPage keeps the page as the code has it.
+func TestSettingsPage(t *testing.T) {
+	var out strings.Builder
+	out.WriteString("# Settings\n\nThis page is made from the code by `go test ./internal/config/setup -update`.\n\n# The settings of one process\n")
+	comments := documented(t, "setup.go")
+	v := reflect.ValueOf(Default())
+	for i := range v.NumField() {
+		name := v.Type().Field(i).Name
+		section(&out, "["+name+"]", v.Field(i).Interface(), comments[name])
+	}
+	out.WriteString("\n# The files of a deployment\n")
+	comments = documented(t, "../spec/spec.go")
+	for _, value := range spec.Defaults() {
+		name := reflect.TypeOf(value).Name()
+		section(&out, "["+name+" NAME]", value, comments[name])
+	}
+	const path = "../../../docs/SETTINGS.md"
+	if *update {
+		require.NoError(t, os.WriteFile(path, []byte(out.String()), 0o600))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	assert.Equal(t, string(want), out.String(), "run go test ./internal/config/setup -update")
+}
+
+const right = `
+[Node]
+Name = entry-1
+AvailabilityZone = z
+Deployment = d
+Seeds = 127.0.0.1:3, 127.0.0.1:4
+[Addresses]
+Callers = 127.0.0.1:1
+Operators = 127.0.0.1:2
+Peers = 127.0.0.1:3
+[Platform]
+Address = 127.0.0.1:4
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse("node.ini", []byte(right))
+	require.NoError(t, err)
+	assert.Len(t, s.Node.Seeds, 2)
+	assert.Equal(t, Default().Limits, s.Limits)
+	_, err = Parse("node.ini", []byte(`
+[Node]
+Nmae = x
+[Addresses]
+Callers = localhost:80
+[Limits]
+MaxBody = 1
+[Log]
+Level = Loud
+[Lmits]
+`))
+	var faults *keys.Error
+	require.ErrorAs(t, err, &faults)
+	for _, part := range []string{
+		"nearest known key is Name", "Name = \"\": this key must be given", "must be an IP number and a port", "must be at least 1024",
+		"must be one of Debug, Info, Warn, Error", "nearest known section is Limits", "[Platform]: this section must be given",
+	} {
+		assert.Contains(t, err.Error(), part)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(right))
+	f.Add([]byte("[Node]\nName = \xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := Parse("f.ini", data)
+		if err != nil {
+			var faults *keys.Error
+			assert.ErrorAs(t, err, &faults)
+		}
+	})
+}
--- a/internal/config/setup/setup.go
+++ b/internal/config/setup/setup.go
@@ -73,6 +73,7 @@
 
 // Platform says where the platform is.
 type Platform struct {
+	// Address is that of the object API and of the list of VMs.
 	Address netip.AddrPort
 	// Timeout bounds a call of the platform, waiting not counted.
 	Timeout time.Duration `validate:"gt=0"`
--- a/internal/config/spec/parser.go
+++ b/internal/config/spec/parser.go
@@ -56,19 +56,19 @@
 	case "Deployment":
 		p.root(s)
 	case "Model":
-		m := Model{Name: s.Name, MaxTokens: defaultMaxTokens, KvBytes: defaultKvBytes}
+		m := newModel(s.Name)
 		s.Decode(&m, p.faults)
 		p.deployment.Models = append(p.deployment.Models, m)
 	case "BackendServer":
-		b := BackendServer{Name: s.Name, VM: s.Name, Slots: defaultSlots, PrefillRate: defaultPrefillRate, DecodeRate: defaultDecodeRate}
+		b := newServer(s.Name)
 		s.Decode(&b, p.faults)
 		p.deployment.Servers = append(p.deployment.Servers, b)
 	case "Service":
-		v := Service{Name: s.Name, Limit: defaultLimit}
+		v := newService(s.Name)
 		s.Decode(&v, p.faults)
 		p.deployment.Services = append(p.deployment.Services, v)
 	case "Account":
-		a := Account{Name: s.Name, Share: 1}
+		a := newAccount(s.Name)
 		s.Decode(&a, p.faults)
 		p.deployment.Accounts = append(p.deployment.Accounts, a)
 	default:
@@ -81,19 +81,41 @@
 		p.fault(s, "", "", "one directory declares one deployment; "+p.deployment.Name+" stands there already")
 		return
 	}
-	p.deployment.Name = s.Name
-	p.deployment.GoodputWeight = 1
-	p.deployment.RoleChangeWeight = 1
-	p.deployment.FirstToken = defaultFirstToken
-	p.deployment.TokenGap = defaultTokenGap
-	p.deployment.Deadline = defaultDeadline
-	p.deployment.KeyRetention = defaultKeyRetention
-	p.deployment.KeyedWithoutPlatform = "Refuse"
-	p.deployment.RetryShare = defaultRetryShare
-	p.deployment.Roles = "Declared"
+	p.deployment = merged(newDeployment(s.Name), p.deployment)
 	s.Decode(&p.deployment, p.faults)
 }
 
+// merged gives the parts that were read before to the deployment's defaults.
+func merged(d, read Deployment) Deployment {
+	d.Models, d.Servers, d.Services, d.Accounts = read.Models, read.Servers, read.Services, read.Accounts
+	return d
+}
+
+// Defaults returns a value of each kind with what holds for keys that are left
+// out.
+func Defaults() []any {
+	return []any{newDeployment(""), newModel(""), newServer(""), newService(""), newAccount("")}
+}
+
+func newDeployment(name string) Deployment {
+	return Deployment{
+		Name: name, GoodputWeight: 1, RoleChangeWeight: 1, FirstToken: defaultFirstToken, TokenGap: defaultTokenGap, Deadline: defaultDeadline,
+		KeyRetention: defaultKeyRetention, KeyedWithoutPlatform: "Refuse", RetryShare: defaultRetryShare, Roles: "Declared",
+	}
+}
+
+func newModel(name string) Model {
+	return Model{Name: name, MaxTokens: defaultMaxTokens, KvBytes: defaultKvBytes}
+}
+
+func newServer(name string) BackendServer {
+	return BackendServer{Name: name, VM: name, Slots: defaultSlots, PrefillRate: defaultPrefillRate, DecodeRate: defaultDecodeRate}
+}
+
+func newService(name string) Service { return Service{Name: name, Limit: defaultLimit} }
+
+func newAccount(name string) Account { return Account{Name: name, Share: 1} }
+
 func (p *parser) fault(s keys.Section, key, value, want string) {
 	p.faults.Add(keys.Fault{File: s.File, Section: s.Title(), Key: key, Value: value, Want: want})
 }
--- a/internal/fleet/board/board.go
+++ b/internal/fleet/board/board.go
@@ -77,6 +77,8 @@
 	leaving  leave.Set
 	// outbox has the names whose load is news to others.
 	outbox map[string]bool
+	// output is the mean of the tokens that requests may have, of late.
+	output float64
 	// leaveNews counts how often an entry is still to be passed on.
 	leaveNews map[leave.Entry]int
 }
@@ -195,6 +197,17 @@
 	}
 }
 
+// CacheSequence returns the number of the last cache event that is known of the
+// named engine.
+func (b *Board) CacheSequence(name string) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.entries[name]; e != nil {
+		return e.known.Last()
+	}
+	return 0
+}
+
 // Hear takes in a load from another process and reports whether it was news.
 func (b *Board) Hear(l Load) bool {
 	b.mu.Lock()
--- a/internal/fleet/board/candidates.go
+++ b/internal/fleet/board/candidates.go
@@ -34,7 +34,9 @@
 		if !b.usable(now, e) || contains(q.Not, e.server.Name) {
 			continue
 		}
-		buffer.Engines = append(buffer.Engines, e.candidate(now, &q, b.Zone))
+		c := e.candidate(now, &q, b.Zone)
+		c.Left = b.output / 2
+		buffer.Engines = append(buffer.Engines, c)
 		buffer.Servers = append(buffer.Servers, e.server)
 	}
 }
--- a/internal/fleet/board/ticket.go
+++ b/internal/fleet/board/ticket.go
@@ -14,11 +14,27 @@
 	last          time.Time
 }
 
+// Work is what a request that is sent asks of a server, and how the server was
+// believed to be.
+type Work struct {
+	Prompt, Output int
+	// Cached and Ahead are the tokens of the prompt that are cached, and those
+	// that wait before it; Streams counts the streams there.
+	Cached, Ahead float64
+	Streams       int
+}
+
+// outputKeep is the weight of the past in the mean of outputs.
+const outputKeep = 0.98
+
 // Start notes that a request was sent to the named server.
-func (b *Board) Start(now time.Time, name string, prompt int, cached, ahead float64, streams int) *Ticket {
+func (b *Board) Start(now time.Time, name string, w Work) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := &Ticket{board: b, started: now, tokens: max(float64(prompt)-cached, 1), ahead: ahead, streams: streams}
+	t := &Ticket{board: b, started: now, tokens: max(float64(w.Prompt)-w.Cached, 1), ahead: w.Ahead, streams: w.Streams}
+	if w.Output > 0 {
+		b.output = outputKeep*b.output + (1-outputKeep)*float64(w.Output)
+	}
 	if e := b.entries[name]; e != nil {
 		t.entry = e
 		e.tickets[t] = struct{}{}
--- a/internal/fleet/engine/client.go
+++ b/internal/fleet/engine/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -29,6 +30,9 @@
 	OrderPath  = "/engine/order"
 )
 
+// NoEvents is a number that no cache event is after.
+const NoEvents = math.MaxUint64
+
 const (
 	controlTimeout   = 2 * time.Second
 	controlBodyBytes = 1 << 20
@@ -101,10 +105,12 @@
 	return false
 }
 
-// Report reads an engine's account of itself.
-func (c *Client) Report(ctx context.Context, server spec.BackendServer) (Report, error) {
+// Report reads an engine's account of itself, with the cache events after the
+// one with the number since. NoEvents asks for none.
+func (c *Client) Report(ctx context.Context, server spec.BackendServer, since uint64) (Report, error) {
 	var report Report
-	status, body, err := c.control(ctx, server, fasthttp.MethodGet, ReportPath, nil, time.Time{})
+	path := ReportPath + "?since=" + strconv.FormatUint(since, 10)
+	status, body, err := c.control(ctx, server, fasthttp.MethodGet, path, nil, time.Time{})
 	if err != nil {
 		return report, fmt.Errorf("report of %s: %w", server.Name, err)
 	}
--- a/internal/fleet/engine/engine.go
+++ b/internal/fleet/engine/engine.go
@@ -90,26 +90,26 @@
 	Role     spec.Role
 	Models   []Loaded
 	// OrderID and Fence are those of the last order that the engine took.
-	OrderID string
-	Fence   uint64
+	OrderID string `json:",omitempty"`
+	Fence   uint64 `json:",omitempty"`
 	// Changing is set while the engine is out of service for an order.
-	Changing bool
-	Leaving  bool
-	Running  int
-	Queued   int
+	Changing bool `json:",omitempty"`
+	Leaving  bool `json:",omitempty"`
+	Running  int  `json:",omitempty"`
+	Queued   int  `json:",omitempty"`
 	// QueuedTokens counts prompt tokens that wait for prefill.
-	QueuedTokens int
-	KvTokens     int
-	KvCapacity   int
-	// CacheEvents are the newest changes of the prefix cache, oldest first.
-	CacheEvents []CacheEvent
+	QueuedTokens int `json:",omitempty"`
+	KvTokens     int `json:",omitempty"`
+	KvCapacity   int `json:",omitempty"`
+	// CacheEvents are changes of the prefix cache, oldest first.
+	CacheEvents []CacheEvent `json:",omitempty"`
 }
 
 // Loaded is a model in an engine's memory.
 type Loaded struct {
 	Model    string
 	Version  int64
-	Adapters []string
+	Adapters []string `json:",omitempty"`
 }
 
 // CacheEvent says that a prefix came into an engine's cache or left it. The
--- a/internal/fleet/order/desk.go
+++ b/internal/fleet/order/desk.go
@@ -18,7 +18,7 @@
 
 // Engines reads and orders engines.
 type Engines interface {
-	Report(ctx context.Context, server spec.BackendServer) (engine.Report, error)
+	Report(ctx context.Context, server spec.BackendServer, since uint64) (engine.Report, error)
 	Order(ctx context.Context, server spec.BackendServer, order engine.Order) error
 }
 
@@ -164,7 +164,7 @@
 // the report is known to be no older than the lag of reports.
 func (d *Desk) observe(ctx context.Context, server spec.BackendServer, w *work) {
 	asked := time.Now()
-	report, err := d.Engines.Report(ctx, server)
+	report, err := d.Engines.Report(ctx, server, engine.NoEvents)
 	if err == nil {
 		w.report, w.reportAt = report, asked
 	}
--- a/internal/node/entry/complete.go
+++ b/internal/node/entry/complete.go
@@ -361,10 +361,20 @@
 		}
 		sent.Phase, sent.KvFrom = engine.DecodeOnly, p.prefill.Address.String()
 	}
-	j.ticket = j.core.Board.Start(time.Now(), p.decode.Name, j.work.prompt, p.cached, p.ahead, p.streams)
+	j.ticket = j.core.Board.Start(time.Now(), p.decode.Name, j.booked(p))
 	return j.send(p.decode, sent)
 }
 
+// booked is what the request asks of the engine that decodes it.
+func (j *job) booked(p *placement) board.Work {
+	w := board.Work{Prompt: j.work.prompt, Output: j.work.output, Cached: p.cached, Ahead: p.ahead, Streams: p.streams}
+	if p.decision.Split() {
+		// The prompt was computed elsewhere.
+		w.Cached, w.Ahead = float64(w.Prompt), 0
+	}
+	return w
+}
+
 func (p *placement) detail() string {
 	text := "first " + p.decision.First.Round(time.Millisecond).String() + " gap " + p.decision.Gap.Round(time.Millisecond/10).String()
 	if p.decision.Split() {
@@ -375,7 +385,7 @@
 
 // prefill has another engine compute the prompt's KV cache.
 func (j *job) prefill(p *placement, sent engine.Call) error {
-	ticket := j.core.Board.Start(time.Now(), p.prefill.Name, j.work.prompt, p.cached, p.ahead, p.streams)
+	ticket := j.core.Board.Start(time.Now(), p.prefill.Name, board.Work{Prompt: j.work.prompt, Cached: p.cached, Ahead: p.ahead, Streams: p.streams})
 	defer ticket.End()
 	sent.Phase = engine.PrefillOnly
 	j.server = p.prefill.Name
--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ebonyscale.example/ebonyscale/internal/config/spec"
+	"ebonyscale.example/ebonyscale/internal/fleet/board"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/engine"
 	"ebonyscale.example/ebonyscale/internal/node/trace"
@@ -212,7 +213,7 @@
 	if !ok {
 		return nil, errNoServer
 	}
-	ticket := c.Board.Start(time.Now(), server.Name, 1, 0, 0, 0)
+	ticket := c.Board.Start(time.Now(), server.Name, board.Work{})
 	defer ticket.End()
 	c.Trace.Add(trace.Event{Kind: trace.Placed, Request: p.id, Engine: server.Name})
 	sent := engine.Call{
--- a/internal/node/trace/trace.go
+++ b/internal/node/trace/trace.go
@@ -30,7 +30,6 @@
 	Started         Kind = "Started"
 	Stopping        Kind = "Stopping"
 	Stopped         Kind = "Stopped"
-	ConfigAccepted  Kind = "ConfigAccepted"
 	ConfigInForce   Kind = "ConfigInForce"
 	ConfigRefused   Kind = "ConfigRefused"
 	Admitted        Kind = "Admitted"
--- a/internal/node/tree/gossip.go
+++ b/internal/node/tree/gossip.go
@@ -243,7 +243,7 @@
 	// reads become rarer if an owner has many engines.
 	readBytes = 900
 	// readSize is what one read takes, in bytes.
-	readSize = 700
+	readSize = 520
 	// readsAtOnce is how many reads are under way at most.
 	readsAtOnce = 8
 )
@@ -276,7 +276,7 @@
 			due[server.Name] = now.Add(n.readInterval(owned))
 			go func() {
 				defer func() { <-slots }()
-				report, err := n.Servers.Report(ctx, server)
+				report, err := n.Servers.Report(ctx, server, n.Board.CacheSequence(server.Name))
 				if err != nil {
 					n.Meters.Add("ReportsFailed", 1)
 					return
--- a/internal/plan/roles/roles.go
+++ b/internal/plan/roles/roles.go
@@ -108,6 +108,9 @@
 const (
 	// full is the load up to which engines are predicted to serve well.
 	full = 0.85
+	// gapShare is how much of an answer's worth is lost with its token gap; the
+	// rest is lost only with its deadline.
+	gapShare = 0.2
 	// hysteresis is how much more than its cost a gain has to be.
 	hysteresis = 1.5
 	// changeUnit is how many requests a change of weight 1 is worth.
@@ -204,7 +207,7 @@
 		shareP := restPrompts / s.prefill[spec.Mixed]
 		shareO := restOutputs / s.decode[spec.Mixed]
 		fit = min(full/max(shareP+shareO, 1e-9), 1)
-		goodOutputs = fit * in.gapFit(s.gap, shareP*fit)
+		goodOutputs = fit * (1 - gapShare*(1-in.gapFit(s.gap, shareP*fit)))
 	}
 	return weighted(prompts, outputs, (apartPrompts+restPrompts*fit)/max(prompts, 1), (apartOutputs+restOutputs*goodOutputs)/max(outputs, 1))
 }
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -69,6 +69,8 @@
 	Waiting float64
 	// Running counts the streams that run or wait, Slots how many run at once.
 	Running, Slots int
+	// Left is how many tokens the streams are from their ends, on the mean.
+	Left float64
 	// Cached counts the tokens of the request's prompt that are cached.
 	Cached float64
 	// Overhead and PerPrompt predict the first token: Overhead plus PerPrompt
@@ -131,7 +133,7 @@
 			pre.offer(i, e.first(&r)+e.distance(), e.Doubt)
 			continue
 		}
-		dec.offer(i, r.decodeCost(e), e.Doubt)
+		dec.offer(i, r.apartCost(e), e.Doubt)
 	}
 	one := Decision{Prefill: -1, Decode: -1, Reason: NoEngine}
 	if i := whole.pick(r.Random); i >= 0 {
@@ -162,16 +164,26 @@
 
 // wait predicts how long a new request waits for others.
 func (e *Engine) wait() time.Duration {
-	d := time.Duration(e.Waiting * float64(e.PerPrompt))
-	if over := e.Running - e.Slots; over >= 0 {
-		// The request waits for a slot: streams ahead of it have to end.
-		d += time.Duration(over+1) * e.gapAt(e.Slots) * slotTokens / time.Duration(max(e.Slots, 1))
+	return time.Duration(e.Waiting*float64(e.PerPrompt)) + e.slotWait()
+}
+
+// slotWait predicts how long a new request waits for a slot: streams ahead of it
+// have to end.
+func (e *Engine) slotWait() time.Duration {
+	over := e.Running - e.Slots
+	if over < 0 {
+		return 0
 	}
-	return d
+	left := e.Left
+	if left == 0 {
+		left = leftTokens
+	}
+	return time.Duration(float64(over+1) * left / float64(max(e.Slots, 1)) * float64(e.gapAt(e.Slots)))
 }
 
-// slotTokens is how many tokens a stream is taken to be from its end.
-const slotTokens = 64
+// leftTokens is how far a stream is taken to be from its end, in tokens, as long
+// as nothing was learned of it.
+const leftTokens = 64
 
 // gapAt predicts the token gap with n streams.
 func (e *Engine) gapAt(n int) time.Duration {
@@ -203,6 +215,10 @@
 	return cost + e.distance()
 }
 
+// apartCost is the cost of decoding on e for a request that another engine
+// prefills.
+func (r *Request) apartCost(e *Engine) time.Duration { return r.decodeCost(e) + e.slotWait() }
+
 // gapWeight is how much less a token within the target gap counts.
 const gapWeight = 8
 
@@ -230,8 +246,8 @@
 func (r *Request) pair(p, d int, engines []Engine) Decision {
 	decode := &engines[d]
 	move := time.Duration(r.Prompt) * decode.PerMove
-	first := engines[p].first(r) + move + decode.gapAt(decode.Running+1)
-	two := Decision{Prefill: p, Decode: d, First: first, Wait: engines[p].wait(), Gap: decode.gapAt(min(decode.Running+1, max(decode.Slots, 1)))}
+	first := engines[p].first(r) + move + decode.slotWait() + decode.gapAt(decode.Running+1)
+	two := Decision{Prefill: p, Decode: d, First: first, Wait: engines[p].wait() + decode.slotWait(), Gap: decode.gapAt(min(decode.Running+1, max(decode.Slots, 1)))}
 	two.Finish = two.First + two.Gap*time.Duration(r.Output)
 	return two
 }
--- a/internal/route/prefix/prefix.go
+++ b/internal/route/prefix/prefix.go
@@ -81,6 +81,9 @@
 	}
 }
 
+// Last returns the number of the newest event taken in.
+func (k *Known) Last() uint64 { return k.last }
+
 // Reset forgets everything, as after the engine's restart.
 func (k *Known) Reset() { *k = Known{} }
 
--- a/internal/stand/model/control.go
+++ b/internal/stand/model/control.go
@@ -10,8 +10,9 @@
 // maxEvents is how many cache events a report carries at most.
 const maxEvents = 64
 
-// Report gives the engine's account of itself as of Lag ago.
-func (e *Engine) Report(ctx context.Context) (engine.Report, error) {
+// Report gives the engine's account of itself as of Lag ago, with the newest
+// cache events after since.
+func (e *Engine) Report(ctx context.Context, since uint64) (engine.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.Crashed || !e.started {
@@ -22,7 +23,16 @@
 	for len(e.reports) > 1 && time.Since(e.reports[1].at) >= lag {
 		e.reports = e.reports[1:]
 	}
-	return e.reports[0].report, nil
+	report := e.reports[0].report
+	events := report.CacheEvents
+	report.CacheEvents = nil
+	for i, event := range events {
+		if event.Sequence > since {
+			report.CacheEvents = events[i:]
+			break
+		}
+	}
+	return report, nil
 }
 
 // snapshot records the present state as the newest report.
--- a/internal/stand/model/handler.go
+++ b/internal/stand/model/handler.go
@@ -23,7 +23,12 @@
 func (e *Engine) Handler(c *fasthttp.RequestCtx) {
 	switch string(c.Path()) {
 	case engine.ReportPath:
-		report, err := e.Report(c)
+		since, err := strconv.ParseUint(string(c.QueryArgs().Peek("since")), 10, 64)
+		if err != nil {
+			c.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		}
+		report, err := e.Report(c, since)
 		reply(c, report, err)
 	case engine.OrderPath:
 		var order engine.Order
--- a/internal/stand/scene/scene.go
+++ b/internal/stand/scene/scene.go
@@ -192,9 +192,9 @@
 }
 
 // Report implements the system's reading interface without a socket.
-func (s *Scene) Report(ctx context.Context, b spec.BackendServer) (engine.Report, error) {
+func (s *Scene) Report(ctx context.Context, b spec.BackendServer, since uint64) (engine.Report, error) {
 	if e := s.Engines[b.Name]; e != nil {
-		return e.Report(ctx)
+		return e.Report(ctx, since)
 	}
 	return engine.Report{}, errUnknown
 }
