--- a/internal/bench/mix/run.go
+++ b/internal/bench/mix/run.go
@@ -29,10 +29,13 @@
 }
 
 // Policies are those of the table: the product's with the weights of both
-// users, other ways of placing, and the baselines.
+// users, beginning mixed and beginning apart, other ways of placing, and the
+// baselines.
 var Policies = []Policy{
 	{Name: "Malabar", Goodput: 1, RoleChange: 0.2},
 	{Name: "Quetzal", Goodput: 0.5, RoleChange: 1},
+	{Name: "MalabarApart", Apart: true, Goodput: 1, RoleChange: 0.2},
+	{Name: "QuetzalApart", Apart: true, Goodput: 0.5, RoleChange: 1},
 	{Name: "LeastLoaded", Place: place.LeastLoaded},
 	{Name: "PrefixFirst", Place: place.PrefixFirst},
 	{Name: "FixedRoundRobin", Place: place.RoundRobin, Roles: roles.Never, Apart: true},
