internal/node/tree: pace reads, share the list, tell membership at once

Every process read the whole list of VMs each 5 s, each looked for its engines by hashing 488 x 45 names five times a second, the pace of reads was reckoned from a count that was still growing, loads carried names, and suspicion spread by one exchange a second.

A process that sent a prompt assumes its blocks cached. A weight store in the stand-in platform.

--- a/cmd/ebonybench/slope.go
+++ b/cmd/ebonybench/slope.go
@@ -19,12 +19,13 @@
 type slopeCommand struct {
 	points, product, csv, plot string
 	settle, over, split        int
+	load                       bool
 }
 
 func (*slopeCommand) Name() string     { return "slope" }
 func (*slopeCommand) Synopsis() string { return "measure what control costs as a zone grows" }
 func (*slopeCommand) Usage() string {
-	return `ebonybench slope [-points NODESxRUNNERS,...] [-settle SECONDS] [-over SECONDS] [-split SECONDS] [-csv FILE] [-plot FILE] [-product FILE]
+	return `ebonybench slope [-points NODESxRUNNERS,...] [-settle SECONDS] [-over SECONDS] [-split SECONDS] [-load] [-csv FILE] [-plot FILE] [-product FILE]
 
 Starts a zone of separate processes for each point, lets it settle, and measures
 bytes, processor time, memory and platform calls at rest, then how fast a
@@ -46,6 +47,7 @@
 	f.StringVar(&c.plot, "plot", "", "draw bytes and processor time over nodes to this file")
 	f.IntVar(&c.settle, "settle", 15, "seconds before a point is measured")
 	f.IntVar(&c.over, "over", 20, "seconds at rest that are measured")
+	f.BoolVar(&c.load, "load", false, "send a load to the last point's zone at the end, and kill and cut processes under it")
 	f.IntVar(&c.split, "split", 0, "seconds for which the last point's zone is cut in half")
 }
 
@@ -73,12 +75,16 @@
 		}
 		if i == len(words)-1 {
 			o.Split = time.Duration(c.split) * time.Second
+			o.Load = c.load
 		}
 		point, err := slope.Measure(ctx, o)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "slope: %s: %v\n", word, err)
 		}
 		points = append(points, point)
+		if o.Load {
+			fmt.Println(point.GoodputText())
+		}
 	}
 	if err := slope.WriteCSV(os.Stdout, points); err != nil {
 		return fail("slope", err)
--- /dev/null
+++ b/cmd/ebonyscale/check.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"ebonyscale.example/ebonyscale/internal/config/keys"
+	"ebonyscale.example/ebonyscale/internal/config/spec"
+)
+
+// checkCommand checks a deployment directory.
+type checkCommand struct{ output outputFlag }
+
+func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Synopsis() string { return "check the files of a deployment" }
+func (*checkCommand) Usage() string {
+	return `ebonyscale check [-output Text|Json] DIR
+
+Reads every .ini file of the directory as a whole and reports every fault with
+its file, section, key, value and what would be right.
+
+Example:
+  ebonyscale check examples/malabar
+
+Exit codes: 0 no faults, 1 faults, 2 wrong usage.
+
+`
+}
+
+func (c *checkCommand) SetFlags(f *flag.FlagSet) { c.output.register(f) }
+
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	files, err := readDirectory(f.Arg(0))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "check:", err)
+		return subcommands.ExitUsageError
+	}
+	deployment, err := spec.Parse(files)
+	if err != nil {
+		return printFaults(&c.output, "check", err)
+	}
+	text := fmt.Sprintf("%s: %d files, %d models, %d backend servers, %d services, %d accounts: no faults\n", deployment.Name,
+		len(files), len(deployment.Models), len(deployment.Servers), len(deployment.Services), len(deployment.Accounts))
+	c.output.print(deployment, text)
+	return subcommands.ExitSuccess
+}
+
+func printFaults(o *outputFlag, command string, err error) subcommands.ExitStatus {
+	var faults *keys.Error
+	if errors.As(err, &faults) && o.String() == "Json" {
+		o.print(faults, "")
+		return subcommands.ExitFailure
+	}
+	return fail(command, err)
+}
+
+func (*diffCommand) Name() string     { return "diff" }
+func (*diffCommand) Synopsis() string { return "show what an apply would change" }
+func (*diffCommand) Usage() string {
+	return `ebonyscale diff -platform ADDRESS [-output Text|Json] DIR
+
+Compares the files of the directory with the configuration accepted last, and
+prints the version to give to apply as -base.
+
+Example:
+  ebonyscale diff -platform 127.0.0.1:7000 examples/malabar
+
+Exit codes: 0 no difference, 1 faults or the platform cannot be read, 2 wrong
+usage, 4 there are differences.
+
+`
+}
+
+func (*applyCommand) Name() string     { return "apply" }
+func (*applyCommand) Synopsis() string { return "put the files of a deployment in force as a whole" }
+
+func (*applyCommand) Usage() string {
+	return `ebonyscale apply -platform ADDRESS [-base N] [-author NAME] [-node ADDRESS] [-output Text|Json] DIR
+
+Checks the files and accepts them as a whole, or changes nothing. -base names
+the version that the files were made for, as diff or get print it; an apply on
+another version is a conflict. Without -base it is the version of this moment.
+With -node the command waits until every process that can be reached has the
+configuration in force.
+
+Example:
+  ebonyscale apply -platform 127.0.0.1:7000 -base 3 examples/malabar
+
+Exit codes: 0 accepted (and in force, with -node), 1 faults in the files or the
+platform cannot be used, 2 wrong usage, 3 conflict with another apply.
+
+`
+}
+
+func (*getCommand) Name() string     { return "get" }
+func (*getCommand) Synopsis() string { return "get a configuration that was accepted" }
+func (*getCommand) Usage() string {
+	return `ebonyscale get -platform ADDRESS -deployment NAME [-version N] [-directory DIR] [-output Text|Json]
+
+Prints the files of the configuration accepted last, or of an earlier version,
+or writes them to a directory.
+
+Example:
+  ebonyscale get -platform 127.0.0.1:7000 -deployment malabar -version 2 -directory before
+
+Exit codes: 0 done, 1 no such version or the platform cannot be read, 2 wrong
+usage.
+
+`
+}
+
+func (*historyCommand) Name() string     { return "history" }
+func (*historyCommand) Synopsis() string { return "list the versions of a deployment" }
+func (*historyCommand) Usage() string {
+	return `ebonyscale history -platform ADDRESS -deployment NAME [-output Text|Json]
+
+Lists the version in force and those before it, newest first.
+
+Example:
+  ebonyscale history -platform 127.0.0.1:7000 -deployment malabar
+
+Exit codes: 0 done, 1 the platform cannot be read or nothing was applied yet, 2
+wrong usage.
+
+`
+}
--- a/internal/bench/world/life.go
+++ b/internal/bench/world/life.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/bench/judge"
 	"ebonyscale.example/ebonyscale/internal/config/setup"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
@@ -115,7 +116,7 @@
 	if err := l.pass(); err != nil {
 		return none, err
 	}
-	sleep(ctx, latency)
+	timer.Wait(ctx, latency)
 	value, err := do()
 	lose = l.world.strike(l, operation, true) || lose
 	if passed := l.pass(); passed != nil {
@@ -183,8 +184,8 @@
 	return kept
 }
 
-func (p platform) VMs(ctx context.Context) (store.List, error) {
-	list, err := toPlatform(ctx, p, "VMs", 0, func(ctx context.Context) (store.List, error) { return p.world.Scene.Platform.VMs(ctx) })
+func (p platform) VMs(ctx context.Context, after uint64) (store.List, error) {
+	list, err := toPlatform(ctx, p, "VMs", 0, func(ctx context.Context) (store.List, error) { return p.world.Scene.Platform.VMs(ctx, after) })
 	if p.world.Variant == DrainIgnored {
 		list.VMs = append([]store.VM(nil), list.VMs...)
 		for i := range list.VMs {
@@ -220,7 +221,7 @@
 func (s servers) send(ctx context.Context, b spec.BackendServer, sent engine.Call) (*engine.Answer, error) {
 	answer, err := around(ctx, s.life, "Send "+b.Name, func() (*engine.Answer, error) {
 		if s.isCut(b.Name, false) {
-			sleep(ctx, dialTimeout)
+			timer.Wait(ctx, dialTimeout)
 			return nil, &call.Error{Stage: call.StageDialing, Err: errCut}
 		}
 		return s.world.Scene.Send(ctx, b, sent)
@@ -238,7 +239,7 @@
 func (s servers) Report(ctx context.Context, b spec.BackendServer, since uint64) (engine.Report, error) {
 	return around(ctx, s.life, "Report "+b.Name, func() (engine.Report, error) {
 		if s.isCut(b.Name, false) {
-			sleep(ctx, dialTimeout)
+			timer.Wait(ctx, dialTimeout)
 			return engine.Report{}, errCut
 		}
 		report, err := s.world.Scene.Report(ctx, b, since)
@@ -256,7 +257,7 @@
 func (s servers) Order(ctx context.Context, b spec.BackendServer, order engine.Order) error {
 	_, err := around(ctx, s.life, "Order "+b.Name, func() (struct{}, error) {
 		if s.isCut(b.Name, false) {
-			sleep(ctx, dialTimeout)
+			timer.Wait(ctx, dialTimeout)
 			return struct{}{}, errCut
 		}
 		if s.world.Variant == FenceNotSent {
@@ -283,7 +284,7 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	if b.life.isCut(b.server, false) {
-		sleep(b.life.ctx, b.stall)
+		timer.Wait(b.life.ctx, b.stall)
 		return 0, &call.Error{Stage: call.StageReading, Err: errCut}
 	}
 	n, err := b.ReadCloser.Read(p)
--- a/internal/config/spec/spec.go
+++ b/internal/config/spec/spec.go
@@ -183,6 +183,12 @@
 	return d.Servers[i], true
 }
 
+// Index returns the place of a backend server in Servers, or false.
+func (d *Deployment) Index(name string) (int, bool) {
+	i, ok := d.servers[name]
+	return i, ok
+}
+
 // Model returns the model with the name, or false.
 func (d *Deployment) Model(name string) (Model, bool) {
 	for _, m := range d.Models {
--- a/internal/config/spec/spec_test.go
+++ b/internal/config/spec/spec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -111,3 +112,25 @@
 		assert.True(t, errors.As(err, &faults) && len(faults.Faults) > 0)
 	})
 }
+
+// BenchmarkParse reads deployments of a zone and of the whole fleet to design
+// for.
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{10, 488, 7800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var text strings.Builder
+			text.WriteString("[Deployment d]\n[Model m]\nVersion = 1\n")
+			for i := range n {
+				fmt.Fprintf(&text, "[BackendServer e%d]\nAddress = 127.%d.%d.%d:1\nAvailabilityZone = z%d\nModels = m\n", i, i/60000, i/250%250, i%250, i%16)
+			}
+			files := []spec.File{{Name: "a.ini", Data: []byte(text.String())}}
+			b.SetBytes(int64(text.Len()))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := spec.Parse(files); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/board/board_test.go
@@ -0,0 +1,161 @@
+package board
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonyscale.example/ebonyscale/internal/config/spec"
+	"ebonyscale.example/ebonyscale/internal/fleet/engine"
+	"ebonyscale.example/ebonyscale/internal/fleet/leave"
+	"ebonyscale.example/ebonyscale/internal/route/place"
+)
+
+func deployment(t testing.TB, engines int) *spec.Deployment {
+	var text strings.Builder
+	text.WriteString("[Deployment d]\n[Model m]\nVersion = 1\n[Service s]\nPrefix = /s/\n")
+	for i := range engines {
+		fmt.Fprintf(&text, "[BackendServer e%04d]\nAddress = 127.0.%d.%d:1\nAvailabilityZone = z\nModels = m\n", i, i/200, i%200)
+	}
+	text.WriteString("[BackendServer p]\nAddress = 127.9.9.9:1\nAvailabilityZone = z\nService = s\n")
+	d, err := spec.Parse([]spec.File{{Name: "d.ini", Data: []byte(text.String())}})
+	require.NoError(t, err)
+	return d
+}
+
+func report(name string, incarnation, sequence uint64, running, queued int) engine.Report {
+	return engine.Report{
+		Engine: name, Incarnation: incarnation, Sequence: sequence, Running: running, QueuedTokens: queued,
+		Models: []engine.Loaded{{Model: "m", Version: 1}},
+	}
+}
+
+func candidates(b *Board, now time.Time) ([]place.Engine, []string) {
+	var buffer Buffer
+	b.Candidates(now, Query{Model: "m"}, &buffer)
+	var names []string
+	for _, s := range buffer.Servers {
+		names = append(names, s.Name)
+	}
+	return buffer.Engines, names
+}
+
+func TestTicketsCorrectTheReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Board{Zone: "z"}
+	b.Configure(deployment(t, 1))
+	b.Report(now, report("e0000", 1, 1, 2, 0))
+	engines, _ := candidates(b, now)
+	assert.Equal(t, 2, engines[0].Running)
+	ticket := b.Start(now.Add(time.Second), "e0000", Work{Prompt: 500})
+	engines, _ = candidates(b, now.Add(time.Second))
+	assert.Equal(t, 3, engines[0].Running, "the report cannot know of it")
+	assert.InDelta(t, 500, engines[0].Waiting, 1)
+	b.Report(now.Add(2*time.Second), report("e0000", 1, 2, 3, 0))
+	engines, _ = candidates(b, now.Add(2*time.Second))
+	assert.Equal(t, 3, engines[0].Running, "the report knows of it now")
+	ticket.First(now.Add(3 * time.Second))
+	ticket.End()
+	b.Report(now.Add(4*time.Second), report("e0000", 1, 3, 0, 0))
+	engines, _ = candidates(b, now.Add(4*time.Second))
+	assert.Zero(t, engines[0].Running)
+	assert.Zero(t, engines[0].Waiting)
+}
+
+func TestOldLoadsAreNoNews(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Board{Zone: "z"}
+	b.Configure(deployment(t, 1))
+	load := Load{Engine: "e0000", Incarnation: 2, Sequence: 5, Models: []string{"m@1"}, At: now}
+	assert.True(t, b.Hear(load))
+	assert.False(t, b.Hear(load))
+	load.Sequence = 4
+	assert.False(t, b.Hear(load))
+	load.Incarnation, load.Sequence = 3, 1
+	assert.True(t, b.Hear(load), "a new incarnation begins anew")
+	load.Engine = "unknown"
+	assert.False(t, b.Hear(load))
+	assert.Len(t, b.News(10), 1)
+	assert.Empty(t, b.News(10), "news is passed on once")
+}
+
+func TestWhoGetsNoNewWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name   string
+		change func(b *Board)
+	}{
+		{"leaving", func(b *Board) {
+			b.Leave(leave.Entry{Name: "e0000", Source: leave.Operator, Sequence: 1, Leaving: true})
+		}},
+		{"says so itself", func(b *Board) {
+			r := report("e0000", 1, 1, 0, 0)
+			r.Leaving = true
+			b.Report(now, r)
+		}},
+		{"changing", func(b *Board) {
+			r := report("e0000", 1, 1, 0, 0)
+			r.Changing = true
+			b.Report(now, r)
+		}},
+		{"without the model", func(b *Board) {
+			r := report("e0000", 1, 1, 0, 0)
+			r.Models = nil
+			b.Report(now, r)
+		}},
+		{"failed just now", func(b *Board) { b.Failed(now, "e0000") }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := &Board{Zone: "z"}
+			b.Configure(deployment(t, 2))
+			c.change(b)
+			_, names := candidates(b, now)
+			assert.Equal(t, []string{"e0001"}, names)
+		})
+	}
+}
+
+func TestRatesAreLearned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Board{Zone: "z"}
+	b.Configure(deployment(t, 1))
+	// The engine prefills 2,000 tokens a second, a quarter of what is declared.
+	for i := range 200 {
+		prompt := 200 + i%5*400
+		ticket := b.Start(now, "e0000", Work{Prompt: prompt})
+		now = now.Add(20*time.Millisecond + time.Duration(prompt)*500*time.Microsecond)
+		ticket.First(now)
+		ticket.End()
+	}
+	rate, ok := b.Rate("e0000")
+	require.True(t, ok)
+	assert.InEpsilon(t, 2000, rate.Prefill, 0.1)
+}
+
+func BenchmarkCandidates(b *testing.B) {
+	for _, n := range []int{10, 100, 488, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			table := &Board{Zone: "z"}
+			table.Configure(deployment(b, n))
+			for i := range n {
+				table.Report(now, report(fmt.Sprintf("e%04d", i), 1, 1, i%16, i))
+				table.Start(now, fmt.Sprintf("e%04d", i), Work{Prompt: 100})
+			}
+			var buffer Buffer
+			query := Query{Model: "m", KvBytes: 131072, Blocks: []uint64{1, 2, 3, 4}, BlockTokens: 256}
+			request := place.Request{Prompt: 2000, Output: 50, FirstToken: 540 * time.Millisecond, TokenGap: 50 * time.Millisecond, Left: 10 * time.Second}
+			table.Candidates(now, query, &buffer)
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Candidates(now, query, &buffer)
+				place.Choose(request, buffer.Engines)
+			}
+		})
+	}
+}
--- a/internal/fleet/board/ticket.go
+++ b/internal/fleet/board/ticket.go
@@ -12,6 +12,7 @@
 	tokens, ahead float64
 	streams       int
 	last          time.Time
+	blocks        []uint64
 }
 
 // Work is what a request that is sent asks of a server, and how the server was
@@ -22,6 +23,8 @@
 	// that wait before it; Streams counts the streams there.
 	Cached, Ahead float64
 	Streams       int
+	// Blocks are the names of the prompt's blocks, if the server prefills it.
+	Blocks []uint64
 }
 
 // outputKeep is the weight of the past in the mean of outputs.
@@ -31,7 +34,7 @@
 func (b *Board) Start(now time.Time, name string, w Work) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := &Ticket{board: b, started: now, tokens: max(float64(w.Prompt)-w.Cached, 1), ahead: w.Ahead, streams: w.Streams}
+	t := &Ticket{board: b, started: now, tokens: max(float64(w.Prompt)-w.Cached, 1), ahead: w.Ahead, streams: w.Streams, blocks: w.Blocks}
 	if w.Output > 0 {
 		b.output = outputKeep*b.output + (1-outputKeep)*float64(w.Output)
 	}
@@ -50,6 +53,7 @@
 		return
 	}
 	t.first, t.last = now, now
+	t.entry.known.Assume(t.blocks)
 	if t.streams < int(t.entry.server.Slots) {
 		t.entry.first.learn(t.ahead+t.tokens, now.Sub(t.started).Seconds())
 	}
--- a/internal/node/entry/complete.go
+++ b/internal/node/entry/complete.go
@@ -8,6 +8,7 @@
 	"io"
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
 	"ebonyscale.example/ebonyscale/internal/fleet/board"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
@@ -314,23 +315,12 @@
 	}
 	j.core.Meters.Add("Retried", 1)
 	j.core.Trace.Add(trace.Event{Kind: trace.Retried, Request: j.id, Engine: j.server, Detail: cause.Error()})
-	if !wait(j.ctx, decision.Delay) {
+	if !timer.Wait(j.ctx, decision.Delay) {
 		return &final{outcome: decision.Outcome, reason: "DeadlinePassed", err: j.ctx.Err()}
 	}
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try places the request and sends it once.
 func (j *job) try(offset int) (relay.Source, error) {
 	now := time.Now()
@@ -367,10 +357,10 @@
 
 // booked is what the request asks of the engine that decodes it.
 func (j *job) booked(p *placement) board.Work {
-	w := board.Work{Prompt: j.work.prompt, Output: j.work.output, Cached: p.cached, Ahead: p.ahead, Streams: p.streams}
+	w := board.Work{Prompt: j.work.prompt, Output: j.work.output, Cached: p.cached, Ahead: p.ahead, Streams: p.streams, Blocks: j.work.blocks}
 	if p.decision.Split() {
 		// The prompt was computed elsewhere.
-		w.Cached, w.Ahead = float64(w.Prompt), 0
+		w.Cached, w.Ahead, w.Blocks = float64(w.Prompt), 0, nil
 	}
 	return w
 }
@@ -385,7 +375,7 @@
 
 // prefill has another engine compute the prompt's KV cache.
 func (j *job) prefill(p *placement, sent engine.Call) error {
-	ticket := j.core.Board.Start(time.Now(), p.prefill.Name, board.Work{Prompt: j.work.prompt, Cached: p.cached, Ahead: p.ahead, Streams: p.streams})
+	ticket := j.core.Board.Start(time.Now(), p.prefill.Name, board.Work{Prompt: j.work.prompt, Cached: p.cached, Ahead: p.ahead, Streams: p.streams, Blocks: j.work.blocks})
 	defer ticket.End()
 	sent.Phase = engine.PrefillOnly
 	j.server = p.prefill.Name
--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
 	"ebonyscale.example/ebonyscale/internal/fleet/board"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
@@ -165,7 +166,7 @@
 			Tries: tries, Left: time.Until(p.request.Deadline),
 		}
 		decision := p.core.decide(failure)
-		if decision.Again && wait(ctx, decision.Delay) {
+		if decision.Again && timer.Wait(ctx, decision.Delay) {
 			p.core.Meters.Add("Retried", 1)
 			p.core.Trace.Add(trace.Event{Kind: trace.Retried, Request: p.id, Detail: err.Error()})
 			continue
--- a/internal/node/tree/gossip.go
+++ b/internal/node/tree/gossip.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/fleet/member"
 	"ebonyscale.example/ebonyscale/internal/node/trace"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
@@ -14,7 +15,7 @@
 const (
 	maxNews   = 8
 	maxLeaves = 8
-	maxLoads  = 12
+	maxLoads  = 8
 )
 
 // Timing of exchanges.
@@ -28,11 +29,11 @@
 func (n *Node) gossip(ctx context.Context) error {
 	n.greetSeeds(ctx)
 	// The processes of a zone do not all speak at the same moment.
-	pause(ctx, time.Duration(n.draw()%uint64(member.Period)))
+	timer.Wait(ctx, time.Duration(n.draw()%uint64(member.Period)))
 	for ctx.Err() == nil {
 		began := time.Now()
 		n.exchangeNext(ctx)
-		pause(ctx, member.Period-time.Since(began))
+		timer.Wait(ctx, member.Period-time.Since(began))
 	}
 	return ctx.Err()
 }
@@ -49,10 +50,13 @@
 func (n *Node) exchangeNext(ctx context.Context) {
 	random := n.draw()
 	n.mu.Lock()
-	n.note(n.table.Expire(time.Now()))
+	expired := n.note(n.table.Expire(time.Now()))
 	target, ok := n.table.Next(n.period, random)
 	n.period++
 	n.mu.Unlock()
+	if expired {
+		n.tellSome()
+	}
 	if !ok {
 		return
 	}
@@ -63,8 +67,11 @@
 		return
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.note(n.table.Missed(time.Now(), target.Name))
+	missed := n.note(n.table.Missed(time.Now(), target.Name))
+	n.mu.Unlock()
+	if missed {
+		n.tellSome()
+	}
 }
 
 // reachedThrough asks others to probe a process that did not answer.
@@ -150,7 +157,7 @@
 	now := time.Now()
 	for _, l := range loads {
 		if l.Sequence > 0 {
-			g.Loads = append(g.Loads, n.toLoad(l, now))
+			g.Loads = append(g.Loads, n.indexed(n.toLoad(l, now)))
 		}
 	}
 	return g
@@ -165,15 +172,19 @@
 	}
 	now := time.Now()
 	n.mu.Lock()
+	before := n.table.Self.Incarnation
 	changes := n.table.Reached(now, from)
 	for _, m := range g.News {
 		if known, ok := fromMember(m); ok && n.wanted(known) {
 			changes = append(changes, n.table.Merge(now, []member.Member{known})...)
 		}
 	}
-	n.note(changes)
+	learned := n.note(changes)
+	if n.table.Self.Incarnation != before {
+		// This process was taken for lost; everyone is to know better.
+		learned = true
+	}
 	n.mu.Unlock()
-	learned := false
 	for _, e := range g.Leaves {
 		learned = n.leaving(fromLeave(e)) || learned
 	}
@@ -181,7 +192,9 @@
 		n.tellSome()
 	}
 	for _, l := range g.Loads {
-		n.Board.Hear(n.fromLoad(l, now))
+		if n.named(l, g.ConfigVersion) {
+			n.Board.Hear(n.fromLoad(l, now))
+		}
 	}
 	switch {
 	case g.ConfigVersion > n.Config.Version():
@@ -205,9 +218,12 @@
 	return false
 }
 
-// note tells the time line of changes. It is called with the lock held.
-func (n *Node) note(changes []member.Change) {
+// note tells the time line of changes and reports whether there were any in the
+// own zone. It is called with the lock held.
+func (n *Node) note(changes []member.Change) bool {
+	near := false
 	for _, c := range changes {
+		near = near || c.Member.AvailabilityZone == n.Self.AvailabilityZone
 		kind := trace.MemberJoined
 		switch {
 		case c.Member.State == member.Suspect:
@@ -219,79 +235,25 @@
 		}
 		n.Trace.Add(trace.Event{Kind: kind, Detail: c.Member.Name})
 	}
+	return near
 }
 
-// prompter exchanges at once with the peers that it is handed.
+// promptSpacing is the least time between two prompt exchanges with a peer.
+const promptSpacing = 100 * time.Millisecond
+
+// prompter exchanges at once with the peers that it is handed. News that comes
+// in quick succession goes along with what is on its way already.
 func (n *Node) prompter(ctx context.Context) error {
+	last := map[netip.AddrPort]time.Time{}
 	for {
 		address, err := n.prompt.Pop(ctx)
 		if err != nil {
 			return err
 		}
-		n.exchange(ctx, address, false)
-	}
-}
-
-// stewardTick is the time between two looks at what is due.
-const stewardTick = 200 * time.Millisecond
-
-// Pace of reading engines.
-const (
-	// readEvery is the time between two reads of an engine.
-	readEvery = time.Second
-	// readBytes bounds what reading engines may take, in bytes per second. The
-	// reads become rarer if an owner has many engines.
-	readBytes = 900
-	// readSize is what one read takes, in bytes.
-	readSize = 520
-	// readsAtOnce is how many reads are under way at most.
-	readsAtOnce = 8
-)
-
-// steward reads the engines that are this process's to read.
-func (n *Node) steward(ctx context.Context) error {
-	due := map[string]time.Time{}
-	slots := make(chan struct{}, readsAtOnce)
-	for pause(ctx, stewardTick) {
-		config := n.Config.Current()
-		if config == nil {
-			continue
+		if wait := promptSpacing - time.Since(last[address]); wait > 0 {
+			timer.Wait(ctx, wait)
 		}
-		zone := n.zone()
-		now := time.Now()
-		owned := 0
-		for _, server := range config.Deployment.Servers {
-			if !server.Engine() || server.AvailabilityZone != n.Self.AvailabilityZone || member.Owner(server.Name, zone) != n.Self.Name {
-				continue
-			}
-			owned++
-			if now.Before(due[server.Name]) {
-				continue
-			}
-			select {
-			case slots <- struct{}{}:
-			default:
-				continue
-			}
-			due[server.Name] = now.Add(n.readInterval(owned))
-			go func() {
-				defer func() { <-slots }()
-				report, err := n.Servers.Report(ctx, server, n.Board.CacheSequence(server.Name))
-				if err != nil {
-					n.Meters.Add("ReportsFailed", 1)
-					return
-				}
-				n.Meters.Add("Reports", 1)
-				n.Board.Report(time.Now(), report)
-			}()
-		}
-		n.Meters.Gauge("EnginesOwned", func() int64 { return int64(owned) })
+		last[address] = time.Now()
+		n.exchange(ctx, address, false)
 	}
-	return ctx.Err()
-}
-
-// readInterval spaces the reads so that they stay within readBytes.
-func (n *Node) readInterval(owned int) time.Duration {
-	paced := time.Duration(owned) * readSize * time.Second / readBytes
-	return max(paced, readEvery)
 }
--- a/internal/node/tree/node.go
+++ b/internal/node/tree/node.go
@@ -36,6 +36,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/config/apply"
 	"ebonyscale.example/ebonyscale/internal/config/setup"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
@@ -256,12 +257,12 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
 	n.Trace.Add(trace.Event{Kind: trace.Stopping})
-	if !pause(ctx, n.Limits.StopWait) {
+	if !timer.Wait(ctx, n.Limits.StopWait) {
 		return fmt.Errorf("wait for the balancer: %w", ctx.Err())
 	}
 	n.Core.Close()
 	for n.Core.Active() > 0 {
-		if !pause(ctx, stopPoll) {
+		if !timer.Wait(ctx, stopPoll) {
 			return fmt.Errorf("wait for %d requests: %w", n.Core.Active(), ctx.Err())
 		}
 	}
@@ -271,18 +272,6 @@
 // stopPoll is the time between two looks at the requests under way.
 const stopPoll = 20 * time.Millisecond
 
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // leaving takes in who is leaving, tells the time line of news, and reports
 // whether it was news.
 func (n *Node) leaving(e leave.Entry) bool {
--- a/internal/node/tree/peer.go
+++ b/internal/node/tree/peer.go
@@ -206,6 +206,29 @@
 	return l
 }
 
+// indexed replaces an engine's name by its place in the configuration.
+func (n *Node) indexed(w *wire.Load) *wire.Load {
+	if config := n.Config.Current(); config != nil {
+		if i, ok := config.Deployment.Index(w.Engine); ok {
+			w.Engine, w.Index = "", uint32(i+1)
+		}
+	}
+	return w
+}
+
+// named gives an engine back its name, if the configuration is the sender's.
+func (n *Node) named(w *wire.Load, version uint64) bool {
+	if w.Index == 0 {
+		return true
+	}
+	config := n.Config.Current()
+	if config == nil || config.Manifest.Version != version || int(w.Index) > len(config.Deployment.Servers) {
+		return false
+	}
+	w.Engine = config.Deployment.Servers[w.Index-1].Name
+	return true
+}
+
 // declared returns the tags of the models that an engine is declared to serve.
 func (n *Node) declared(name string) []string {
 	config := n.Config.Current()
--- a/internal/node/tree/planner.go
+++ b/internal/node/tree/planner.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
 	"ebonyscale.example/ebonyscale/internal/fleet/board"
 	"ebonyscale.example/ebonyscale/internal/fleet/leave"
@@ -72,7 +73,7 @@
 
 // run is the duty.
 func (p *planner) run(ctx context.Context) error {
-	for pause(ctx, planTick) {
+	for timer.Wait(ctx, planTick) {
 		config := p.node.Config.Current()
 		if config == nil {
 			continue
--- a/internal/node/tree/watch.go
+++ b/internal/node/tree/watch.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/config/apply"
 	"ebonyscale.example/ebonyscale/internal/fleet/leave"
 	"ebonyscale.example/ebonyscale/internal/fleet/member"
@@ -45,7 +46,7 @@
 		page, err := n.Platform.Watch(ctx, prefix, after, n.WatchFor)
 		n.reach(ctx, err)
 		if err != nil {
-			pause(ctx, watchRetry+time.Duration(n.draw()%uint64(watchRetry)))
+			timer.Wait(ctx, watchRetry+time.Duration(n.draw()%uint64(watchRetry)))
 			continue
 		}
 		done := true
@@ -54,7 +55,7 @@
 		}
 		if !done {
 			// A part of what changed could not be read: ask again.
-			pause(ctx, watchRetry)
+			timer.Wait(ctx, watchRetry)
 			continue
 		}
 		for _, object := range page.Objects {
@@ -147,7 +148,7 @@
 		return
 	}
 	end := time.Now().Add(ownersWait)
-	for time.Now().Before(end) && pause(ctx, ownersPoll) {
+	for time.Now().Before(end) && timer.Wait(ctx, ownersPoll) {
 		for _, m := range zone {
 			if m.Name == owner && n.piecesFrom(ctx, m.Address) >= manifest.Version {
 				return
@@ -237,18 +238,44 @@
 	return n.Config.Version()
 }
 
+// Reading of the list of VMs.
+const (
+	// listReaders is how many processes of a zone follow the list; the others
+	// hear from them who is leaving.
+	listReaders = 2
+	// listSeldom is how many times rarer the others read it, in case the
+	// readers cannot.
+	listSeldom = 12
+)
+
 // list follows the list of VMs.
 func (n *Node) list(ctx context.Context) error {
-	for ctx.Err() == nil {
-		list, err := n.Platform.VMs(ctx)
-		if err == nil {
-			n.takeList(list)
+	var after uint64
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if after == 0 || turn%listSeldom == 0 || n.readsList() {
+			list, err := n.Platform.VMs(ctx, after)
+			if err == nil && list.Revision > after {
+				after = list.Revision
+				n.takeList(list)
+			}
 		}
-		pause(ctx, n.ListEvery)
+		timer.Wait(ctx, n.ListEvery)
 	}
 	return ctx.Err()
 }
 
+// readsList reports whether this process is one of the zone's readers of the
+// list.
+func (n *Node) readsList() bool {
+	zone := n.zone()
+	for i := range listReaders {
+		if member.Owner(fmt.Sprintf("list/%d", i), zone) == n.Self.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // contacts is how many processes of each other zone a process knows.
 const contacts = 2
 
@@ -258,9 +285,9 @@
 	others := map[string][]member.Member{}
 	listed := map[string]bool{}
 	now := time.Now()
-	alone := len(list.VMs) > 0
+	alone, news := len(list.VMs) > 0, false
 	for _, vm := range list.VMs {
-		n.leaving(leave.Entry{Name: vm.Name, Source: leave.VMList, Sequence: list.Revision, Leaving: vm.Leaving})
+		news = n.leaving(leave.Entry{Name: vm.Name, Source: leave.VMList, Sequence: list.Revision, Leaving: vm.Leaving}) || news
 		listed[vm.Name] = true
 		if !vm.Entry {
 			continue
@@ -284,6 +311,9 @@
 	if alone {
 		n.greeted.Store(true)
 	}
+	if news {
+		n.tellSome()
+	}
 }
 
 // addContacts makes some processes of another zone known, different ones for
@@ -324,7 +354,7 @@
 			if err == nil || store.Certain(err) && !isRefused(err) {
 				break
 			}
-			pause(ctx, finishPause)
+			timer.Wait(ctx, finishPause)
 		}
 	}
 }
--- a/internal/route/prefix/prefix.go
+++ b/internal/route/prefix/prefix.go
@@ -10,9 +10,11 @@
 //	known.Apply(events)
 //	cached := known.Match(blocks) * prefix.BlockTokens
 //
-// Known follows an engine's cache events. Events arrive late and with gaps: a
-// gap makes the entries older than it doubtful, which halves their worth until
-// an event confirms them, since they may have been evicted.
+// Known follows an engine's cache events. Events arrive late and with gaps, and
+// only at the process that reads the engine. Any process that sends a prompt
+// assumes its blocks to be cached from then on. A gap makes the entries older
+// than it doubtful. Doubt and assumption halve an entry's worth until an event
+// confirms it, since it may have been evicted.
 package prefix
 
 import (
@@ -51,6 +53,33 @@
 	doubt uint64
 }
 
+// Assume notes that a prompt was computed, so that its blocks are cached unless
+// they were evicted since. Blocks that an event tells of are left as they are.
+func (k *Known) Assume(blocks []uint64) {
+	if k.entries == nil {
+		k.entries = map[uint64]uint64{}
+	}
+	for _, name := range blocks {
+		if _, told := k.entries[name]; !told {
+			k.entries[name] = assumed
+		}
+	}
+	k.shrink()
+}
+
+// assumed stands for the number of an event that was not seen.
+const assumed = 0
+
+// shrink drops entries over the limit, whichever they are.
+func (k *Known) shrink() {
+	for name := range k.entries {
+		if len(k.entries) <= Limit {
+			return
+		}
+		delete(k.entries, name)
+	}
+}
+
 // Limit bounds the entries that are kept of one engine.
 const Limit = 4096
 
@@ -73,12 +102,7 @@
 		}
 		k.entries[event.Prefix] = event.Sequence
 	}
-	for name := range k.entries {
-		if len(k.entries) <= Limit {
-			break
-		}
-		delete(k.entries, name)
-	}
+	k.shrink()
 }
 
 // Last returns the number of the newest event taken in.
@@ -88,7 +112,7 @@
 func (k *Known) Reset() { *k = Known{} }
 
 // Match returns how many leading blocks the engine is expected to have. A
-// doubtful entry counts a half.
+// doubtful or assumed entry counts a half.
 func (k *Known) Match(blocks []uint64) float64 {
 	if len(blocks) == 0 {
 		return 0
@@ -101,7 +125,7 @@
 		if !ok {
 			continue
 		}
-		if sequence < k.doubt {
+		if sequence == assumed || sequence < k.doubt {
 			return float64(i+1) / 2
 		}
 		return float64(i + 1)
--- /dev/null
+++ b/internal/route/prefix/prefix_test.go
@@ -0,0 +1,65 @@
+package prefix
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/engine"
+)
+
+func added(sequence, name uint64) engine.CacheEvent {
+	return engine.CacheEvent{Sequence: sequence, Prefix: name}
+}
+
+func evicted(sequence, name uint64) engine.CacheEvent {
+	return engine.CacheEvent{Sequence: sequence, Prefix: name, Evicted: true}
+}
+
+func TestMatch(t *testing.T) {
+	blocks := []uint64{11, 12, 13}
+	cases := []struct {
+		name   string
+		events [][]engine.CacheEvent
+		assume []uint64
+		want   float64
+	}{
+		{"nothing is known", nil, nil, 0},
+		{"all is told", [][]engine.CacheEvent{{added(1, 11), added(2, 12), added(3, 13)}}, nil, 3},
+		{"the beginning is told", [][]engine.CacheEvent{{added(1, 11), added(2, 12)}}, nil, 2},
+		{"evicted from the end", [][]engine.CacheEvent{{added(1, 11), added(2, 12), evicted(3, 12)}}, nil, 1},
+		{"a gap makes it doubtful", [][]engine.CacheEvent{{added(1, 11), added(2, 12)}, {added(9, 99)}}, nil, 1},
+		{"told again after the gap", [][]engine.CacheEvent{{added(1, 11), added(2, 12)}, {added(9, 12)}}, nil, 2},
+		{"old news", [][]engine.CacheEvent{{added(5, 11), added(6, 12)}, {evicted(5, 12)}}, nil, 2},
+		{"assumed", nil, blocks, 1.5},
+		{"assumed and then evicted", [][]engine.CacheEvent{{evicted(1, 13)}}, blocks, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var k Known
+			k.Assume(c.assume)
+			for _, events := range c.events {
+				k.Apply(events)
+			}
+			assert.InDelta(t, c.want, k.Match(blocks), 1e-9)
+		})
+	}
+}
+
+func TestBlocks(t *testing.T) {
+	prompt := []byte(strings.Repeat("x", 3*BlockBytes))
+	blocks := Blocks(nil, prompt)
+	assert.Len(t, blocks, 3)
+	assert.Equal(t, blocks[:2], Blocks(nil, prompt[:2*BlockBytes+5]), "equal beginnings have equal names")
+	prompt[0] = 'y'
+	assert.NotEqual(t, blocks[2], Blocks(nil, prompt)[2], "a name stands for all before it")
+}
+
+func TestKnownIsBounded(t *testing.T) {
+	var k Known
+	for i := range uint64(3 * Limit) {
+		k.Assume([]uint64{i + 1})
+	}
+	assert.LessOrEqual(t, len(k.entries), Limit)
+}
--- a/internal/stand/model/control.go
+++ b/internal/stand/model/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/engine"
@@ -99,13 +100,26 @@
 	e.state.Fence = max(order.Fence, e.state.Fence)
 	e.state.Changing = true
 	e.changing = order.ID
-	e.record.OutOfService += e.Vendor.Change
+	takes := e.Vendor.Change + e.fetch(order.Load)
+	e.record.OutOfService += takes
 	crash := e.faults.CrashInOrder
 	e.faults.CrashInOrder = false
 	if crash {
 		e.faults.Crashed = true
 	}
-	time.AfterFunc(e.Vendor.Change, func() { e.finish(order, crash) })
+	time.AfterFunc(takes, func() { e.finish(order, crash) })
+}
+
+// fetch returns how long the engine waits for models that it does not have.
+func (e *Engine) fetch(models []engine.Loaded) time.Duration {
+	var longest time.Duration
+	for _, m := range models {
+		has := slices.ContainsFunc(e.state.Models, func(l engine.Loaded) bool { return l.Model == m.Model && l.Version == m.Version })
+		if !has && e.Weights != nil {
+			longest = max(longest, e.Weights.Fetch())
+		}
+	}
+	return longest
 }
 
 // finish ends an order, or the crash that came of it: then the engine is up
--- a/internal/stand/model/model.go
+++ b/internal/stand/model/model.go
@@ -89,6 +89,8 @@
 	KvTokens    int
 	// Lag is the age of load reports.
 	Lag time.Duration
+	// Weights is where models are loaded from, if not nil.
+	Weights interface{ Fetch() time.Duration }
 	// Seed makes the lost events of a run repeatable.
 	Seed uint64
 
--- a/internal/stand/platf/handler.go
+++ b/internal/stand/platf/handler.go
@@ -31,7 +31,12 @@
 	case path == store.WatchPath:
 		p.watch(c)
 	case path == store.VMPath:
-		list, err := p.VMs(context.Background())
+		after, err := strconv.ParseUint(string(c.QueryArgs().Peek("after")), 10, 64)
+		if err != nil {
+			c.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		}
+		list, err := p.VMs(context.Background(), after)
 		reply(c, list, err)
 	case path == FaultPath:
 		var faults Faults
--- a/internal/stand/platf/platf.go
+++ b/internal/stand/platf/platf.go
@@ -55,6 +55,9 @@
 	Writes, Reads float64
 	// ListLag is how late the list of VMs is.
 	ListLag time.Duration
+	// Weights is how many models the weight store gives out in a second, to
+	// everyone; 0 means no limit.
+	Weights float64
 
 	mu       sync.Mutex
 	faults   Faults
@@ -67,6 +70,7 @@
 	lists    []datedList
 	writes   *rate.Limiter
 	reads    *rate.Limiter
+	weights  *rate.Limiter
 }
 
 type datedList struct {
@@ -123,6 +127,9 @@
 	if p.Writes > 0 {
 		p.writes = rate.NewLimiter(rate.Limit(p.Writes), int(p.Writes)+1)
 	}
+	if p.Weights > 0 {
+		p.weights = rate.NewLimiter(rate.Limit(p.Weights), 1)
+	}
 	if p.Reads > 0 {
 		p.reads = rate.NewLimiter(rate.Limit(p.Reads), int(p.Reads)+1)
 	}
@@ -225,6 +232,18 @@
 	return page, p.changed
 }
 
+// Fetch reserves a model's weights and returns how long an engine waits for
+// them.
+func (p *Platform) Fetch() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.start()
+	if p.weights == nil {
+		return 0
+	}
+	return p.weights.Reserve().Delay()
+}
+
 // SetVM adds a VM to the list or changes it.
 func (p *Platform) SetVM(vm store.VM) {
 	p.mu.Lock()
@@ -260,7 +279,7 @@
 }
 
 // VMs implements store.API.
-func (p *Platform) VMs(ctx context.Context) (store.List, error) {
+func (p *Platform) VMs(ctx context.Context, after uint64) (store.List, error) {
 	if err := p.admit(ctx, false); err != nil {
 		return store.List{}, err
 	}
@@ -272,6 +291,9 @@
 			list = dated.list
 		}
 	}
+	if list.Revision <= after {
+		list.VMs = nil
+	}
 	return list, nil
 }
 
--- a/internal/stand/scene/scene.go
+++ b/internal/stand/scene/scene.go
@@ -77,11 +77,13 @@
 	cacheTokens = 400_000
 	kvTokens    = 400_000
 	plainTook   = 3 * time.Millisecond
+	// weightsPerSecond is the rate of the weight store.
+	weightsPerSecond = 0.5
 )
 
 // Build makes the stand-ins without listeners.
 func (s *Scene) Build() {
-	s.Platform = &platf.Platform{Writes: s.Writes, Reads: s.Reads, ListLag: s.ListLag}
+	s.Platform = &platf.Platform{Writes: s.Writes, Reads: s.Reads, ListLag: s.ListLag, Weights: weightsPerSecond}
 	s.Engines = map[string]*model.Engine{}
 	s.Plains = map[string]*plain.Server{}
 	for _, vm := range s.Entries {
@@ -95,7 +97,7 @@
 		}
 		s.Engines[b.Name] = &model.Engine{
 			Name: b.Name, Vendor: s.vendor(b), Role: b.Role, Models: s.loaded(b), ChecksFence: b.ChecksFence,
-			Slots: int(b.Slots), CacheTokens: cacheTokens, KvTokens: kvTokens, Lag: s.ReportLag, Seed: s.Seed + uint64(i),
+			Slots: int(b.Slots), CacheTokens: cacheTokens, KvTokens: kvTokens, Lag: s.ReportLag, Seed: s.Seed + uint64(i), Weights: s.Platform,
 		}
 	}
 }
--- a/internal/state/lease/keeper.go
+++ b/internal/state/lease/keeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/node/trace"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
@@ -52,11 +53,7 @@
 	k.mu.Unlock()
 	for {
 		k.Step(ctx)
-		timer := time.NewTimer(k.delay())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !timer.Wait(ctx, k.delay()) {
 			k.release()
 			return
 		}
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -86,10 +86,12 @@
 	return page, nil
 }
 
-// VMs reads the list of VMs.
-func (c *Client) VMs(ctx context.Context) (List, error) {
+// VMs reads the list of VMs if its revision is over after; else it returns a
+// list without VMs.
+func (c *Client) VMs(ctx context.Context, after uint64) (List, error) {
 	var list List
-	body, _, err := c.do(ctx, fasthttp.MethodGet, VMPath, nil, 0)
+	path := VMPath + "?after=" + strconv.FormatUint(after, 10)
+	body, _, err := c.do(ctx, fasthttp.MethodGet, path, nil, 0)
 	if err != nil {
 		return list, fmt.Errorf("list VMs: %w", err)
 	}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -26,6 +26,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 )
 
 // Object is a value under a key. Version 0 stands for an object that is absent.
@@ -81,7 +83,9 @@
 	Get(ctx context.Context, key string) (Object, error)
 	Put(ctx context.Context, object Object) (uint64, error)
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error)
-	VMs(ctx context.Context) (List, error)
+	// VMs reads the list of VMs if its revision is over after; else it returns
+	// a list without VMs.
+	VMs(ctx context.Context, after uint64) (List, error)
 }
 
 // Getter reads objects.
@@ -110,7 +114,7 @@
 	retry := backoff.ExponentialBackOff{InitialInterval: firstDelay, Multiplier: 2, MaxInterval: maxDelay}
 	retry.Reset()
 	for ctx.Err() == nil {
-		if !pause(ctx, retry.NextBackOff()) {
+		if !timer.Wait(ctx, retry.NextBackOff()) {
 			break
 		}
 		version, err = w.Put(ctx, object)
@@ -152,18 +156,6 @@
 	return fmt.Errorf("%s %s: %w", verb, key, err)
 }
 
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Certain reports whether err tells for sure that a write took no effect.
 func Certain(err error) bool {
 	return errors.Is(err, ErrConflict) || errors.Is(err, ErrRefused) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrAbsent)
