internal/fleet/board: count tickets as they come and go

Cause: listing the candidates of a placement went over every ticket of every engine, and each section of a file had a validator of its own.

Change: counts are kept with each start, first token and end, and made anew with a report; nothing is looked up of who is leaving while nothing is; one validator.

--- a/internal/config/keys/keys.go
+++ b/internal/config/keys/keys.go
@@ -190,10 +190,13 @@
 	faults.Add(Fault{File: s.File, Section: s.Title(), Key: key, Value: value, Want: want})
 }
 
+// checker keeps what it has learned of each type, so that one serves all.
+var checker = validator.New(validator.WithRequiredStructEnabled())
+
 // validate runs the struct's `validate` tags, passing over fields that have a
 // fault already.
 func (s Section) validate(target any, broken map[string]bool, faults *Faults) {
-	err := validator.New(validator.WithRequiredStructEnabled()).Struct(target)
+	err := checker.Struct(target)
 	var list validator.ValidationErrors
 	if !errors.As(err, &list) {
 		return
--- a/internal/fleet/board/board.go
+++ b/internal/fleet/board/board.go
@@ -93,11 +93,14 @@
 	known  prefix.Known
 	// heard is set once a load was taken in.
 	heard bool
-	// tickets are this process's requests; after counts those that started
-	// after the load was read, with their prompt tokens.
-	tickets map[*Ticket]struct{}
-	first   line
-	gap     line
+	// tickets are this process's requests. own counts them, and ownWaiting is
+	// the prompt tokens of those without a first token; newer and newerWaiting
+	// are the same for those that started since the load was read.
+	tickets                  map[*Ticket]struct{}
+	own, newer               int
+	ownWaiting, newerWaiting float64
+	first                    line
+	gap                      line
 	// floor is the least token gap seen lately, in seconds.
 	floor float64
 	// failures counts tries that failed in a row; avoid is until when the
@@ -228,6 +231,7 @@
 		changed = l.Models[i] != e.load.Models[i]
 	}
 	e.load, e.heard = l, true
+	e.recount()
 	if changed {
 		b.index()
 	}
@@ -371,8 +375,10 @@
 
 // usable reports whether a backend server gets new work.
 func (b *Board) usable(now time.Time, e *entry) bool {
-	return !e.load.Changing && !now.Before(e.avoid) &&
-		!b.leaving.Leaving(e.server.Name) && (e.server.VM == e.server.Name || !b.leaving.Leaving(e.server.VM))
+	if e.load.Changing || now.Before(e.avoid) {
+		return false
+	}
+	return b.leaving.Empty() || !b.leaving.Leaving(e.server.Name) && (e.server.VM == e.server.Name || !b.leaving.Leaving(e.server.VM))
 }
 
 // Failed notes that a try failed. The server is avoided, the longer the more
--- a/internal/fleet/board/board_test.go
+++ b/internal/fleet/board/board_test.go
@@ -66,6 +66,29 @@
 	assert.Zero(t, engines[0].Waiting)
 }
 
+// TestCountsComeOutEven ends tickets in every order and expects nothing left.
+func TestCountsComeOutEven(t *testing.T) {
+	now := time.Unix(1000, 0)
+	steps := map[string]func(b *Board, ticket *Ticket){
+		"first, end":        func(_ *Board, k *Ticket) { k.First(now); k.End() },
+		"end, first":        func(_ *Board, k *Ticket) { k.End(); k.First(now) },
+		"end twice":         func(_ *Board, k *Ticket) { k.End(); k.End() },
+		"first twice":       func(_ *Board, k *Ticket) { k.First(now); k.First(now); k.End() },
+		"report in between": func(b *Board, k *Ticket) { b.Report(now.Add(time.Hour), report("e0000", 1, 1, 0, 0)); k.End() },
+	}
+	for name, step := range steps {
+		t.Run(name, func(t *testing.T) {
+			b := &Board{Zone: "z"}
+			b.Configure(deployment(t, 1))
+			step(b, b.Start(now, "e0000", Work{Prompt: 100}))
+			e := b.entries["e0000"]
+			assert.Zero(t, e.own+e.newer)
+			assert.Zero(t, e.ownWaiting+e.newerWaiting)
+			assert.Empty(t, e.tickets)
+		})
+	}
+}
+
 func TestOldLoadsAreNoNews(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := &Board{Zone: "z"}
--- a/internal/fleet/board/candidates.go
+++ b/internal/fleet/board/candidates.go
@@ -80,21 +80,30 @@
 // correct adds the tickets that the report cannot know of, and never goes below
 // what this process itself has there.
 func (e *entry) correct(c *place.Engine) {
-	own, ownWaiting := 0, 0.0
+	c.Running = max(c.Running+e.newer, e.own)
+	c.Waiting = max(c.Waiting+e.newerWaiting, e.ownWaiting)
+}
+
+// recount counts the tickets anew, as after a new load.
+func (e *entry) recount() {
+	e.own, e.ownWaiting, e.newer, e.newerWaiting = 0, 0, 0, 0
 	for t := range e.tickets {
-		own++
-		if !t.started.Before(e.load.At) {
-			c.Running++
-		}
-		if t.first.IsZero() {
-			ownWaiting += t.tokens
-			if !t.started.Before(e.load.At) {
-				c.Waiting += t.tokens
-			}
-		}
+		e.count(t, 1)
+	}
+}
+
+// count adds a ticket to the counts, or takes it out with -1.
+func (e *entry) count(t *Ticket, sign int) {
+	waiting := 0.0
+	if t.first.IsZero() {
+		waiting = t.tokens * float64(sign)
+	}
+	e.own += sign
+	e.ownWaiting += waiting
+	if !t.started.Before(e.load.At) {
+		e.newer += sign
+		e.newerWaiting += waiting
 	}
-	c.Running = max(c.Running, own)
-	c.Waiting = max(c.Waiting, ownWaiting)
 }
 
 // Plain returns the servers of a service that may get a call, fewest calls of
--- a/internal/fleet/board/ticket.go
+++ b/internal/fleet/board/ticket.go
@@ -41,6 +41,7 @@
 	if e := b.entries[name]; e != nil {
 		t.entry = e
 		e.tickets[t] = struct{}{}
+		e.count(t, 1)
 	}
 	return t
 }
@@ -52,7 +53,12 @@
 	if !t.first.IsZero() || t.entry == nil {
 		return
 	}
+	if _, open := t.entry.tickets[t]; !open {
+		return
+	}
+	t.entry.count(t, -1)
 	t.first, t.last = now, now
+	t.entry.count(t, 1)
 	t.entry.known.Assume(t.blocks)
 	if t.streams < int(t.entry.server.Slots) {
 		t.entry.first.learn(t.ahead+t.tokens, now.Sub(t.started).Seconds())
@@ -97,8 +103,12 @@
 func (t *Ticket) End() {
 	t.board.mu.Lock()
 	defer t.board.mu.Unlock()
-	if t.entry != nil {
+	if t.entry == nil {
+		return
+	}
+	if _, open := t.entry.tickets[t]; open {
 		delete(t.entry.tickets, t)
+		t.entry.count(t, -1)
 	}
 }
 
--- a/internal/fleet/leave/leave.go
+++ b/internal/fleet/leave/leave.go
@@ -85,6 +85,9 @@
 // Leaving reports whether any source says that the name is leaving.
 func (s *Set) Leaving(name string) bool { return s.leaving[name] > 0 }
 
+// Empty reports whether nothing is leaving.
+func (s *Set) Empty() bool { return len(s.leaving) == 0 }
+
 // By reports whether the source says that the name is leaving.
 func (s *Set) By(name string, source Source) bool { return s.entries[key{name, source}].Leaving }
 
