--- a/internal/bench/havoc/havoc.go
+++ b/internal/bench/havoc/havoc.go
@@ -85,14 +85,16 @@
 	busy map[int]bool
 	// struck has the times in which a host was struck, by host.
 	struck map[int][]span
-	group  sync.WaitGroup
+	// stops has when each host was told to stop, by host.
+	stops map[int][]time.Time
+	group sync.WaitGroup
 }
 
 type span struct{ from, to time.Time }
 
 // Run runs the load and the failures.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	r := &run{Options: o, random: rand.New(rand.NewPCG(o.Seed, 7)), busy: map[int]bool{}, struck: map[int][]span{}}
+	r := &run{Options: o, random: rand.New(rand.NewPCG(o.Seed, 7)), busy: map[int]bool{}, struck: map[int][]span{}, stops: map[int][]time.Time{}}
 	door := &load.HTTP{}
 	for _, n := range o.Cluster.Nodes {
 		door.Targets = append(door.Targets, n.Callers())
@@ -220,6 +222,9 @@
 
 func (r *run) plannedStop(ctx context.Context, i int) {
 	r.count(&r.report.Stop)
+	r.mu.Lock()
+	r.stops[i] = append(r.stops[i], time.Now())
+	r.mu.Unlock()
 	_ = r.Cluster.Signal(i, syscall.SIGTERM)
 	code, err := r.Cluster.Await(i, stopWithin)
 	if err != nil || code != 0 {
@@ -304,6 +309,9 @@
 		if o.InTime() {
 			part.InTime++
 		}
+		if (o.Cut || o.Lost) && r.stopped(o) {
+			add([]judge.Violation{{Promise: judge.NoCutByPlannedStop, What: fmt.Sprintf("request %d (%s) to %s was cut: %v", o.Number, o.ID, r.Cluster.Nodes[o.Target].Name, o.Err)}})
+		}
 		if o.Cut && !r.excused(o) {
 			add([]judge.Violation{{Promise: judge.WholeAnswerToItsCaller, What: fmt.Sprintf("request %d (%s) to %s was cut: %v", o.Number, o.ID, r.Cluster.Nodes[o.Target].Name, o.Err)}})
 		}
@@ -311,6 +319,23 @@
 	return nil
 }
 
+// stopped reports whether the request was under way when its entry VM was told
+// to stop, and nothing else struck that before.
+func (r *run) stopped(o load.Outcome) bool {
+	for _, at := range r.stops[o.Target] {
+		if !o.Began.Before(at) || o.Began.Add(o.Total).Before(at) {
+			continue
+		}
+		for _, s := range r.struck[o.Target] {
+			if s.from.Before(at.Add(-time.Second)) && s.to.After(o.Began) {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
+
 // excused reports whether the request's own entry VM was struck meanwhile.
 func (r *run) excused(o load.Outcome) bool {
 	for _, s := range r.struck[o.Target] {
