--- a/internal/bench/havoc/havoc.go
+++ b/internal/bench/havoc/havoc.go
@@ -50,7 +50,7 @@
 	pausedFor = 12 * time.Second
 	cutFor    = 6 * time.Second
 	// every is the time between two failures.
-	every = 1300 * time.Millisecond
+	every = 1100 * time.Millisecond
 	// recoverFor is left at the end without failures.
 	recoverFor = 15 * time.Second
 	plainShare = 0.4
@@ -123,7 +123,7 @@
 
 // strike begins a failure now and then.
 func (r *run) strike(ctx context.Context) {
-	kinds := []func(ctx context.Context, i int){r.kill, r.pause, r.kill, r.pause, r.cut, r.plannedStop}
+	kinds := []func(ctx context.Context, i int){r.kill, r.pause, r.kill, r.pause, r.cut, r.kill, r.pause, r.cut, r.plannedStop}
 	for n := 0; timer.Wait(ctx, every); n++ {
 		if n%10 == 3 {
 			r.group.Go(func() { r.changeRole(n) })
