--- a/internal/config/spec/spec.go
+++ b/internal/config/spec/spec.go
@@ -37,6 +37,7 @@
 import (
 	"net/netip"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -55,8 +56,14 @@
 
 var roleNames = [...]string{"Mixed", "Prefill", "Decode"}
 
-// String returns the role's name as the files spell it.
-func (r Role) String() string { return roleNames[r] }
+// String returns the role's name as the files spell it. A role may be one that
+// only a newer release knows.
+func (r Role) String() string {
+	if r < 0 || int(r) >= len(roleNames) {
+		return "Role" + strconv.Itoa(int(r))
+	}
+	return roleNames[r]
+}
 
 // MarshalText implements encoding.TextMarshaler.
 func (r Role) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
--- a/internal/fleet/leave/leave.go
+++ b/internal/fleet/leave/leave.go
@@ -14,7 +14,10 @@
 //	if set.Leaving("verdict-01") { ... }
 package leave
 
-import "sort"
+import (
+	"sort"
+	"strconv"
+)
 
 // Source is who says that something is leaving.
 type Source int
@@ -33,8 +36,16 @@
 	Order
 )
 
-// String returns the source's name.
-func (s Source) String() string { return [...]string{"VMList", "Operator", "Server", "Order"}[s] }
+var sourceNames = [...]string{"VMList", "Operator", "Server", "Order"}
+
+// String returns the source's name. A source may be one that only a newer
+// release knows.
+func (s Source) String() string {
+	if s < 0 || int(s) >= len(sourceNames) {
+		return "Source" + strconv.Itoa(int(s))
+	}
+	return sourceNames[s]
+}
 
 // Entry is what a source says of a name.
 type Entry struct {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -27,6 +27,7 @@
 import (
 	"net/netip"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,8 +43,16 @@
 	Gone
 )
 
-// String returns the state's name.
-func (s State) String() string { return [...]string{"Live", "Suspect", "Gone"}[s] }
+var stateNames = [...]string{"Live", "Suspect", "Gone"}
+
+// String returns the state's name. A state may be one that only a newer release
+// knows.
+func (s State) String() string {
+	if s < 0 || int(s) >= len(stateNames) {
+		return "State" + strconv.Itoa(int(s))
+	}
+	return stateNames[s]
+}
 
 // Member is a process of the system.
 type Member struct {
--- /dev/null
+++ b/internal/stand/scene/contract_test.go
@@ -0,0 +1,182 @@
+package scene_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonyscale.example/ebonyscale/internal/config/spec"
+	"ebonyscale.example/ebonyscale/internal/fleet/call"
+	"ebonyscale.example/ebonyscale/internal/fleet/engine"
+	"ebonyscale.example/ebonyscale/internal/stand/model"
+	"ebonyscale.example/ebonyscale/internal/stand/plain"
+	"ebonyscale.example/ebonyscale/internal/stand/scene"
+)
+
+// servers is the interface that the duties use.
+type servers interface {
+	Send(ctx context.Context, server spec.BackendServer, call engine.Call) (*engine.Answer, error)
+	Report(ctx context.Context, server spec.BackendServer, since uint64) (engine.Report, error)
+	Order(ctx context.Context, server spec.BackendServer, order engine.Order) error
+}
+
+const files = `
+[Deployment d]
+[Model m]
+Version = 1
+[Service s]
+Prefix = /s/
+[BackendServer checks]
+Address = 127.0.63.1:7100
+AvailabilityZone = z
+Models = m
+ChecksFence = Yes
+[BackendServer ignores]
+Address = 127.0.63.2:7100
+AvailabilityZone = z
+Models = m
+[BackendServer p]
+Address = 127.0.63.3:7200
+AvailabilityZone = z
+Service = s
+`
+
+func read(t *testing.T, answer *engine.Answer) (string, error) {
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+// TestContract holds for the stand-ins and for the network client before them.
+func TestContract(t *testing.T) {
+	for _, network := range []bool{false, true} {
+		t.Run(map[bool]string{false: "direct", true: "network"}[network], func(t *testing.T) {
+			d, err := spec.Parse([]spec.File{{Name: "d.ini", Data: []byte(files)}})
+			require.NoError(t, err)
+			s := &scene.Scene{Deployment: d, Vendor: "Instant"}
+			var api servers = s
+			if network {
+				api = &engine.Client{}
+				require.NoError(t, s.Listen(scene.OnlyEngines))
+				t.Cleanup(s.Close)
+			} else {
+				s.Build()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			s.Start(ctx)
+			engines(ctx, t, s, api)
+		})
+	}
+}
+
+func engines(ctx context.Context, t *testing.T, s *scene.Scene, api servers) {
+	checks, _ := s.Deployment.Server("checks")
+	ignores, _ := s.Deployment.Server("ignores")
+	request := engine.Call{ID: "r-1", Method: "POST", Path: "/v1/completions", Body: []byte(`{"model":"m","stream":true,"prompt":"hub","max_tokens":3}`)}
+
+	answer, err := api.Send(ctx, checks, request)
+	require.NoError(t, err)
+	assert.Equal(t, 200, answer.Status)
+	whole, err := read(t, answer)
+	require.NoError(t, err)
+	assert.Equal(t, 3, strings.Count(whole, `"id":"r-1"`))
+	assert.True(t, strings.HasSuffix(whole, "data: [DONE]\n\n"))
+
+	request.Offset = 2
+	answer, err = api.Send(ctx, ignores, request)
+	require.NoError(t, err)
+	rest, err := read(t, answer)
+	require.NoError(t, err)
+	assert.True(t, strings.HasSuffix(whole, rest), "another engine goes on with the same text")
+	assert.Equal(t, 1, strings.Count(rest, `"id":"r-1"`))
+	request.Offset = 0
+
+	s.Engines["checks"].SetFaults(model.Faults{CutAfter: 1})
+	answer, err = api.Send(ctx, checks, request)
+	require.NoError(t, err)
+	_, err = read(t, answer)
+	require.Error(t, err, "a cut answer does not end like a whole one")
+	assert.Equal(t, call.StageReading, call.StageOf(err))
+
+	other := request
+	other.Body = []byte(`{"model":"none","stream":true,"prompt":"hub"}`)
+	answer, err = api.Send(ctx, checks, other)
+	require.NoError(t, err)
+	assert.True(t, answer.NotRun, "a model that is not loaded is a definite refusal")
+	answer.Body.Close()
+
+	report, err := api.Report(ctx, checks, engine.NoEvents)
+	require.NoError(t, err)
+	assert.Equal(t, "checks", report.Engine)
+	assert.Equal(t, spec.Mixed, report.Role)
+	orders(ctx, t, api, checks, ignores)
+
+	s.Engines["checks"].SetFaults(model.Faults{Crashed: true})
+	_, err = api.Send(ctx, checks, request)
+	require.Error(t, err)
+}
+
+// orders goes through fencing and busyness of both kinds of engines.
+func orders(ctx context.Context, t *testing.T, api servers, checks, ignores spec.BackendServer) {
+	order := func(id string, fence uint64) engine.Order {
+		return engine.Order{ID: id, Fence: fence, Role: spec.Prefill}
+	}
+	for _, server := range []spec.BackendServer{checks, ignores} {
+		require.NoError(t, api.Order(ctx, server, order("a", 7)))
+		require.ErrorIs(t, api.Order(ctx, server, order("b", 7)), engine.ErrBusy)
+		require.NoError(t, api.Order(ctx, server, order("a", 7)), "the same order again")
+		require.Eventually(t, func() bool {
+			report, err := api.Report(ctx, server, engine.NoEvents)
+			return err == nil && !report.Changing && report.OrderID == "a" && report.Role == spec.Prefill
+		}, 10*time.Second, 20*time.Millisecond)
+	}
+	require.ErrorIs(t, api.Order(ctx, checks, order("c", 6)), engine.ErrFence)
+	require.NoError(t, api.Order(ctx, ignores, order("c", 6)), "this engine ignores the number")
+	late := order("d", 9)
+	late.SendBefore = time.Now().Add(-time.Millisecond)
+	require.Error(t, api.Order(ctx, checks, late), "nothing is sent after the end of the authority")
+	report, err := api.Report(ctx, checks, engine.NoEvents)
+	require.NoError(t, err)
+	assert.Equal(t, "a", report.OrderID)
+}
+
+func TestPlainContract(t *testing.T) {
+	for _, network := range []bool{false, true} {
+		t.Run(map[bool]string{false: "direct", true: "network"}[network], func(t *testing.T) {
+			d, err := spec.Parse([]spec.File{{Name: "d.ini", Data: []byte(files)}})
+			require.NoError(t, err)
+			s := &scene.Scene{Deployment: d}
+			var api servers = s
+			if network {
+				api = &engine.Client{}
+				require.NoError(t, s.Listen(scene.OnlyPlains))
+				t.Cleanup(s.Close)
+			} else {
+				s.Build()
+			}
+			server, _ := d.Server("p")
+			request := engine.Call{ID: "r-1", Method: "POST", Path: "/s/orders", Body: []byte("x"), Once: true}
+			answer, err := api.Send(t.Context(), server, request)
+			require.NoError(t, err)
+			text, err := read(t, answer)
+			require.NoError(t, err)
+			assert.Contains(t, text, "r-1")
+			s.Plains["p"].SetFaults(plain.Faults{Refuse: true})
+			answer, err = api.Send(t.Context(), server, request)
+			require.NoError(t, err)
+			assert.True(t, answer.NotRun)
+			answer.Body.Close()
+			s.Plains["p"].SetFaults(plain.Faults{LoseAnswers: 1})
+			_, err = api.Send(t.Context(), server, request)
+			require.Error(t, err)
+			assert.NotEqual(t, call.StageDialing, call.StageOf(err), "it may have run")
+			assert.Len(t, s.Plains["p"].Seen(), 2)
+		})
+	}
+}
