internal/bench/havoc: say which promises are not judged

Cause: the tables of ebonybench fault and of the demo printed 0 violations for promises that none of their checkers looks at.

Change: they say "not judged here" or leave the line out. Work after leaving and the configuration's two promises are judged in virtual time only; planned stops not in the demo.

Conclusion: a line that cannot fail is gone.

--- a/internal/bench/demo/report.go
+++ b/internal/bench/demo/report.go
@@ -39,6 +39,12 @@
 	Seen string
 }
 
+// judged has the promises that a checker of the demo looks at.
+var judged = map[judge.Promise]bool{
+	judge.NoConflictingOrders: true, judge.NoEffectWithoutAuthority: true, judge.WholeAnswerToItsCaller: true,
+	judge.NotRunIsTrue: true, judge.RunsAtMostOnce: true, judge.NoWorkAfterLeaving: true,
+}
+
 // Promises returns every promise that a demo can judge.
 func (r *Report) Promises() []Promise {
 	all := r.Result.All()
@@ -51,7 +57,7 @@
 				n++
 			}
 		}
-		if p != judge.ConfigInForceInTime && p != judge.ConfigNeverReverts {
+		if judged[p] {
 			list = append(list, count(p.String(), n))
 		}
 	}
--- a/internal/bench/havoc/havoc.go
+++ b/internal/bench/havoc/havoc.go
@@ -357,6 +357,12 @@
 	return nil
 }
 
+// notJudged has the promises that no checker of this package looks at; package
+// fault does, in virtual time.
+var notJudged = map[judge.Promise]bool{
+	judge.NoWorkAfterLeaving: true, judge.ConfigInForceInTime: true, judge.ConfigNeverReverts: true,
+}
+
 // String formats the report.
 func (r *Report) String() string {
 	var text strings.Builder
@@ -365,6 +371,10 @@
 	fmt.Fprintf(&text, "in time: %.1f%% of %d requests at entry VMs left alone, %.1f%% of %d at struck ones\n\n",
 		100*r.Quiet.Share(), r.Quiet.Requests, 100*r.Struck.Share(), r.Struck.Requests)
 	for _, p := range judge.Promises {
+		if notJudged[p] {
+			fmt.Fprintf(&text, "%-26s not judged here\n", p)
+			continue
+		}
 		n := 0
 		for _, v := range r.Violations {
 			if v.Promise == p {
