internal/bench/world: break the word "not run" on purpose

Cause: the checker of NotRunIsTrue had no broken variant that it must catch.

Change: a variant that tells callers NotRun where the outcome is Unknown.

--- a/internal/bench/fault/fault_test.go
+++ b/internal/bench/fault/fault_test.go
@@ -126,6 +126,7 @@
 		{world.NoMargin, judge.NoEffectWithoutAuthority, 0, []world.Event{{At: time.Second, Kind: world.ChangeRole, Pick: 9}}, []world.Strike{{Operation: "Order ", Kind: world.PauseLong}}},
 		{world.RetryAfterSend, judge.RunsAtMostOnce, 0, each(world.PlainLose), nil},
 		{world.StageMisjudged, judge.RunsAtMostOnce, 0, each(world.PlainLose), nil},
+		{world.UnknownAsNotRun, judge.NotRunIsTrue, 0, each(world.PlainLose), nil},
 		{world.NoVersionCheck, judge.ConfigNeverReverts, 0, []world.Event{{At: time.Second, Kind: world.CompetingApplies, Pick: 7}, {At: 9 * time.Second, Kind: world.CompetingApplies, Pick: 8}}, nil},
 		{world.DrainIgnored, judge.NoWorkAfterLeaving, 0, []world.Event{{At: time.Second, Kind: world.VMLeaves, For: 8 * time.Second}}, nil},
 		{world.IdentityUnchecked, judge.WholeAnswerToItsCaller, 12, each(world.EngineCross), nil},
--- a/internal/bench/world/life.go
+++ b/internal/bench/world/life.go
@@ -18,6 +18,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/entry"
 	"ebonyscale.example/ebonyscale/internal/node/tree"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/route/retry"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
@@ -391,6 +392,9 @@
 	select {
 	case reply := <-replies:
 		reply.Body = &callers{ReadCloser: reply.Body, life: l}
+		if w.Variant == UnknownAsNotRun && reply.Outcome == retry.Unknown {
+			reply.Outcome = retry.NotRun
+		}
 		if err := l.pass(); err != nil {
 			reply.Close()
 			return nil, err
--- a/internal/bench/world/schedule.go
+++ b/internal/bench/world/schedule.go
@@ -38,16 +38,20 @@
 	ConfigDeaf
 	// ResumeFromStart resumes a stream from its beginning.
 	ResumeFromStart
+	// UnknownAsNotRun tells callers that a call has not run when that is not
+	// known.
+	UnknownAsNotRun
 )
 
 // Variants are the broken variants.
-var Variants = []Variant{FenceNotSent, RetryAfterSend, StageMisjudged, NoVersionCheck, NoMargin, DrainIgnored, IdentityUnchecked, StopAtOnce, NotEmptied, OrderForgotten, ConfigDeaf, ResumeFromStart}
+var Variants = []Variant{FenceNotSent, RetryAfterSend, StageMisjudged, NoVersionCheck, NoMargin, DrainIgnored, IdentityUnchecked, StopAtOnce, NotEmptied, OrderForgotten, ConfigDeaf, ResumeFromStart, UnknownAsNotRun}
 
 // String returns the variant's name.
 func (v Variant) String() string {
 	return [...]string{
 		"Correct", "FenceNotSent", "RetryAfterSend", "StageMisjudged", "NoVersionCheck", "NoMargin",
 		"DrainIgnored", "IdentityUnchecked", "StopAtOnce", "NotEmptied", "OrderForgotten", "ConfigDeaf", "ResumeFromStart",
+		"UnknownAsNotRun",
 	}[v]
 }
 
