node/broker: no prompt waits for an engine that cannot be reached

Cause: an engine that reads a prompt is told which other keeps the shared parts, and fetches them first. Behind a zone cut or after a crash that engine does not answer, and the reader waits some 0.3 s with one of its few places taken. Ruled out: shares of silent processes (part 1.00), suspicion (none).

Change: usage keeps that a backend server could not be reached, until it says something; homes that cannot be reached or are stalled are passed over. The line 'prefill placed' names the engine to fetch from.

--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -77,6 +77,9 @@
 	Closed bool
 	// Stalled is set while it has requests and has said nothing for Stall.
 	Stalled bool
+	// Unreachable is set after a connection that did not come about, until it
+	// has said something.
+	Unreachable bool
 }
 
 // key is one incarnation.
@@ -93,6 +96,7 @@
 	// streak counts the failures in a row, refusals the refusals.
 	streak, refusals int
 	suspect          bool
+	unreachable      bool
 	closed           time.Time
 	used             time.Time
 	// heard is when it said something last, or was first sent something after
@@ -181,6 +185,7 @@
 	}
 	if result.Verdict == Fine || result.Verdict == Full {
 		r.heard = now
+		r.unreachable = false
 	}
 	switch result.Verdict {
 	case Fine:
@@ -195,6 +200,7 @@
 			r.suspicion(now)
 		}
 	case Unreachable:
+		r.unreachable = true
 		r.failing += learnt * (1 - r.failing)
 		r.suspicion(now)
 	case Full:
@@ -235,7 +241,7 @@
 	stalled := r.running > 0 && now.Sub(r.heard) > Stall
 	return Seen{
 		Running: r.running, Long: r.work[Long], Reading: r.work[Reading], Slowness: r.slowness, Suspect: r.suspect,
-		Closed: stalled || now.Before(r.closed), Stalled: stalled,
+		Closed: stalled || now.Before(r.closed), Stalled: stalled, Unreachable: r.unreachable,
 	}
 }
 
@@ -243,7 +249,8 @@
 func (t *Table) Alive(now time.Time, server roster.Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.record(server).heard = now
+	r := t.record(server)
+	r.heard, r.unreachable = now, false
 }
 
 // Each calls do for each backend server with requests under way.
--- a/internal/fleet/usage/usage_test.go
+++ b/internal/fleet/usage/usage_test.go
@@ -60,6 +60,17 @@
 	end(&table, now, Unreachable)
 	assert.True(t, table.Look(now, one).Closed)
 	assert.False(t, table.Look(now, two).Closed)
+	later := now.Add(firstSuspicion)
+	assert.True(t, table.Look(later, one).Unreachable, "until it says something")
+	for _, v := range []Verdict{Fine, Full} {
+		end(&table, later, Unreachable, Failed)
+		assert.True(t, table.Look(later, one).Unreachable)
+		end(&table, later, v)
+		assert.False(t, table.Look(later, one).Unreachable)
+	}
+	end(&table, later, Unreachable)
+	table.Alive(later, one)
+	assert.False(t, table.Look(later, one).Unreachable)
 }
 
 func TestTableOfOneThatRefuses(t *testing.T) {
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -163,8 +163,9 @@
 func scaled(places, part float64) int { return max(int(math.Ceil(places*part)), 1) }
 
 // home returns the address of the decode engine that keeps what such requests
-// share, if there is one that is not the reader.
-func (b *Broker) home(service string, share uint64, reader roster.Server) netip.AddrPort {
+// share, if there is one that is not the reader. One that this process cannot
+// reach is passed over: the reader would wait for it in vain.
+func (b *Broker) home(now time.Time, service string, share uint64, reader roster.Server) netip.AddrPort {
 	if share == 0 {
 		return netip.AddrPort{}
 	}
@@ -174,6 +175,9 @@
 		if s.Role != roster.Decode {
 			continue
 		}
+		if seen := b.Usage.Look(now, s); seen.Unreachable || seen.Stalled {
+			continue
+		}
 		if at := assign.Draw(xxhash.Sum64String(s.ID), share); at < best {
 			best, home = at, s
 		}
--- /dev/null
+++ b/internal/node/broker/home_test.go
@@ -0,0 +1,48 @@
+package broker
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+)
+
+// TestHomeIsOneThatAnswers reads no prompt with the help of an engine that does
+// not answer: the reader would wait for it.
+func TestHomeIsOneThatAnswers(t *testing.T) {
+	b := newBed(t)
+	now := time.Now()
+	addresses := map[netip.AddrPort]roster.Server{}
+	for i, id := range []string{"d1", "d2", "d3"} {
+		s := roster.Server{
+			ID: id, Born: 1, Service: "model", Zone: "calicut", Slots: 8, State: roster.Ready, Role: roster.Decode,
+			Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)),
+		}
+		b.roster.Update(now, 1, []roster.Event{{Server: s}}, roster.Doubt{})
+		addresses[s.Address] = s
+	}
+	reader := roster.Server{ID: "p1", Born: 1, Service: "model", Role: roster.Prefill}
+	home := func() roster.Server { return addresses[b.home(now, "model", 7, reader)] }
+
+	first := home()
+	b.Usage.Learn(now, first, usage.Result{Verdict: usage.Failed})
+	assert.Equal(t, first, home(), "one failure")
+	b.Usage.Learn(now, first, usage.Result{Verdict: usage.Unreachable})
+	second := home()
+	assert.NotEqual(t, first.ID, second.ID)
+	assert.NotEmpty(t, second.ID)
+
+	b.Usage.Start(now, second, usage.Short)
+	now = now.Add(2 * usage.Stall)
+	third := home()
+	assert.NotContains(t, []string{first.ID, second.ID, ""}, third.ID, "the second is stalled")
+	b.Usage.Learn(now, third, usage.Result{Verdict: usage.Unreachable})
+	assert.Empty(t, home().ID, "no engine answers")
+
+	b.Usage.Alive(now, first)
+	assert.Equal(t, first, home(), "it has said something")
+}
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -61,7 +61,7 @@
 		c := j.call()
 		c.Source = source
 		if p.want.key.work == usage.Reading {
-			c.Fetch = j.broker.home(j.service.Name, j.shared(), p.server)
+			c.Fetch = j.broker.home(time.Now(), j.service.Name, j.shared(), p.server)
 		}
 		f := j.once(p, c)
 		if f == nil {
@@ -204,11 +204,12 @@
 
 func (j *job) prefill(p *place) (Source, *failure) {
 	began := time.Now()
+	c := j.call()
+	c.Fetch = j.broker.home(began, j.service.Name, j.shared(), p.server)
 	j.broker.Log.Info("prefill placed", zap.String("Request", j.request.ID), zap.String("Route", j.route.Name),
 		zap.Uint64("Version", j.table.Version), zap.String("Server", p.server.ID), zap.Int64("Born", p.server.Born),
-		zap.Int("Prompt", j.request.Prompt), zap.Duration("Waited", p.waited), zap.String("Coordinator", p.coordinator))
-	c := j.call()
-	c.Fetch = j.broker.home(j.service.Name, j.shared(), p.server)
+		zap.Int("Prompt", j.request.Prompt), zap.Duration("Waited", p.waited), zap.String("Coordinator", p.coordinator),
+		zap.Stringer("Fetch", c.Fetch))
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
 	if j.sends+1 < j.route.Attempts {
