node/broker: connect to lost backend servers, no request finds out

Change: a duty connects to those that could not be reached until it succeeds; until then they count as closed. At most 32 tries at once.

--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -159,6 +159,20 @@
 	return x, nil
 }
 
+// Reach makes a connection and keeps it for a later exchange, unless maxOpen
+// are open to the address, 0 meaning no bound. The error is of type *Error.
+func (c *Client) Reach(ctx context.Context, address netip.AddrPort, maxOpen int) error {
+	if c.Cut != nil && c.Cut(address) {
+		return &Error{StageDialing, address, errCut}
+	}
+	conn, err := c.pool.take(ctx, address, true, maxOpen, c.DialTimeout)
+	if err != nil {
+		return &Error{StageDialing, address, orCause(ctx, err)}
+	}
+	c.pool.give(conn)
+	return nil
+}
+
 // failed gives an error its stage. While no byte was written, the server
 // cannot have read any of the request.
 func (x *Exchange) failed(ctx context.Context, stage Stage, err error) error {
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -10,7 +10,15 @@
 //
 // A backend server that fails more than a part of its requests is left alone
 // for a while, each time for longer, and then tried with one request at a time
-// until it has answered in order.
+// until it has answered in order. One that cannot be reached gets no request
+// until a connection has come about:
+//
+//	for _, i := range table.Unreachable() {
+//		if connect(i) == nil {
+//			table.Reached(now, i)
+//		}
+//	}
+//
 // The zero value is ready to use. Every method is safe for concurrent use.
 package usage
 
@@ -77,15 +85,15 @@
 	Closed bool
 	// Stalled is set while it has requests and has said nothing for Stall.
 	Stalled bool
-	// Unreachable is set after a connection that did not come about, until it
-	// has said something.
+	// Unreachable is set after a connection that did not come about, until one
+	// does or it has said something.
 	Unreachable bool
 }
 
-// key is one incarnation.
-type key struct {
-	id   string
-	born int64
+// Incarnation is one life of a backend server.
+type Incarnation struct {
+	ID   string
+	Born int64
 }
 
 type record struct {
@@ -107,7 +115,7 @@
 // Table has a record for each incarnation of a backend server.
 type Table struct {
 	mu      sync.Mutex
-	records map[key]*record
+	records map[Incarnation]*record
 }
 
 // Stall is how long a backend server that has requests may say nothing until it
@@ -136,11 +144,11 @@
 )
 
 func (t *Table) record(server roster.Server) *record {
-	k := key{server.ID, server.Born}
+	k := Incarnation{server.ID, server.Born}
 	r, ok := t.records[k]
 	if !ok {
 		if t.records == nil {
-			t.records = map[key]*record{}
+			t.records = map[Incarnation]*record{}
 		}
 		r = &record{slowness: 1}
 		t.records[k] = r
@@ -234,14 +242,14 @@
 func (t *Table) Look(now time.Time, server roster.Server) Seen {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.records[key{server.ID, server.Born}]
+	r, ok := t.records[Incarnation{server.ID, server.Born}]
 	if !ok {
 		return Seen{Slowness: 1}
 	}
 	stalled := r.running > 0 && now.Sub(r.heard) > Stall
 	return Seen{
 		Running: r.running, Long: r.work[Long], Reading: r.work[Reading], Slowness: r.slowness, Suspect: r.suspect,
-		Closed: stalled || now.Before(r.closed), Stalled: stalled, Unreachable: r.unreachable,
+		Closed: stalled || r.unreachable || now.Before(r.closed), Stalled: stalled, Unreachable: r.unreachable,
 	}
 }
 
@@ -253,13 +261,37 @@
 	r.heard, r.unreachable = now, false
 }
 
+// Unreachable lists those that cannot be reached.
+func (t *Table) Unreachable() []Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Incarnation
+	for k, r := range t.records {
+		if r.unreachable {
+			list = append(list, k)
+		}
+	}
+	return list
+}
+
+// Reached takes in that a connection has come about: one request at a time may
+// try the backend server.
+func (t *Table) Reached(now time.Time, i Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.records[i]; ok && r.unreachable {
+		r.unreachable = false
+		r.closed, r.used = now, now
+	}
+}
+
 // Each calls do for each backend server with requests under way.
 func (t *Table) Each(do func(id string, born int64, seen Seen)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, r := range t.records {
 		if r.running > 0 {
-			do(k.id, k.born, Seen{Running: r.running, Long: r.work[Long], Reading: r.work[Reading]})
+			do(k.ID, k.Born, Seen{Running: r.running, Long: r.work[Long], Reading: r.work[Reading]})
 		}
 	}
 }
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -127,6 +127,8 @@
 	Prefill(ctx context.Context, server roster.Server, c Call) (Source, *Answer, error)
 	// Release frees what Prefill has read and nobody will use.
 	Release(ctx context.Context, source Source) error
+	// Reach makes a connection, for a later request to use.
+	Reach(ctx context.Context, server roster.Server, maxOpen int) error
 }
 
 // Others are the other processes of the system.
--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -48,6 +48,9 @@
 	does map[string][]behavior
 	// default behavior if does has none.
 	usual behavior
+	// away are those that Reach does not reach, reached counts its calls.
+	away    map[string]bool
+	reached int
 }
 
 func (f *fleet) next(server string) behavior {
@@ -91,6 +94,24 @@
 	return nil
 }
 
+// Reach fails for those that are away.
+func (f *fleet) Reach(_ context.Context, server roster.Server, _ int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached++
+	if f.away[server.ID] {
+		return &call.Error{Stage: call.StageDialing, Err: errReset}
+	}
+	return nil
+}
+
+// reaches counts the calls of Reach.
+func (f *fleet) reaches() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached
+}
+
 // runs counts the runs of all requests.
 func (f *fleet) runs() int {
 	f.mu.Lock()
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -125,17 +125,17 @@
 
 func (j *job) call() Call {
 	return Call{
-		Request: j.request, Deadline: j.limit, After: j.request.After, Fresh: !j.route.Repeatable(), MaxOpen: j.maxOpen(),
+		Request: j.request, Deadline: j.limit, After: j.request.After, Fresh: !j.route.Repeatable(), MaxOpen: j.broker.maxOpen(j.service),
 	}
 }
 
-// maxOpen is this process's part of the connections that a backend server
-// accepts.
-func (j *job) maxOpen() int {
-	if j.service.MaxConnections == 0 {
+// maxOpen is this process's part of the connections that a backend server of
+// the service accepts.
+func (b *Broker) maxOpen(service table.Service) int {
+	if service.MaxConnections == 0 {
 		return 0
 	}
-	return max(j.service.MaxConnections/(max(j.broker.Others.Alive(), 1)+1), 2)
+	return max(service.MaxConnections/(max(b.Others.Alive(), 1)+1), 2)
 }
 
 // once sends the request to one backend server and hands its answer on. It
--- /dev/null
+++ b/internal/node/broker/reach.go
@@ -0,0 +1,84 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonyscale.example/ebonyscale/internal/base/timer"
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+)
+
+const (
+	// reachEvery is how often new backend servers that cannot be reached are
+	// looked for.
+	reachEvery = 20 * time.Millisecond
+	// reachPause lies between two tries to reach the same one.
+	reachPause = 100 * time.Millisecond
+	// reachMost bounds the tries under way, and so what they cost where a whole
+	// availability zone is cut off.
+	reachMost = 32
+)
+
+// Reach connects to backend servers that could not be reached until they can,
+// so that no request has to find out. It returns when ctx ends.
+func (b *Broker) Reach(ctx context.Context) error {
+	r := reacher{broker: b, under: map[usage.Incarnation]bool{}}
+	defer r.tries.Wait()
+	for timer.Wait(ctx, reachEvery) {
+		if b.Table() == nil {
+			continue
+		}
+		for _, i := range b.Usage.Unreachable() {
+			if server, ok := b.Roster.Find(i.ID, i.Born); ok && r.begin(i) {
+				r.tries.Go(func() { r.try(ctx, i, server) })
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// reacher keeps which backend servers are being tried.
+type reacher struct {
+	broker *Broker
+	tries  sync.WaitGroup
+
+	mu    sync.Mutex
+	under map[usage.Incarnation]bool
+}
+
+// begin notes a try; it returns false if there is one or there are too many.
+func (r *reacher) begin(i usage.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.under[i] || len(r.under) >= reachMost {
+		return false
+	}
+	r.under[i] = true
+	return true
+}
+
+// try tries once and pauses.
+func (r *reacher) try(ctx context.Context, i usage.Incarnation, server roster.Server) {
+	b := r.broker
+	defer func() {
+		r.mu.Lock()
+		delete(r.under, i)
+		r.mu.Unlock()
+	}()
+	b.Meters.Add("ReachTries", 1)
+	began := time.Now()
+	err := b.Servers.Reach(ctx, server, b.maxOpen(b.Table().Services[server.Service]))
+	if err == nil {
+		b.Usage.Reached(time.Now(), i)
+		b.Log.Info("backend server can be reached again", zap.String("Server", i.ID), zap.Int64("Born", i.Born),
+			zap.Duration("Took", time.Since(began)))
+		b.Kick(time.Now())
+		return
+	}
+	b.Log.Debug("backend server cannot be reached", zap.String("Server", i.ID), zap.Int64("Born", i.Born), zap.Error(err))
+	timer.Wait(ctx, reachPause)
+}
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -177,6 +177,7 @@
 		{Name: "Receive", Do: n.mesh().Receive},
 		{Name: "Coordinate", Do: n.coordination.Send},
 		{Name: "Fetch", Do: n.fetch},
+		{Name: "Reach", Do: n.Broker.Reach},
 		{Name: "Tick", Do: n.tick},
 	})
 }
