--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -82,6 +82,10 @@
 	Cut func(address netip.AddrPort) bool
 	// DialTimeout bounds the making of a connection; 0 means one second.
 	DialTimeout time.Duration
+	// Idle is how many connections to an address are kept; 0 means 64. What a
+	// process leaves behind when its VM loses power stays open at the server for
+	// long, and counts against the server's limit.
+	Idle int
 
 	pool pool
 }
@@ -169,7 +173,7 @@
 	if err != nil {
 		return &Error{StageDialing, address, orCause(ctx, err)}
 	}
-	c.pool.give(conn)
+	c.pool.give(conn, c.Idle)
 	return nil
 }
 
@@ -338,7 +342,7 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return conn.Close()
 	}
-	x.client.pool.give(conn)
+	x.client.pool.give(conn, x.client.Idle)
 	return nil
 }
 
--- a/internal/fleet/call/call_test.go
+++ b/internal/fleet/call/call_test.go
@@ -147,6 +147,34 @@
 	assert.Equal(t, int64(3), client.Dials(), "an idle connection makes room")
 }
 
+// TestIdleConnectionsAreFew keeps no more connections than asked for, however
+// many were made.
+func TestIdleConnectionsAreFew(t *testing.T) {
+	address := peer(t, script(ok, ok))
+	client := Client{Idle: 2}
+	for range 6 {
+		_, err := ask(t.Context(), &client, address, Options{Fresh: true})
+		require.NoError(t, err)
+	}
+	assert.Len(t, client.pool.idle[address], 2)
+	assert.Equal(t, 2, client.pool.open[address])
+}
+
+func TestReach(t *testing.T) {
+	address := peer(t, script(ok, ok))
+	var client Client
+	require.NoError(t, client.Reach(t.Context(), address, 1))
+	got, err := ask(t.Context(), &client, address, Options{MaxOpen: 1})
+	assert.NoError(t, err)
+	assert.Equal(t, "200 ok", got)
+	assert.Equal(t, int64(1), client.Dials(), "the connection is used")
+
+	err = client.Reach(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), 1)
+	assert.Equal(t, StageDialing, StageOf(err))
+	client.Cut = func(netip.AddrPort) bool { return true }
+	assert.ErrorIs(t, client.Reach(t.Context(), address, 1), errCut)
+}
+
 func TestMaxOpen(t *testing.T) {
 	hold := make(chan struct{})
 	address := peer(t, func(_ int, conn *net.TCPConn) {
--- a/internal/fleet/call/pool.go
+++ b/internal/fleet/call/pool.go
@@ -208,14 +208,14 @@
 	return conn
 }
 
-func (p *pool) give(conn *connection) {
+func (p *pool) give(conn *connection, most int) {
 	conn.since = time.Now()
 	p.mu.Lock()
 	if p.idle == nil {
 		p.idle = map[netip.AddrPort][]*connection{}
 	}
 	list := p.idle[conn.address]
-	full := len(list) >= idleConnections
+	full := len(list) >= cmp.Or(most, idleConnections)
 	if !full {
 		p.idle[conn.address] = append(list, conn)
 	}
