fleet/call: a request waits for a connection as long as is usual, not 0.3 s

Cause: the first requests to a backend server that is lost wait for the whole time to connect, 0.3 s, beyond the aims of 0.12 to 0.25 s, though connections come about in 1 to 3 ms.

Change: at least 0.12 s, and eight times the usual time where that is longer, at most 1 s; Reach, which no caller waits for, has 1 s.

--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -99,8 +99,9 @@
 	// servers, the store and peers.
 	reservedDescriptors = 1000
 	// serverDialTimeout is the time to reach a backend server, which answers
-	// within milliseconds if it can be reached at all.
-	serverDialTimeout = 300 * time.Millisecond
+	// within milliseconds if it can be reached at all. It leaves a request time
+	// to go elsewhere.
+	serverDialTimeout = 120 * time.Millisecond
 	// serverIdle is how many connections are kept to a backend server: about
 	// what one process has there at a time.
 	serverIdle = 4
--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -80,7 +80,8 @@
 type Client struct {
 	// Cut, if set, says which addresses cannot be reached, for experiments.
 	Cut func(address netip.AddrPort) bool
-	// DialTimeout bounds the making of a connection; 0 means one second.
+	// DialTimeout is the least time for the making of a connection; where
+	// connections usually take long, it is as much longer. 0 means one second.
 	DialTimeout time.Duration
 	// Idle is how many connections to an address are kept; 0 means 64. What a
 	// process leaves behind when its VM loses power stays open at the server for
@@ -146,7 +147,7 @@
 	if c.Cut != nil && c.Cut(address) {
 		return nil, &Error{StageDialing, address, errCut}
 	}
-	conn, err := c.pool.take(ctx, address, options.Fresh, options.MaxOpen, c.DialTimeout)
+	conn, err := c.pool.take(ctx, address, options.Fresh, options.MaxOpen, c.pool.patience(c.DialTimeout))
 	if err != nil {
 		return nil, &Error{StageDialing, address, orCause(ctx, err)}
 	}
@@ -164,12 +165,13 @@
 }
 
 // Reach makes a connection and keeps it for a later exchange, unless maxOpen
-// are open to the address, 0 meaning no bound. The error is of type *Error.
+// are open to the address, 0 meaning no bound. It waits for a second. The error
+// is of type *Error.
 func (c *Client) Reach(ctx context.Context, address netip.AddrPort, maxOpen int) error {
 	if c.Cut != nil && c.Cut(address) {
 		return &Error{StageDialing, address, errCut}
 	}
-	conn, err := c.pool.take(ctx, address, true, maxOpen, c.DialTimeout)
+	conn, err := c.pool.take(ctx, address, true, maxOpen, dialTimeout)
 	if err != nil {
 		return &Error{StageDialing, address, orCause(ctx, err)}
 	}
--- a/internal/fleet/call/call_test.go
+++ b/internal/fleet/call/call_test.go
@@ -175,6 +175,24 @@
 	assert.ErrorIs(t, client.Reach(t.Context(), address, 1), errCut)
 }
 
+// TestPatienceFollowsTheNetwork waits longer for connections where they take
+// long, and not for ever.
+func TestPatienceFollowsTheNetwork(t *testing.T) {
+	var p pool
+	assert.Equal(t, dialTimeout, p.patience(0))
+	assert.Equal(t, 100*time.Millisecond, p.patience(100*time.Millisecond))
+	for range 50 {
+		p.learn(2 * time.Millisecond)
+	}
+	assert.Equal(t, 100*time.Millisecond, p.patience(100*time.Millisecond))
+	for range 50 {
+		p.learn(90 * time.Millisecond)
+	}
+	assert.InDelta(t, 720, p.patience(100*time.Millisecond).Milliseconds(), 10)
+	p.learn(time.Minute)
+	assert.Equal(t, dialTimeout, p.patience(100*time.Millisecond))
+}
+
 func TestMaxOpen(t *testing.T) {
 	hold := make(chan struct{})
 	address := peer(t, func(_ int, conn *net.TCPConn) {
--- a/internal/fleet/call/pool.go
+++ b/internal/fleet/call/pool.go
@@ -18,9 +18,13 @@
 
 // Limits of the connections that are kept.
 const (
-	idleConnections  = 64
-	idleAge          = 20 * time.Second
-	dialTimeout      = time.Second
+	idleConnections = 64
+	idleAge         = 20 * time.Second
+	dialTimeout     = time.Second
+	// dialMargin is how many times as long as usual a connection may take,
+	// dialLearnt the weight of the newest.
+	dialMargin       = 8
+	dialLearnt       = 0.1
 	readBufferBytes  = 8 << 10
 	writeBufferBytes = 4 << 10
 	// unackedTimeout ends a connection whose peer acknowledges nothing, as
@@ -121,6 +125,8 @@
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*connection
 	open map[netip.AddrPort]int
+	// usual is the time that a connection takes to come about.
+	usual time.Duration
 	// bytes counts what passed in both directions, dials the connections made.
 	bytes, dials atomic.Int64
 }
@@ -151,21 +157,38 @@
 		}
 	}
 	dialer := net.Dialer{
-		Timeout: cmp.Or(timeout, dialTimeout), Control: setUserTimeout,
+		Timeout: timeout, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
 	}
 	p.dials.Add(1)
+	began := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
 		p.closed(address)
 		return nil, fmt.Errorf("dial: %w", err)
 	}
+	p.learn(time.Since(began))
 	conn := &connection{Conn: counted{raw, &p.bytes}, pool: p, address: address, keep: idleAge}
 	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
 	conn.writer = bufio.NewWriterSize(conn, writeBufferBytes)
 	return conn, nil
 }
 
+// learn takes in how long a connection took to come about.
+func (p *pool) learn(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usual += time.Duration(dialLearnt * float64(took-p.usual))
+}
+
+// patience is how long a request waits for a connection. least is the shortest;
+// 0 means the longest.
+func (p *pool) patience(least time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(cmp.Or(least, dialTimeout), dialMargin*p.usual), dialTimeout)
+}
+
 // setUserTimeout bounds how long sent bytes may stay unacknowledged.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
