node/broker: no prompts for prefill engines of which none should get any

Cause: where all prefill engines are closed, one of them was tried though decode engines could read.

Change: the first line's closed servers are taken only if all of the other line are closed, too, and do not count for the wait.

--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -37,6 +37,8 @@
 	server roster.Server
 	// usable counts the backend servers, places what they hold.
 	usable, places int
+	// closed is set if none should be sent anything; server is then one of them.
+	closed bool
 	// others is what the other processes told of their lines.
 	others peers.Load
 }
@@ -46,7 +48,7 @@
 	servers := b.Roster.Service(w.key.service)
 	candidates := make([]assign.Candidate, 0, len(servers))
 	list := make([]roster.Server, 0, len(servers))
-	v := view{others: b.told(w.key.service, b.Others.Line(w.key.hash()))}
+	v := view{others: b.told(w.key.service, b.Others.Line(w.key.hash())), closed: true}
 	closed := 0
 	for _, s := range servers {
 		if s.Role != w.key.role {
@@ -67,6 +69,7 @@
 		if seen.Closed {
 			closed += same
 		}
+		v.closed = v.closed && (seen.Closed || w.excluded[s.ID])
 		others := b.told(w.key.service, b.Others.Server(s.Key()))
 		granted := b.granted[s.Key()]
 		list = append(list, s)
--- a/internal/node/broker/home_test.go
+++ b/internal/node/broker/home_test.go
@@ -1,8 +1,10 @@
 package broker
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -46,3 +48,32 @@
 	b.Usage.Alive(now, first)
 	assert.Equal(t, first, home(), "it has said something")
 }
+
+// TestLostPrefillEnginesGetNoPrompts sends prompts to decode engines while no
+// prefill engine can be reached, and to prefill engines while neither can.
+func TestLostPrefillEnginesGetNoPrompts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.engines()
+		lost, _ := b.roster.Find("p1", 1)
+		b.Usage.Learn(time.Now(), lost, usage.Result{Verdict: usage.Unreachable})
+		for i := range 20 {
+			r := prompt("/chat/1", 9000, 100)
+			r.ID = fmt.Sprint("r", i)
+			go b.serve(t.Context(), r)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for _, s := range b.fleet.sent {
+			assert.False(t, s.prefill)
+		}
+		assert.GreaterOrEqual(t, len(b.fleet.sent), 2*minReadings)
+
+		for _, s := range b.roster.Service("model") {
+			b.Usage.Learn(time.Now(), s, usage.Result{Verdict: usage.Unreachable})
+		}
+		before := len(b.fleet.sent)
+		assert.True(t, b.serve(t.Context(), prompt("/chat/1", 9000, 100)).ended)
+		assert.True(t, b.fleet.sent[before].prefill, "all are taken for lost, which they cannot all be")
+	})
+}
--- a/internal/node/broker/line.go
+++ b/internal/node/broker/line.go
@@ -158,23 +158,41 @@
 	}
 }
 
-// acquire takes a place for the request if there is one now.
+// acquire takes a place for the request if there is one now. Backend servers
+// that should be left alone are taken only where all of both lines are.
 func (b *Broker) acquire(now time.Time, me *waiter) *place {
-	for _, w := range []*want{&me.want, me.other} {
-		if w == nil {
-			continue
+	v := b.choose(now, me.want)
+	if me.other == nil {
+		return b.acquireAt(now, me, me.want, v)
+	}
+	if !v.closed {
+		if p := b.acquireAt(now, me, me.want, v); p != nil {
+			return p
 		}
-		l := b.line(w.key)
-		if v := b.choose(now, *w); v.server.ID != "" && l.mayTake(now, v, b.Seed) {
-			if me.requester.process != "" {
-				return b.grant(now, l, v.server, *w, me.requester)
-			}
-			p := b.start(now, l, v.server, *w)
-			p.waited = now.Sub(me.since)
+	}
+	o := b.choose(now, *me.other)
+	if v.closed && o.closed {
+		if p := b.acquireAt(now, me, me.want, v); p != nil {
 			return p
 		}
+	} else if o.closed {
+		return nil
+	}
+	return b.acquireAt(now, me, *me.other, o)
+}
+
+// acquireAt takes a place at the backend server that was chosen.
+func (b *Broker) acquireAt(now time.Time, me *waiter, w want, v view) *place {
+	l := b.line(w.key)
+	if v.server.ID == "" || !l.mayTake(now, v, b.Seed) {
+		return nil
+	}
+	if me.requester.process != "" {
+		return b.grant(now, l, v.server, w, me.requester)
 	}
-	return nil
+	p := b.start(now, l, v.server, w)
+	p.waited = now.Sub(me.since)
+	return p
 }
 
 // start takes a place.
@@ -246,7 +264,14 @@
 func (b *Broker) expected(now time.Time, me *waiter, v view, ahead int) time.Duration {
 	rate := float64(v.places) / b.line(me.want.key).usual()
 	if me.other != nil {
-		rate += float64(b.choose(now, *me.other).places) / b.line(me.other.key).usual()
+		o := b.choose(now, *me.other)
+		other := float64(o.places) / b.line(me.other.key).usual()
+		switch {
+		case v.closed && !o.closed:
+			rate = other
+		case v.closed == o.closed:
+			rate += other
+		}
 	}
 	if rate == 0 {
 		return math.MaxInt64
