node/core: news fits into one packet however many servers leave

Cause: a message lists all backend servers that left within 10 s and all that are in use. With 600 of each it has 25,226 B; datagrams are read up to 8 KiB, so the others could not read it and would have taken the process for silent, its places for free.

Change: the 48 most used servers and 16 that leave, half the newest, half the others in turn; at most 1,400 B.

--- a/internal/node/core/news.go
+++ b/internal/node/core/news.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,6 +62,7 @@
 			Server: roster.Key(id, born), Running: uint32(seen.Running), Long: uint32(seen.Long), Reading: uint32(seen.Reading),
 		})
 	})
+	news.Loads = most(news.Loads)
 	for _, l := range news.Loads {
 		l.Granted = uint32(n.Broker.Held(l.Server))
 	}
@@ -70,12 +73,7 @@
 	})
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
-	for _, d := range n.departures {
-		if now.Before(d.until) {
-			news.Departures = append(news.Departures, &wire.Departure{Server: d.id, Born: d.born, Removed: d.removed})
-		}
-	}
+	news.Departures = n.departed(time.Now())
 	digest := digest(news)
 	fresh := digest != n.told
 	n.told = digest
@@ -84,6 +82,45 @@
 	return news, fresh
 }
 
+const (
+	// maxLoads is how many backend servers a message has, those with the most
+	// requests.
+	maxLoads = 48
+	// maxDepartures is how many that leave it has: half the newest, half others
+	// in turn, so that each is told a few times while it matters. A message
+	// that fits into one packet is lost less easily.
+	maxDepartures = 16
+)
+
+// most shortens the loads to those that matter.
+func most(loads []*wire.ServerLoad) []*wire.ServerLoad {
+	if len(loads) <= maxLoads {
+		return loads
+	}
+	slices.SortFunc(loads, func(a, b *wire.ServerLoad) int { return cmp.Compare(b.Running, a.Running) })
+	return loads[:maxLoads]
+}
+
+// departed lists backend servers that leave, for one message.
+func (n *Node) departed(now time.Time) []*wire.Departure {
+	var list []*wire.Departure
+	for _, d := range n.departures {
+		if now.Before(d.until) {
+			list = append(list, &wire.Departure{Server: d.id, Born: d.born, Removed: d.removed})
+		}
+	}
+	if len(list) <= maxDepartures {
+		return list
+	}
+	older := list[:len(list)-maxDepartures/2]
+	told := list[len(older):]
+	for range maxDepartures / 2 {
+		n.turn = (n.turn + 1) % len(older)
+		told = append(told, older[n.turn])
+	}
+	return told
+}
+
 // digest tells whether two messages say the same; the order of the loads is
 // not kept, so that a message may seem new that is not.
 func digest(news *wire.News) uint64 {
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -100,7 +100,9 @@
 	// document is the configuration in force as it was written.
 	document   []byte
 	departures []departure
-	sequence   uint64
+	// turn is the older departure that was told last.
+	turn     int
+	sequence uint64
 	// told is a digest of the news sent last.
 	told uint64
 }
