node/broker: a stream after a failed sending has its header

Cause: whether the caller has the header of a stream was read off the outcome of all sendings. A sending that a backend server answered with its own failure counts as run, so that the next one's events went out without a header. It takes a stream that may be resumed and an engine that fails requests by itself.

Change: the request keeps it by itself.

--- a/internal/node/broker/broker_test.go
+++ b/internal/node/broker/broker_test.go
@@ -302,6 +302,10 @@
 		{"ended without an event", "/chat/1", events(1, 0, true), nil, "", false, 502, 1},
 		{"refused", "/chat/1", refuses, events(1, 3, true), three, true, 0, 2},
 		{"a failure of its own", "/chat/1", fails, nil, "", false, 500, 1},
+		{"a failure of its own, resumable", "/talk/1", fails, events(1, 3, true), three, true, 0, 2},
+		{"a failure of its own and a broken stream", "/talk/1", fails, events(1, 2, false), three[:30], false, 0, 2},
+		{"a failure of its own and none", "/talk/1", fails, events(1, 0, true), "", false, 500, 2},
+		{"two failures of their own", "/talk/1", fails, fails, "", false, 500, 2},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBed(t)
--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -286,6 +286,9 @@
 func (c *caller) Answer(r Reply) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.status != 0 {
+		panic("an answer in a stream")
+	}
 	c.answered = append(c.answered, r)
 	c.at = time.Now()
 	return c.fail
@@ -294,7 +297,7 @@
 func (c *caller) Begin(status int, _ []call.Field) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.status != 0 {
+	if c.status != 0 || len(c.answered) > 0 {
 		panic("begun twice")
 	}
 	c.status = status
@@ -304,6 +307,9 @@
 func (c *caller) Event(text []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.status == 0 || len(c.answered) > 0 {
+		panic("an event outside of a stream")
+	}
 	c.events.Write(text)
 	return c.fail
 }
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -59,8 +59,10 @@
 	// outcome is what is known of all sendings together.
 	outcome retry.Outcome
 	sent    bool
-	server  string
-	waited  time.Duration
+	// begun is set once the caller has the header of a stream.
+	begun  bool
+	server string
+	waited time.Duration
 	// stages tells how long each stage took, for the log.
 	stages []zap.Field
 }
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -276,7 +276,7 @@
 			j.stages = append(j.stages, zap.Duration("First", time.Since(j.request.Arrived)))
 		}
 		if err != nil {
-			return j.broken(p, r, begun, err)
+			return j.broken(p, r, err)
 		}
 		if err := j.hand(answer, e); err != nil {
 			p.leave(usage.Result{})
@@ -296,10 +296,11 @@
 
 // begin hands on the header of the first answer; a resumed stream keeps it.
 func (j *job) begin(answer *Answer) error {
-	if j.outcome == retry.Run {
+	j.outcome = retry.Run
+	if j.begun {
 		return nil
 	}
-	j.outcome = retry.Run
+	j.begun = true
 	if err := j.out.Begin(answer.Status, answer.Fields); err != nil {
 		return fmt.Errorf("begin answer: %w", err)
 	}
@@ -316,10 +317,10 @@
 
 // broken deals with a stream that ended before its end. The request has run,
 // and is over unless its route lets it resume.
-func (j *job) broken(p *place, r *event.Reader, begun bool, err error) *failure {
+func (j *job) broken(p *place, r *event.Reader, err error) *failure {
 	f := &failure{outcome: retry.Unknown, reason: streamBroken, err: err}
 	p.leave(usage.Result{Verdict: j.verdict(f)})
-	if !begun && j.outcome != retry.Run {
+	if !j.begun {
 		return f
 	}
 	cause := context.Cause(j.ctx)
