--- a/internal/node/broker/reach.go
+++ b/internal/node/broker/reach.go
@@ -32,7 +32,9 @@
 		if b.Table() == nil {
 			continue
 		}
-		for _, i := range b.Usage.Unreachable() {
+		lost := b.Usage.Unreachable()
+		r.tell(lost)
+		for _, i := range lost {
 			if server, ok := b.Roster.Find(i.ID, i.Born); ok && r.begin(i) {
 				r.tries.Go(func() { r.try(ctx, i, server) })
 			}
@@ -45,11 +47,34 @@
 type reacher struct {
 	broker *Broker
 	tries  sync.WaitGroup
+	// lost are those that could not be reached at the last look.
+	lost map[usage.Incarnation]bool
 
 	mu    sync.Mutex
 	under map[usage.Incarnation]bool
 }
 
+// tell writes a line for each backend server that is lost or can be reached
+// again.
+func (r *reacher) tell(list []usage.Incarnation) {
+	if len(list) == 0 && len(r.lost) == 0 {
+		return
+	}
+	lost := make(map[usage.Incarnation]bool, len(list))
+	for _, i := range list {
+		lost[i] = true
+		if !r.lost[i] {
+			r.broker.Log.Info("backend server cannot be reached", zap.String("Server", i.ID), zap.Int64("Born", i.Born))
+		}
+	}
+	for i := range r.lost {
+		if !lost[i] {
+			r.broker.Log.Info("backend server can be reached again", zap.String("Server", i.ID), zap.Int64("Born", i.Born))
+		}
+	}
+	r.lost = lost
+}
+
 // begin notes a try; it returns false if there is one or there are too many.
 func (r *reacher) begin(i usage.Incarnation) bool {
 	r.mu.Lock()
@@ -70,15 +95,12 @@
 		r.mu.Unlock()
 	}()
 	b.Meters.Add("ReachTries", 1)
-	began := time.Now()
 	err := b.Servers.Reach(ctx, server, b.maxOpen(b.Table().Services[server.Service]))
 	if err == nil {
 		b.Usage.Reached(time.Now(), i)
-		b.Log.Info("backend server can be reached again", zap.String("Server", i.ID), zap.Int64("Born", i.Born),
-			zap.Duration("Took", time.Since(began)))
 		b.Kick(time.Now())
 		return
 	}
-	b.Log.Debug("backend server cannot be reached", zap.String("Server", i.ID), zap.Int64("Born", i.Born), zap.Error(err))
+	b.Log.Debug("connection did not come about", zap.String("Server", i.ID), zap.Int64("Born", i.Born), zap.Error(err))
 	timer.Wait(ctx, reachPause)
 }
--- a/internal/node/broker/reach_test.go
+++ b/internal/node/broker/reach_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 )
@@ -19,6 +21,8 @@
 		b := newBed(t)
 		b.fleet.away = map[string]bool{"a": true}
 		b.fleet.does["a"] = []behavior{unreachable}
+		core, lines := observer.New(zap.InfoLevel)
+		b.Log = zap.New(core)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- b.Reach(ctx) }()
@@ -53,6 +57,8 @@
 		assert.Equal(t, tries, b.fleet.reaches(), "nobody is tried any more")
 		cancel()
 		assert.ErrorIs(t, <-ended, context.Canceled)
+		assert.Equal(t, 1, lines.FilterMessage("backend server cannot be reached").Len())
+		assert.Equal(t, 1, lines.FilterMessage("backend server can be reached again").Len())
 	})
 }
 
