node/broker: fewer prompts for prefill engines behind slow links

Change: the time from sending to the first event is learned for the engine that has read. Compared with the fastest, an engine gets places as it gets work done, and a decode engine reads the prompt where that is predicted to be sooner.

--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -85,6 +85,11 @@
 	Closed bool
 	// Stalled is set while it has requests and has said nothing for Stall.
 	Stalled bool
+	// Handover is the usual time, in seconds, until another engine that takes
+	// over what this one has read gives its first event; 0 if that is not known.
+	Handover float64
+	// Handed is when such a handover was seen last.
+	Handed time.Time
 	// Unreachable is set after a connection that did not come about, until one
 	// does or it has said something.
 	Unreachable bool
@@ -101,6 +106,8 @@
 	work     [Reading + 1]int
 	failing  float64
 	slowness float64
+	handover float64
+	handed   time.Time
 	// streak counts the failures in a row, refusals the refusals.
 	streak, refusals int
 	suspect          bool
@@ -139,8 +146,11 @@
 	// is gone has been taken back.
 	replacedPause = 5 * time.Second
 	slowLearnt    = 0.1
-	maxSlowness   = 20
-	forgetAfter   = time.Minute
+	// handoverLearnt is the weight of the newest handover: a link that turns
+	// slow shows within some ten of them.
+	handoverLearnt = 0.15
+	maxSlowness    = 20
+	forgetAfter    = time.Minute
 )
 
 func (t *Table) record(server roster.Server) *record {
@@ -250,6 +260,7 @@
 	return Seen{
 		Running: r.running, Long: r.work[Long], Reading: r.work[Reading], Slowness: r.slowness, Suspect: r.suspect,
 		Closed: stalled || r.unreachable || now.Before(r.closed), Stalled: stalled, Unreachable: r.unreachable,
+		Handover: r.handover, Handed: r.handed,
 	}
 }
 
@@ -285,6 +296,20 @@
 	}
 }
 
+// Handed takes in how long another engine took to take over what this one has
+// read.
+func (t *Table) Handed(now time.Time, server roster.Server, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(server)
+	r.used, r.handed = now, now
+	if r.handover == 0 {
+		r.handover = took.Seconds()
+		return
+	}
+	r.handover += handoverLearnt * (took.Seconds() - r.handover)
+}
+
 // Each calls do for each backend server with requests under way.
 func (t *Table) Each(do func(id string, born int64, seen Seen)) {
 	t.mu.Lock()
--- a/internal/fleet/usage/usage_test.go
+++ b/internal/fleet/usage/usage_test.go
@@ -120,3 +120,19 @@
 	table.Start(now.Add(time.Minute), one, Short)
 	assert.False(t, table.Look(now.Add(time.Minute+Stall), one).Stalled, "it had nothing to do meanwhile")
 }
+
+func TestTableLearnsHandovers(t *testing.T) {
+	var table Table
+	now := time.Unix(1000, 0)
+	assert.Zero(t, table.Look(now, one).Handover)
+	table.Handed(now, one, 10*time.Millisecond)
+	assert.InDelta(t, 0.01, table.Look(now, one).Handover, 1e-9)
+	for range 40 {
+		now = now.Add(time.Millisecond)
+		table.Handed(now, one, 200*time.Millisecond)
+	}
+	seen := table.Look(now.Add(time.Second), one)
+	assert.InDelta(t, 0.2, seen.Handover, 0.005)
+	assert.Equal(t, now, seen.Handed)
+	assert.Zero(t, table.Look(now, two).Handover)
+}
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -37,6 +37,9 @@
 	server roster.Server
 	// usable counts the backend servers, places what they hold.
 	usable, places int
+	// took is the time, in seconds, that server is predicted to take from its
+	// place to the first event; 0 if nothing is known.
+	took float64
 	// closed is set if none should be sent anything; server is then one of them.
 	closed bool
 	// others is what the other processes told of their lines.
@@ -48,15 +51,18 @@
 	servers := b.Roster.Service(w.key.service)
 	candidates := make([]assign.Candidate, 0, len(servers))
 	list := make([]roster.Server, 0, len(servers))
+	slow := make([]float64, 0, len(servers))
 	v := view{others: b.told(w.key.service, b.Others.Line(w.key.hash())), closed: true}
 	closed := 0
+	links := b.links(now, w.key, servers)
 	for _, s := range servers {
 		if s.Role != w.key.role {
 			continue
 		}
 		seen := b.Usage.Look(now, s)
 		part := b.part(s.Zone)
-		limit := scaled(w.load*float64(s.Slots), part)
+		speed := links.speed(seen)
+		limit := scaled(w.load*float64(s.Slots)*speed, part)
 		same := limit
 		switch w.key.work {
 		case usage.Long:
@@ -75,7 +81,7 @@
 		list = append(list, s)
 		c := assign.Candidate{
 			Hash: xxhash.Sum64String(s.ID), Zone: s.Zone, Running: seen.Running + others.Running + granted, Slots: s.Slots,
-			Limit: limit, Same: seen.Running + others.Running + granted, SameLimit: same, Slowness: seen.Slowness,
+			Limit: limit, Same: seen.Running + others.Running + granted, SameLimit: same, Slowness: seen.Slowness / speed,
 			Suspect: seen.Suspect, Own: seen.Running + granted, Closed: seen.Closed, Excluded: w.excluded[s.ID],
 		}
 		switch w.key.work {
@@ -85,12 +91,16 @@
 			c.Same = seen.Reading + others.Reading + granted
 		}
 		candidates = append(candidates, c)
+		slow = append(slow, links.excess(seen))
 	}
 	if closed < v.places {
 		v.places -= closed
 	}
 	if i := assign.Choose(candidates, assign.Want{Key: w.share, Pull: w.pull, Zone: b.Zone}); i >= 0 {
 		v.server = list[i]
+		if slow[i] > 0 {
+			v.took = links.whole + slow[i]
+		}
 	}
 	return v
 }
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -63,6 +63,8 @@
 	begun  bool
 	server string
 	waited time.Duration
+	// readBy is the engine that has read the prompt apart.
+	readBy roster.Server
 	// stages tells how long each stage took, for the log.
 	stages []zap.Field
 }
--- a/internal/node/broker/line.go
+++ b/internal/node/broker/line.go
@@ -158,14 +158,16 @@
 	}
 }
 
-// acquire takes a place for the request if there is one now. Backend servers
-// that should be left alone are taken only where all of both lines are.
+// acquire takes a place for the request if there is one now, in the line that
+// is predicted to serve it sooner. Backend servers that should be left alone are
+// taken only where all of both lines are.
 func (b *Broker) acquire(now time.Time, me *waiter) *place {
 	v := b.choose(now, me.want)
 	if me.other == nil {
 		return b.acquireAt(now, me, me.want, v)
 	}
-	if !v.closed {
+	first := !v.closed && v.took <= b.line(me.other.key).usual()
+	if first {
 		if p := b.acquireAt(now, me, me.want, v); p != nil {
 			return p
 		}
@@ -175,10 +177,16 @@
 		if p := b.acquireAt(now, me, me.want, v); p != nil {
 			return p
 		}
-	} else if o.closed {
+	}
+	if !o.closed || v.closed {
+		if p := b.acquireAt(now, me, *me.other, o); p != nil {
+			return p
+		}
+	}
+	if first || v.closed {
 		return nil
 	}
-	return b.acquireAt(now, me, *me.other, o)
+	return b.acquireAt(now, me, me.want, v)
 }
 
 // acquireAt takes a place at the backend server that was chosen.
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -219,6 +219,7 @@
 	took := time.Since(began)
 	j.stages = append(j.stages, zap.Duration("Prefill", took), zap.String("PrefillServer", p.server.ID))
 	if err == nil && answer == nil {
+		j.readBy = p.server
 		p.leave(usage.Result{Verdict: usage.Fine, Slowness: j.broker.slowness(p.want.key, took)})
 		return source, nil
 	}
@@ -273,6 +274,9 @@
 		if err == nil && !begun {
 			begun = true
 			j.broker.fixed(p)
+			if c.Source.Handle != "" {
+				j.broker.Usage.Handed(time.Now(), j.readBy, time.Since(p.since))
+			}
 			j.stages = append(j.stages, zap.Duration("First", time.Since(j.request.Arrived)))
 		}
 		if err != nil {
