--- a/cmd/ebonybench/main.go
+++ b/cmd/ebonybench/main.go
@@ -25,7 +25,7 @@
 	for _, c := range []subcommands.Command{&standCommand{}, &loadCommand{}} {
 		subcommands.Register(c, "parts")
 	}
-	for _, c := range []subcommands.Command{&faultCommand{}, &speedCommand{}, &slopeCommand{}, &boundCommand{}} {
+	for _, c := range []subcommands.Command{&faultCommand{}, &speedCommand{}, &slopeCommand{}, &boundCommand{}, &pairsCommand{}} {
 		subcommands.Register(c, "experiments")
 	}
 	flag.Parse()
--- /dev/null
+++ b/cmd/ebonybench/pairs.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/google/subcommands"
+
+	"ebonyscale.example/ebonyscale/internal/bench/pairs"
+)
+
+// pairsCommand writes days in which every kind of trouble meets every other.
+type pairsCommand struct {
+	out    string
+	seed   uint64
+	joined bool
+}
+
+func (*pairsCommand) Name() string { return "pairs" }
+func (*pairsCommand) Synopsis() string {
+	return "write days in which every kind of trouble meets every other"
+}
+
+func (*pairsCommand) Usage() string {
+	return `ebonybench pairs -out DIR [-seed N] [-joined]
+
+Writes some 40 day files for the users' bench, to be played one by one.
+
+Example:
+  ebonybench pairs -out /tmp/days -seed 7
+
+Exit codes: 0 written, 1 a file cannot be written, 2 wrong usage.
+
+`
+}
+
+func (c *pairsCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.out, "out", "", "the folder to write to")
+	f.Uint64Var(&c.seed, "seed", 1, "other days for another number")
+	f.BoolVar(&c.joined, "joined", false, "also kinds that only some deployments have")
+}
+
+func (c *pairsCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.out == "" || f.NArg() > 0 {
+		fmt.Print(c.Usage())
+		return subcommands.ExitUsageError
+	}
+	kinds, err := pairs.Kinds(c.joined)
+	if err != nil {
+		return fail("pairs", err)
+	}
+	days := pairs.Days(kinds, c.seed)
+	for _, d := range days {
+		if err := os.WriteFile(filepath.Join(c.out, d.Name+".toml"), d.Text(), 0o644); err != nil {
+			return fail("pairs", err)
+		}
+	}
+	fmt.Printf("%d days with %d kinds\n", len(days), len(kinds))
+	return subcommands.ExitSuccess
+}
