--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -50,61 +50,71 @@
 func (b *Broker) choose(now time.Time, w want) view {
 	servers := b.Roster.Service(w.key.service)
 	candidates := make([]assign.Candidate, 0, len(servers))
-	list := make([]roster.Server, 0, len(servers))
-	slow := make([]float64, 0, len(servers))
+	options := make([]option, 0, len(servers))
 	v := view{others: b.told(w.key.service, b.Others.Line(w.key.hash())), closed: true}
 	closed := 0
-	links := b.links(now, w.key, servers)
+	links, reads := b.links(now, w.key, servers), 0
+	if w.key.work == usage.Reading {
+		reads = readings(servers)
+	}
 	for _, s := range servers {
 		if s.Role != w.key.role {
 			continue
 		}
 		seen := b.Usage.Look(now, s)
-		part := b.part(s.Zone)
-		speed := links.speed(seen)
-		limit := scaled(w.load*float64(s.Slots)*speed, part)
-		same := limit
-		switch w.key.work {
-		case usage.Long:
-			same = min(limit, scaled(float64(s.Slots)-b.reserved(w.key, s.Slots), part))
-		case usage.Reading:
-			same = min(limit, scaled(float64(readings(servers)), part))
-		}
+		c := b.candidate(w, s, seen, links.speed(seen), reads)
 		v.usable++
-		v.places += same
-		if seen.Closed {
-			closed += same
-		}
-		v.closed = v.closed && (seen.Closed || w.excluded[s.ID])
-		others := b.told(w.key.service, b.Others.Server(s.Key()))
-		granted := b.granted[s.Key()]
-		list = append(list, s)
-		c := assign.Candidate{
-			Hash: xxhash.Sum64String(s.ID), Zone: s.Zone, Running: seen.Running + others.Running + granted, Slots: s.Slots,
-			Limit: limit, Same: seen.Running + others.Running + granted, SameLimit: same, Slowness: seen.Slowness / speed,
-			Suspect: seen.Suspect, Own: seen.Running + granted, Closed: seen.Closed, Excluded: w.excluded[s.ID],
-		}
-		switch w.key.work {
-		case usage.Long:
-			c.Same = seen.Long + others.Long
-		case usage.Reading:
-			c.Same = seen.Reading + others.Reading + granted
+		v.places += c.SameLimit
+		if c.Closed {
+			closed += c.SameLimit
 		}
+		v.closed = v.closed && (c.Closed || c.Excluded)
 		candidates = append(candidates, c)
-		slow = append(slow, links.excess(seen))
+		options = append(options, option{s, links.excess(seen)})
 	}
 	if closed < v.places {
 		v.places -= closed
 	}
 	if i := assign.Choose(candidates, assign.Want{Key: w.share, Pull: w.pull, Zone: b.Zone}); i >= 0 {
-		v.server = list[i]
-		if slow[i] > 0 {
-			v.took = links.whole + slow[i]
+		v.server = options[i].server
+		if excess := options[i].excess; excess > 0 {
+			v.took = links.whole + excess
 		}
 	}
 	return v
 }
 
+// option is a backend server that may be chosen, and by how many seconds its
+// handovers take longer than they should.
+type option struct {
+	server roster.Server
+	excess float64
+}
+
+// candidate is a backend server as the choice sees it. speed is the share of the
+// usual that it gets done, reads how many prompts a decode engine reads at once.
+func (b *Broker) candidate(w want, s roster.Server, seen usage.Seen, speed float64, reads int) assign.Candidate {
+	part := b.part(s.Zone)
+	others := b.told(w.key.service, b.Others.Server(s.Key()))
+	granted := b.granted[s.Key()]
+	limit := scaled(w.load*float64(s.Slots)*speed, part)
+	c := assign.Candidate{
+		Hash: xxhash.Sum64String(s.ID), Zone: s.Zone, Running: seen.Running + others.Running + granted, Slots: s.Slots,
+		Limit: limit, SameLimit: limit, Slowness: seen.Slowness / speed,
+		Suspect: seen.Suspect, Own: seen.Running + granted, Closed: seen.Closed, Excluded: w.excluded[s.ID],
+	}
+	c.Same = c.Running
+	switch w.key.work {
+	case usage.Long:
+		c.Same = seen.Long + others.Long
+		c.SameLimit = min(limit, scaled(float64(s.Slots)-b.reserved(w.key, s.Slots), part))
+	case usage.Reading:
+		c.Same = seen.Reading + others.Reading + granted
+		c.SameLimit = min(limit, scaled(float64(reads), part))
+	}
+	return c
+}
+
 // told is what the others told, less what this process has granted them.
 func (b *Broker) told(service string, others peers.Load) peers.Load {
 	if b.elected[service] != "" {
