route/assign: among many processes choose among two servers drawn at random

Ruled out: too much load (13 of 36 slots on the mean).

Change: where more than 12 processes are heard of, requests that share nothing choose the better of two servers drawn at random.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -259,6 +259,11 @@
 func (b *Broker) draw() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.next()
+}
+
+// next is draw for those who hold the lock.
+func (b *Broker) next() uint64 {
 	b.drawn += 0x9e3779b97f4a7c15
 	x := b.drawn ^ b.Seed
 	x ^= x >> 33
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -75,7 +75,11 @@
 	if closed < v.places {
 		v.places -= closed
 	}
-	if i := assign.Choose(candidates, assign.Want{Key: w.share, Pull: w.pull, Zone: b.Zone}); i >= 0 {
+	choice := assign.Want{Key: w.share, Pull: w.pull, Zone: b.Zone}
+	if b.Others.Heard() > peers.Few {
+		choice.Draw = b.next()
+	}
+	if i := assign.Choose(candidates, choice); i >= 0 {
 		v.server = options[i].server
 		if excess := options[i].excess; excess > 0 {
 			v.took = links.whole + excess
--- a/internal/route/assign/assign.go
+++ b/internal/route/assign/assign.go
@@ -4,7 +4,9 @@
 // prompts go to the same engine, its home, which all processes compute alike
 // by rendezvous hashing; an engine that is full or suspect is passed over for
 // the next one in the order. Requests that share nothing go to the backend
-// server with the most free places.
+// server with the most free places. What is known of the others' requests is
+// old where there are many processes, and all would choose the same one until
+// they learn better; they choose among two drawn at random then.
 //
 // # Usage
 //
@@ -50,6 +52,9 @@
 	Pull float64
 	// Zone is the availability zone of this process.
 	Zone string
+	// Draw is a number at random if a request without a Key is to choose among
+	// two candidates, 0 if among all.
+	Draw uint64
 }
 
 // remote is what a backend server in another availability zone costs, in
@@ -62,9 +67,13 @@
 	for _, c := range candidates {
 		closed = closed && (c.Closed || c.Excluded)
 	}
+	two := math.Inf(1)
+	if want.Key == 0 && want.Draw != 0 {
+		two = second(candidates, closed, want.Draw)
+	}
 	best, bestCost := -1, math.Inf(1)
 	for i, c := range candidates {
-		if c.Excluded || c.Running >= c.Limit || c.Same >= c.SameLimit || c.Closed && !closed || c.Suspect && c.Own > 0 {
+		if !c.free(closed) || Draw(c.Hash, want.Draw) > two {
 			continue
 		}
 		if cost := cost(c, want, len(candidates)); cost < bestCost {
@@ -74,6 +83,28 @@
 	return best
 }
 
+// free reports whether the candidate can be chosen; closed that all are closed.
+func (c Candidate) free(closed bool) bool {
+	return !c.Excluded && c.Running < c.Limit && c.Same < c.SameLimit && (!c.Closed || closed) && (!c.Suspect || c.Own == 0)
+}
+
+// second is the second least draw of the candidates that are free.
+func second(candidates []Candidate, closed bool, draw uint64) float64 {
+	one, two := math.Inf(1), math.Inf(1)
+	for _, c := range candidates {
+		if !c.free(closed) {
+			continue
+		}
+		switch d := Draw(c.Hash, draw); {
+		case d < one:
+			one, two = d, one
+		case d < two:
+			two = d
+		}
+	}
+	return two
+}
+
 func cost(c Candidate, want Want, count int) float64 {
 	load := float64(c.Running+1) / float64(max(c.Slots, 1)) * max(c.Slowness, 0.1)
 	if want.Key != 0 {
--- a/internal/route/assign/assign_test.go
+++ b/internal/route/assign/assign_test.go
@@ -72,3 +72,27 @@
 	all[home].Running = 6
 	assert.NotEqual(t, home, Choose(all, Want{Key: 5, Pull: 0.1}))
 }
+
+// Processes with the same old news spread over the candidates, and prefer those
+// with fewer requests.
+func TestChooseAmongTwo(t *testing.T) {
+	var all []Candidate
+	for i := range uint64(6) {
+		all = append(all, free(i*0x9e3779b97f4a7c15+7))
+		all[i].Running = int(i)
+	}
+	all = append(all, free(99), free(100))
+	all[6].Closed, all[7].Running = true, 8
+	counts := make([]int, len(all))
+	for draw := uint64(1); draw <= 15000; draw++ {
+		counts[Choose(all, Want{Draw: draw, Zone: "calicut"})]++
+	}
+	for i, want := range []int{5, 4, 3, 2, 1, 0, 0, 0} {
+		assert.InDelta(t, 1000*want, counts[i], 150, "the pairs in which %d has fewest", i)
+	}
+	assert.Equal(t, 0, Choose(all, Want{Zone: "calicut"}), "without a draw the best")
+	assert.Equal(t, 0, Choose(all[6:7], Want{Draw: 3}), "all closed")
+	assert.Equal(t, -1, Choose(all[6:], Want{Draw: 3}), "closed, the other full")
+	assert.Equal(t, 0, Choose(all[:1], Want{Draw: 3}))
+	assert.Equal(t, Choose(all, Want{Key: 5, Pull: 1}), Choose(all, Want{Key: 5, Pull: 1, Draw: 8}), "homes are not drawn")
+}
