node/broker: a server that cannot be reached is not forgotten while it is tried

Cause: the table of backend servers forgets a record that no request has used for a minute. One that is tried by Reach all the while was forgotten, too, so that a request had to find out anew, and the log said that it can be reached again, which was false. Found by reading the change once more.

Change: a try counts as use; one that has left the list of backend servers is forgotten after a minute, and the log says so.

TestLostServersAreNotForgotten red before (three checks), green after.

--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -285,6 +285,16 @@
 	return list
 }
 
+// Tried takes in that a connection is being tried, so that the backend server
+// is not forgotten meanwhile.
+func (t *Table) Tried(now time.Time, i Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.records[i]; ok {
+		r.used = now
+	}
+}
+
 // Reached takes in that a connection has come about: one request at a time may
 // try the backend server.
 func (t *Table) Reached(now time.Time, i Incarnation) {
--- a/internal/node/broker/reach.go
+++ b/internal/node/broker/reach.go
@@ -54,8 +54,8 @@
 	under map[usage.Incarnation]bool
 }
 
-// tell writes a line for each backend server that is lost or can be reached
-// again.
+// tell writes a line for each backend server that is lost, can be reached again,
+// or has gone without.
 func (r *reacher) tell(list []usage.Incarnation) {
 	if len(list) == 0 && len(r.lost) == 0 {
 		return
@@ -68,9 +68,14 @@
 		}
 	}
 	for i := range r.lost {
-		if !lost[i] {
-			r.broker.Log.Info("backend server can be reached again", zap.String("Server", i.ID), zap.Int64("Born", i.Born))
+		if lost[i] {
+			continue
+		}
+		message := "backend server can be reached again"
+		if _, there := r.broker.Roster.Find(i.ID, i.Born); !there {
+			message = "lost backend server is forgotten"
 		}
+		r.broker.Log.Info(message, zap.String("Server", i.ID), zap.Int64("Born", i.Born))
 	}
 	r.lost = lost
 }
@@ -95,6 +100,7 @@
 		r.mu.Unlock()
 	}()
 	b.Meters.Add("ReachTries", 1)
+	b.Usage.Tried(time.Now(), i)
 	err := b.Servers.Reach(ctx, server, b.maxOpen(b.Table().Services[server.Service]))
 	if err == nil {
 		b.Usage.Reached(time.Now(), i)
--- a/internal/node/broker/reach_test.go
+++ b/internal/node/broker/reach_test.go
@@ -81,3 +81,33 @@
 		assert.Equal(t, reachMost, b.fleet.reaches())
 	})
 }
+
+// TestLostServersAreNotForgotten keeps a backend server that cannot be reached
+// lost for as long as its entry stands, and does not say that one which is gone
+// can be reached.
+func TestLostServersAreNotForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.fleet.away = map[string]bool{"a": true}
+		core, lines := observer.New(zap.InfoLevel)
+		b.Log = zap.New(core)
+		server, _ := b.roster.Find("a", 1)
+		b.Usage.Learn(time.Now(), server, usage.Result{Verdict: usage.Unreachable})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = b.Reach(ctx) }()
+		sweep := func() {
+			for range 60 {
+				time.Sleep(5 * time.Second)
+				b.Usage.Sweep(time.Now())
+			}
+		}
+		sweep()
+		assert.True(t, b.Usage.Look(time.Now(), server).Unreachable)
+		b.leave("a")
+		sweep()
+		assert.False(t, b.Usage.Look(time.Now(), server).Unreachable, "it is gone")
+		assert.Zero(t, lines.FilterMessage("backend server can be reached again").Len())
+		assert.Equal(t, 1, lines.FilterMessage("lost backend server is forgotten").Len())
+	})
+}
