tidy: pauses of the follower stand once, plainer names

The doubling pause was written in Run and in list: now the type backoff, whose zero value begins. The excess of a handover was worked out twice for each engine. view.took is predicted; constants of pairs have units and reasons.

Behavior is as before: no test changed but for the renamed field; broker, usage, follow, pairs and core green with the race detector.

--- a/internal/bench/pairs/pairs.go
+++ b/internal/bench/pairs/pairs.go
@@ -18,6 +18,7 @@
 	_ "embed"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -104,14 +105,18 @@
 }
 
 const (
-	length    = 46.0
-	moments   = 7
-	firstAt   = 2.0
-	between   = 5.2
-	together  = 1.5
+	// length is that of a day, firstAt its first moment, between the time from
+	// one to the next, together that within which the kinds of one begin, all
+	// in seconds.
+	length   = 46.0
+	firstAt  = 2.0
+	between  = 5.2
+	together = 1.5
+	moments  = 7
+	// mostOften is how often a kind that has to meet another may be in a day.
 	mostOften = 2
-	// repeatCost weighs that a kind was in the day before against the pairs
-	// that it would add.
+	// repeatCost weighs each time that a kind is in the day already against the
+	// pairs that it would add.
 	repeatCost = 0.6
 )
 
@@ -165,7 +170,7 @@
 
 // third is the kind that lets most of the pairs meet that are left.
 func (p *planner) third(first, second int, used map[int]int) int {
-	best, most := 0, -1e9
+	best, most := 0, math.Inf(-1)
 	for k := range p.kinds {
 		gain := -repeatCost*float64(used[k]) + p.random.Float64()/100
 		for _, x := range []pair{pairOf(first, k), pairOf(second, k)} {
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -37,9 +37,9 @@
 	server roster.Server
 	// usable counts the backend servers, places what they hold.
 	usable, places int
-	// took is the time, in seconds, that server is predicted to take from its
+	// predicted is the time, in seconds, that server will take from its
 	// place to the first event; 0 if nothing is known.
-	took float64
+	predicted float64
 	// closed is set if none should be sent anything; server is then one of them.
 	closed bool
 	// others is what the other processes told of their lines.
@@ -62,7 +62,8 @@
 			continue
 		}
 		seen := b.Usage.Look(now, s)
-		c := b.candidate(w, s, seen, links.speed(seen), reads)
+		excess := links.excess(seen)
+		c := b.candidate(w, s, seen, links.speed(excess), reads)
 		v.usable++
 		v.places += c.SameLimit
 		if c.Closed {
@@ -70,7 +71,7 @@
 		}
 		v.closed = v.closed && (c.Closed || c.Excluded)
 		candidates = append(candidates, c)
-		options = append(options, option{s, links.excess(seen)})
+		options = append(options, option{s, excess})
 	}
 	if closed < v.places {
 		v.places -= closed
@@ -82,7 +83,7 @@
 	if i := assign.Choose(candidates, choice); i >= 0 {
 		v.server = options[i].server
 		if excess := options[i].excess; excess > 0 {
-			v.took = links.whole + excess
+			v.predicted = links.whole + excess
 		}
 	}
 	return v
--- a/internal/node/broker/line.go
+++ b/internal/node/broker/line.go
@@ -166,7 +166,7 @@
 	if me.other == nil {
 		return b.acquireAt(now, me, me.want, v)
 	}
-	first := !v.closed && v.took <= b.line(me.other.key).usual()
+	first := !v.closed && v.predicted <= b.line(me.other.key).usual()
 	if first {
 		if p := b.acquireAt(now, me, me.want, v); p != nil {
 			return p
--- a/internal/node/broker/links.go
+++ b/internal/node/broker/links.go
@@ -57,9 +57,8 @@
 	return excess * math.Exp2(-l.now.Sub(seen.Handed).Seconds()/handoverLife.Seconds())
 }
 
-// speed is the share of the usual that an engine gets done.
-func (l links) speed(seen usage.Seen) float64 {
-	excess := l.excess(seen)
+// speed is the share of the usual that an engine with the excess gets done.
+func (l links) speed(excess float64) float64 {
 	if excess == 0 {
 		return 1
 	}
--- a/internal/node/broker/links_test.go
+++ b/internal/node/broker/links_test.go
@@ -36,7 +36,7 @@
 	assert.Equal(t, whole/2+1, places(now), "one place behind the slow link")
 	v := b.choose(now, prefill)
 	assert.Equal(t, "p2", v.server.ID)
-	assert.Zero(t, v.took)
+	assert.Zero(t, v.predicted)
 
 	fast, _ := b.roster.Find("p2", 1)
 	for range whole / 2 {
@@ -44,7 +44,7 @@
 	}
 	v = b.choose(now, prefill)
 	assert.Equal(t, "p1", v.server.ID)
-	assert.InDelta(t, 0.3, v.took, 0.03, "with the reading, less the slack")
+	assert.InDelta(t, 0.3, v.predicted, 0.03, "with the reading, less the slack")
 	now = now.Add(6 * handoverLife)
 	b.Usage.Alive(now, fast)
 	b.handed(now, "p2", 6*time.Millisecond)
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -98,28 +98,36 @@
 	maxPause   = 400 * time.Millisecond
 )
 
+// backoff is a pause that doubles with each failure. The zero value begins.
+type backoff struct{ next time.Duration }
+
+func (b *backoff) wait(ctx context.Context) {
+	pause := max(b.next, firstPause)
+	timer.Wait(ctx, pause/2+rand.N(pause))
+	b.next = min(2*pause, maxPause)
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	pause := firstPause
+	var pause backoff
 	for ctx.Err() == nil {
 		err := f.follow(ctx, &pause)
 		if ctx.Err() != nil {
 			break
 		}
 		f.lost(err)
-		timer.Wait(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, maxPause)
+		pause.wait(ctx)
 	}
 	return ctx.Err()
 }
 
 // follow lists and waits for changes until a call fails.
-func (f *Follower) follow(ctx context.Context, pause *time.Duration) error {
+func (f *Follower) follow(ctx context.Context, pause *backoff) error {
 	after, err := f.list(ctx)
 	if err != nil {
 		return err
 	}
-	*pause = firstPause
+	*pause = backoff{}
 	for {
 		wait, done := f.pokable(ctx)
 		page, err := f.Feed.Changes(wait, f.Kind, after, f.Wait())
--- a/internal/state/follow/list.go
+++ b/internal/state/follow/list.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
-
-	"ebonyscale.example/ebonyscale/internal/base/timer"
-	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 // listFor is how long a list may take. What changes meanwhile comes with the
@@ -17,7 +13,7 @@
 // fails is asked for again: where many processes list at once, none of them
 // would come to an end if each began anew.
 func (f *Follower) list(ctx context.Context) (uint64, error) {
-	began, pause := time.Now(), firstPause
+	began, pause := time.Now(), backoff{}
 	whole, err := f.Feed.List(ctx, f.Kind, "")
 	if err != nil {
 		return 0, err
@@ -29,12 +25,11 @@
 				return 0, err
 			}
 			f.lost(err)
-			timer.Wait(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, maxPause)
+			pause.wait(ctx)
 			continue
 		}
-		pause = firstPause
-		whole = store.Page{Revision: whole.Revision, Objects: append(whole.Objects, page.Objects...), Next: page.Next}
+		pause = backoff{}
+		whole.Objects, whole.Next = append(whole.Objects, page.Objects...), page.Next
 	}
 	f.View.Replace(whole, f.away())
 	f.regained(whole)
