cmd/ebonyscale: the caller's session has no deadline of a millisecond

Cause: its deadline was 1 ms. The request is read, and its deadline looked at, in other goroutines later; beside load that takes longer than 1 ms, and then the deadline has passed, which is what the product says.

Change: a deadline of 250 ms and 80 tokens, whose end is predicted later than that.

--- a/cmd/ebonyscale/session_test.go
+++ b/cmd/ebonyscale/session_test.go
@@ -192,7 +192,9 @@
 		{"deadline in the past", post(path, "X-Deadline-Ms: -5\r\n", chat(""))},
 		{"deadline of words", post(path, "X-Deadline-Ms: soon\r\n", chat(""))},
 		{"huge deadline", post(path, "X-Deadline-Ms: 99999999999999999999\r\n", chat(""))},
-		{"unmeetable deadline", post(path, "X-Deadline-Ms: 1\r\n", chat(""))},
+		// The deadline is far off, and the answer farther: a deadline of a
+		// millisecond may have passed before a busy machine reads the request.
+		{"unmeetable deadline", post(path, "X-Deadline-Ms: 250\r\n", fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"x"}],"max_tokens":80}`, model))},
 		{"priority out of bounds", post(path, "X-Priority: 1000\r\n", chat(""))},
 		{"header given twice", post(path, "X-Account: a\r\nX-Account: b\r\n", chat(""))},
 		{"wrong method", get(path, "")},
