--- a/internal/config/table/table.go
+++ b/internal/config/table/table.go
@@ -112,6 +112,9 @@
 	// MaxConnections is the number of connections that one backend server
 	// accepts from all processes together; 0 means no limit.
 	MaxConnections int
+	// TokenGapTarget is the smallest TokenGapTarget of the routes to the service;
+	// 0 if none has one.
+	TokenGapTarget time.Duration
 	// Engine is set if the backend servers are model engines.
 	Engine *Engine
 }
@@ -216,10 +219,26 @@
 		}
 		t.Routes[i] = route
 		t.routes[strings.ToLower(route.Host)+route.Prefix] = &t.Routes[i]
+		t.tightenGap(route)
 	}
 	return t, nil
 }
 
+// tightenGap lowers the TokenGapTarget of the route's services to that of the
+// route.
+func (t *Table) tightenGap(r Route) {
+	if r.TokenGapTarget <= 0 {
+		return
+	}
+	for _, target := range r.Targets {
+		s, ok := t.Services[target.Service]
+		if ok && (s.TokenGapTarget == 0 || r.TokenGapTarget < s.TokenGapTarget) {
+			s.TokenGapTarget = r.TokenGapTarget
+			t.Services[target.Service] = s
+		}
+	}
+}
+
 // service converts the JSON form of a service.
 func (s documentService) service() Service {
 	service := Service{Name: s.Name, HealthPath: s.HealthPath, MaxConnections: int(s.MaxConnections)}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -38,28 +38,27 @@
 // HeartbeatInterval instead, if that is longer.
 const HeartbeatTimeout = 600 * time.Millisecond
 
-// MaxUncoordinated is the number of processes up to which each sends its state to
-// all others often enough for every process to admit requests by itself. With
-// more processes, a coordinator grants the permits at engines that prefill.
-const MaxUncoordinated = 12
+// MaxFresh is the number of processes up to which each sends its state to all others
+// so often that the loads are fresh.
+const MaxFresh = 12
 
 const (
-	// minInterval is the interval of status messages up to MaxUncoordinated
+	// minInterval is the interval of status messages up to MaxFresh
 	// processes.
 	minInterval = 20 * time.Millisecond
 	// messagesPerSecond bounds the status messages that a process sends, to all
-	// peers together, above MaxUncoordinated processes.
+	// peers together, above MaxFresh processes.
 	messagesPerSecond = 200
 	// missedHeartbeats is how many status messages in a row may be lost or late.
 	missedHeartbeats = 3
 )
 
 // HeartbeatInterval returns the interval at which a process with this many peers
-// sends each of them a status message. Above MaxUncoordinated processes it grows
+// sends each of them a status message. Above MaxFresh processes it grows
 // with their number, so that the rate at which a process sends and receives does
 // not.
 func HeartbeatInterval(peers int) time.Duration {
-	if peers < MaxUncoordinated {
+	if peers < MaxFresh {
 		return minInterval
 	}
 	return time.Second * time.Duration(peers) / messagesPerSecond
@@ -99,19 +98,36 @@
 }
 
 // Load counts requests of one process, or of several together, at one backend
-// server or in one queue: those in progress (Running), those of them that are
-// long work or local prefills, and those in the queue (Waiting). Granted counts
-// those of Running whose permit another process granted.
-type Load struct{ Running, Long, LocalPrefills, Waiting, Granted int }
+// server or in one queue. The unit in the queues of prefills is prompt tokens.
+type Load struct {
+	// Running counts the requests in progress, Long those of them that are long
+	// work, Waiting those in the queue. Granted counts those of Running whose
+	// permit another process granted.
+	Running, Long, Waiting, Granted int
+	// Prefills counts those of Running at an engine whose prefill has not ended,
+	// PrefillTokens their prompt tokens. GrantedPrefills and GrantedTokens are
+	// those of them whose permit another process granted.
+	Prefills, PrefillTokens, GrantedPrefills, GrantedTokens int
+}
 
 // plus returns l plus o, or minus o if sign is -1.
 func (l Load) plus(o Load, sign int) Load {
 	return Load{
-		l.Running + sign*o.Running, l.Long + sign*o.Long, l.LocalPrefills + sign*o.LocalPrefills, l.Waiting + sign*o.Waiting,
-		l.Granted + sign*o.Granted,
+		Running: l.Running + sign*o.Running, Long: l.Long + sign*o.Long, Waiting: l.Waiting + sign*o.Waiting,
+		Granted: l.Granted + sign*o.Granted, Prefills: l.Prefills + sign*o.Prefills, PrefillTokens: l.PrefillTokens + sign*o.PrefillTokens,
+		GrantedPrefills: l.GrantedPrefills + sign*o.GrantedPrefills, GrantedTokens: l.GrantedTokens + sign*o.GrantedTokens,
 	}
 }
 
+// WithoutGrants returns the load without the requests whose permit another process
+// granted.
+func (l Load) WithoutGrants() Load {
+	l.Running -= l.Granted
+	l.Prefills -= l.GrantedPrefills
+	l.PrefillTokens -= l.GrantedTokens
+	return l
+}
+
 // peer is the last status message of a process.
 type peer struct {
 	incarnation, sequence uint64
@@ -221,7 +237,10 @@
 	p := &peer{incarnation: message.Incarnation, sequence: message.Sequence, receivedAt: now, version: message.TableVersion, stopping: message.Stopping}
 	p.servers, p.queues = make(map[uint64]Load, len(message.Loads)), make(map[uint64]Load, len(message.Lines))
 	for _, l := range message.Loads {
-		p.servers[l.Server] = Load{Running: int(l.Running), Long: int(l.Long), LocalPrefills: int(l.Reading), Granted: int(l.Granted)}
+		p.servers[l.Server] = Load{
+			Running: int(l.Running), Long: int(l.Long), Granted: int(l.Granted), Prefills: int(l.Reading), PrefillTokens: int(l.Tokens),
+			GrantedPrefills: int(l.GrantedReading), GrantedTokens: int(l.GrantedTokens),
+		}
 	}
 	for _, l := range message.Lines {
 		p.queues[l.Line] = Load{Running: int(l.Running), Waiting: int(l.Waiting), Granted: int(l.Granted)}
--- a/internal/fleet/stats/candidates.go
+++ b/internal/fleet/stats/candidates.go
@@ -68,8 +68,8 @@
 		Cached:  en.prefixes.Match(q.Blocks) * float64(q.BlockTokens),
 		PerMove: time.Duration(float64(q.KvBytes) / kvTransferRate * float64(time.Second)),
 	}
-	c.Overhead, c.PerPrompt = en.firstToken.durations()
-	c.Gap, c.PerStream = en.tokenGap.durations()
+	c.Overhead, c.PerPrompt = en.firstToken.Durations()
+	c.Gap, c.PerStream = en.tokenGap.Durations()
 	if !en.reported {
 		age = time.Minute
 		c.Running, c.Waiting = 0, 0
--- a/internal/fleet/stats/stats.go
+++ b/internal/fleet/stats/stats.go
@@ -29,6 +29,7 @@
 	"sync"
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/base/linfit"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
 	"ebonyscale.example/ebonyscale/internal/fleet/drain"
 	"ebonyscale.example/ebonyscale/internal/fleet/engine"
@@ -118,8 +119,8 @@
 	inFlightWaiting, unreportedWaiting float64
 	// firstToken fits the time to first token in seconds over the prompt tokens
 	// to prefill, tokenGap the token gap in seconds over the running streams.
-	firstToken linearFit
-	tokenGap   linearFit
+	firstToken linfit.Line
+	tokenGap   linfit.Line
 	// minGap is the recent minimum of the token gap, in seconds; 0 if there is no
 	// sample.
 	minGap float64
@@ -174,8 +175,8 @@
 // token gap of 5 ms without streams.
 func newEntry(server spec.BackendServer) *entry {
 	en := &entry{server: server, tickets: map[*Ticket]struct{}{}}
-	en.firstToken.reset(0.01, 1/server.PrefillRate)
-	en.tokenGap.reset(0.005, 1/server.DecodeRate)
+	en.firstToken.Reset(0.01, 1/server.PrefillRate)
+	en.tokenGap.Reset(0.005, 1/server.DecodeRate)
 	en.load.Role, en.load.Models = server.Role, server.Models
 	return en
 }
@@ -334,8 +335,8 @@
 	}
 	r := Rate{Running: en.load.Running, Prefill: en.server.PrefillRate, Decode: en.server.DecodeRate}
 	r.Leaving = !e.usable(time.Now(), en)
-	if en.firstToken.slope > 0 {
-		r.Prefill = 1 / en.firstToken.slope
+	if en.firstToken.Slope > 0 {
+		r.Prefill = 1 / en.firstToken.Slope
 	}
 	gap := float64(en.server.Slots) / en.server.DecodeRate
 	if en.minGap > 0 {
--- a/internal/fleet/stats/ticket.go
+++ b/internal/fleet/stats/ticket.go
@@ -73,7 +73,7 @@
 	t.entry.count(t, 1)
 	t.entry.prefixes.Assume(t.blocks)
 	if t.streams < int(t.entry.server.Slots) {
-		t.entry.firstToken.observe(t.ahead+t.uncached, now.Sub(t.started).Seconds())
+		t.entry.firstToken.Observe(t.ahead+t.uncached, now.Sub(t.started).Seconds())
 	}
 }
 
@@ -101,7 +101,7 @@
 	t.entry.updateMinGap(gap)
 	if count > gapSampleTokens {
 		streams := max(t.entry.load.Running, len(t.entry.tickets))
-		t.entry.tokenGap.observe(float64(streams), gap)
+		t.entry.tokenGap.Observe(float64(streams), gap)
 	}
 }
 
@@ -132,60 +132,3 @@
 		t.entry.count(t, -1)
 	}
 }
-
-// linearFit is a linear regression in which older observations weigh
-// exponentially less. Intercept and slope are never negative.
-type linearFit struct {
-	// Weighted sums over the observations.
-	weight, x, y, xx, xy float64
-	// intercept and slope are the fitted line's, in seconds and seconds per
-	// unit of x.
-	intercept, slope float64
-}
-
-const (
-	// fitDecay is the factor by which each new observation reduces the weights
-	// of the older ones.
-	fitDecay = 0.98
-	// priorWeight is the weight of the prior, in observations.
-	priorWeight = 4
-)
-
-// reset adds a prior, in seconds and seconds per unit of x, to an empty fit. It
-// counts as two observations of weight priorWeight/2: at x = 0 and where the slope
-// adds 0.2 seconds.
-func (l *linearFit) reset(intercept, slope float64) {
-	l.intercept, l.slope = intercept, slope
-	for _, x := range []float64{0, 2 / max(slope, 1e-9) * 0.1} {
-		l.add(x, intercept+slope*x, priorWeight/2)
-	}
-}
-
-func (l *linearFit) add(x, y, weight float64) {
-	l.weight += weight
-	l.x += weight * x
-	l.y += weight * y
-	l.xx += weight * x * x
-	l.xy += weight * x * y
-}
-
-// observe adds an observation and updates the fit. The slope stays as it is if
-// the observations' x are too close together to determine it. If the intercept
-// would not be positive, the line goes through the origin instead.
-func (l *linearFit) observe(x, y float64) {
-	l.weight, l.x, l.y, l.xx, l.xy = l.weight*fitDecay, l.x*fitDecay, l.y*fitDecay, l.xx*fitDecay, l.xy*fitDecay
-	l.add(x, y, 1)
-	spread := l.weight*l.xx - l.x*l.x
-	if spread > 1e-9*l.weight*l.xx {
-		l.slope = max((l.weight*l.xy-l.x*l.y)/spread, 0)
-	}
-	l.intercept = max((l.y-l.slope*l.x)/l.weight, 0)
-	if l.intercept == 0 && l.x > 0 {
-		l.slope = l.y / l.x
-	}
-}
-
-// durations returns the intercept and the slope per unit of x.
-func (l *linearFit) durations() (time.Duration, time.Duration) {
-	return time.Duration(l.intercept * float64(time.Second)), time.Duration(l.slope * float64(time.Second))
-}
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -41,6 +41,8 @@
 	// LatencyRatio is the measured latency over the expected latency; 0 if there
 	// was no response to measure.
 	LatencyRatio float64
+	// Prefilled is set if a prefill has completed with the request.
+	Prefilled bool
 }
 
 // Work is the kind of work that a request is for a backend server.
@@ -80,9 +82,12 @@
 
 // Snapshot is a copy of the counts and health of one backend server.
 type Snapshot struct {
-	// Running counts the requests of this process in progress; Long and
-	// LocalPrefills count those of them that are such work.
-	Running, Long, LocalPrefills int
+	// Running counts the requests of this process in progress; Long counts those
+	// of them that are such work. Prefills counts those whose prefill has not
+	// ended, and PrefillTokens the prompt tokens of these.
+	Running, Long, Prefills, PrefillTokens int
+	// Times are the engine's estimated times.
+	Times Times
 	// LatencyRatio is the average measured latency over the expected latency;
 	// 1 if nothing is known.
 	LatencyRatio float64
@@ -93,7 +98,7 @@
 	// unreachable, or its ejection or back-off has not ended.
 	Ejected bool
 	// Stalled is set while it has requests in progress and has sent nothing for
-	// StallThreshold.
+	// StallThreshold, or longer if it has long prompts to prefill.
 	Stalled bool
 	// TransferSeconds is the average time, in seconds, that an engine takes to fetch
 	// the KV cache from this one and send its first event; 0 if not known.
@@ -116,6 +121,7 @@
 type record struct {
 	running         int
 	work            [LocalPrefill + 1]int
+	prefills        prefills
 	failureRate     float64
 	latencyRatio    float64
 	transferSeconds float64
@@ -284,9 +290,10 @@
 	if !ok {
 		return Snapshot{LatencyRatio: 1}
 	}
-	stalled := r.running > 0 && now.Sub(r.lastActive) > StallThreshold
+	stalled := r.running > 0 && now.Sub(r.lastActive) > r.stallTime()
 	return Snapshot{
-		Running: r.running, Long: r.work[Long], LocalPrefills: r.work[LocalPrefill], LatencyRatio: r.latencyRatio, Suspect: r.suspect,
+		Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
+		Times: r.prefills.times(server.Role), LatencyRatio: r.latencyRatio, Suspect: r.suspect,
 		Ejected: stalled || r.unreachable || now.Before(r.ejectedUntil), Stalled: stalled, Unreachable: r.unreachable,
 		TransferSeconds: r.transferSeconds, TransferAt: r.transferAt,
 	}
@@ -357,7 +364,7 @@
 	defer t.mu.Unlock()
 	for k, r := range t.records {
 		if r.running > 0 {
-			visit(k.ID, k.Born, Snapshot{Running: r.running, Long: r.work[Long], LocalPrefills: r.work[LocalPrefill]})
+			visit(k.ID, k.Born, Snapshot{Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens})
 		}
 	}
 }
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -35,6 +35,7 @@
 
 	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
+	"ebonyscale.example/ebonyscale/internal/fleet/kept"
 	"ebonyscale.example/ebonyscale/internal/fleet/peers"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
@@ -206,6 +207,13 @@
 	responseTimes map[queueKey]float64
 	routeHolds    map[string]float64
 	randomState   uint64
+	// kept predicts the KV caches of the engines. keptSwept is when those of
+	// engines that have left were last forgotten.
+	kept      kept.Map
+	keptSwept time.Time
+	// progress is when each engine last completed a prefill or began the first
+	// one, by engine key.
+	progress map[uint64]time.Time
 	coordinatorState
 	requesterState
 }
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -2,24 +2,23 @@
 
 import (
 	"errors"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"ebonyscale.example/ebonyscale/internal/fleet/peers"
-	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/kept"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
 )
 
-// Prefill engines are the scarcest resource of a fleet, and their free permits
-// change within milliseconds. In a small system, status messages are frequent
-// enough for each process to issue permits by itself. In a system with more
-// than peers.MaxUncoordinated processes, one process, the service's
-// coordinator, grants the permits for prefill to all, in queue order. Only this
-// order depends on the coordinator: a process that receives no decision issues
-// permits by itself, from the loads that its peers report, and so does each side of
-// a network partition.
+// Prefill engines are the scarcest resource of a fleet: what they have to do changes
+// within milliseconds, and which prefixes they keep follows from all prefills. So one
+// process, the service's coordinator, grants the permits for prefill to all, in queue
+// order. Only this order and the predictions depend on the coordinator: a process that
+// receives no decision issues permits by itself, from the loads that its peers report,
+// and so does each side of a network partition.
 
 // PermitRequest asks the coordinator for a permit at an engine that prefills.
 // Durations count from the time of the message.
@@ -30,9 +29,16 @@
 	Request string
 	Service string
 	// PrefixHash is the prefix hash of the request, or 0 if it shares no prefix.
-	PrefixHash uint64
+	// OwnTokens are the prompt tokens behind the prefix, SharedTokens those of
+	// the prefix.
+	PrefixHash              uint64
+	OwnTokens, SharedTokens int
+	// Chain has the prompt's prefixes.
+	Chain []kept.Part
 	// Priority is the priority of the route; 0 is served first.
 	Priority int
+	// Target is the latency target of the route.
+	Target time.Duration
 	// StartWithin is the time within which the permit is needed to meet the
 	// latency target, MaxWait the longest wait that is accepted, and TimeLeft the
 	// time left until the request's deadline.
@@ -51,14 +57,19 @@
 	Born int64
 	// LocalPrefill is set if the engine is a decode engine that prefills locally.
 	LocalPrefill bool
+	// Fetch is the address of an engine that keeps more of the prefix; it is
+	// invalid if none does.
+	Fetch netip.AddrPort
 }
 
 // PermitRelease gives a permit back, or cancels a permit request. It carries the
 // request's result, from which the coordinator updates its state of the engine.
 type PermitRelease struct {
-	Number       uint64
-	Verdict      usage.Verdict
-	LatencyRatio float64
+	Number  uint64
+	Verdict usage.Verdict
+	// Prefilled is set if the prefill has completed, Kept if only the prefill
+	// has ended: the permit is still in use.
+	Prefilled, Kept bool
 }
 
 // Coordination sends messages to peers. It must be safe for concurrent use. Its
@@ -90,13 +101,28 @@
 	// elected has the coordinator of each service by name; "" if this process
 	// issues the permits by itself.
 	elected map[string]string
-	// grantedByEngine counts the permits granted to peers by engine key.
-	grantedByEngine map[uint64]int
+	// grantedByEngine sums the permits granted to peers by engine key.
+	grantedByEngine map[uint64]Grants
 	// grants and remoteWaiters are the permits and waiters of peers.
 	grants        map[requestKey]*permit
 	remoteWaiters map[requestKey]*waiter
 }
 
+// Grants sums the permits at an engine that one process granted to others: their
+// number, that of those whose prefill has not ended, and the prompt tokens of these.
+type Grants struct{ Requests, Prefills, Tokens int }
+
+// addGrant adds to the sum of an engine, and removes the entry if that is zero.
+func addGrant(sums map[uint64]Grants, key uint64, g Grants) {
+	sum := sums[key]
+	sum = Grants{sum.Requests + g.Requests, sum.Prefills + g.Prefills, sum.Tokens + g.Tokens}
+	if sum == (Grants{}) {
+		delete(sums, key)
+		return
+	}
+	sums[key] = sum
+}
+
 // grantGrace is how long a granted permit is kept after the deadline of its
 // request if the requester does not release it.
 const grantGrace = 500 * time.Millisecond
@@ -111,18 +137,21 @@
 		waiting = false
 		delete(b.remoteWaiters, key)
 		g := PermitGrant{Number: r.Number, Status: decisionOf(err)}
+		fields := []zap.Field{zap.String("Request", r.Request), zap.String("For", from), zap.Duration("Waited", time.Since(now)), zap.Error(err)}
 		if p != nil {
 			b.grants[key] = p
+			g.Fetch = p.fetch
 			g.ID, g.Born, g.LocalPrefill = p.server.ID, p.server.Born, p.need.key.work == usage.LocalPrefill
+			fields = append(fields, zap.String("Server", g.ID), zap.Int64("Born", g.Born), zap.Bool("LocalPrefill", g.LocalPrefill),
+				zap.Int("Own", p.need.prompt.Own), zap.Object("Forecast", p))
 		}
 		b.Coordination.Grant(from, g)
-		b.Log.Info("permit request decided", zap.String("Request", r.Request), zap.String("For", from), zap.String("Server", g.ID),
-			zap.Int64("Born", g.Born), zap.Duration("Waited", time.Since(now)), zap.Error(err))
+		b.Log.Info("permit request decided", fields...)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.grants == nil {
-		b.grants, b.remoteWaiters, b.grantedByEngine = map[requestKey]*permit{}, map[requestKey]*waiter{}, map[uint64]int{}
+		b.grants, b.remoteWaiters, b.grantedByEngine = map[requestKey]*permit{}, map[requestKey]*waiter{}, map[uint64]Grants{}
 	}
 	b.admit(w)
 	if waiting {
@@ -133,12 +162,14 @@
 
 // remoteWaiter returns the waiter for a peer's permit request.
 func remoteWaiter(now time.Time, from string, r PermitRequest) *waiter {
-	n, alternative := prefillNeeds(r.Service, r.PrefixHash)
+	prompt := assign.Prompt{PrefixHash: r.PrefixHash, Own: r.OwnTokens, Shared: r.SharedTokens}
+	n, alternative := prefillNeeds(r.Service, prompt, r.Chain)
 	n.excluded = make(map[string]bool, len(r.Excluded))
 	for _, id := range r.Excluded {
 		n.excluded[id] = true
 	}
-	n.priority, n.startBy, n.maxWait = r.Priority, now.Add(r.StartWithin), r.MaxWait
+	n.priority, n.target, n.startBy, n.maxWait = r.Priority, r.Target, now.Add(r.StartWithin), r.MaxWait
+	alternative.target = n.target
 	alternative.priority, alternative.startBy, alternative.maxWait, alternative.excluded = n.priority, n.startBy, n.maxWait, n.excluded
 	return &waiter{
 		need: n, alternative: &alternative, since: now,
@@ -147,16 +178,12 @@
 }
 
 // grant issues a permit of the queue to a peer. b.mu must be held.
-func (b *Broker) grant(now time.Time, q *queue, server roster.Server, n need, r requester) *permit {
-	p := &permit{broker: b, need: n, server: server, since: now, requester: r}
-	if q.permits == nil {
-		q.permits = map[*permit]bool{}
-	}
-	q.permits[p] = true
-	q.granted++
-	b.grantedByEngine[server.Key()]++
+func (b *Broker) grant(q *queue, p *permit) {
+	b.startPrefill(p)
+	q.add(p)
+	q.granted += p.units
+	addGrant(b.grantedByEngine, p.server.Key(), Grants{1, 1, p.units})
 	b.Meters.Add("PlacesGranted", 1)
-	return p
 }
 
 // HandleRelease handles a peer's release of a permit or cancellation of a permit
@@ -170,19 +197,38 @@
 		b.remove(w)
 		return
 	}
-	if p, ok := b.grants[key]; ok {
-		b.reclaim(time.Now(), p, usage.Result{Verdict: r.Verdict, LatencyRatio: r.LatencyRatio, Work: p.need.key.work})
+	p, ok := b.grants[key]
+	if !ok {
+		return
 	}
+	b.endGrantedPrefill(p, r.Prefilled)
+	if r.Kept {
+		b.serveFreed(time.Now(), p.need.key)
+		return
+	}
+	b.reclaim(time.Now(), p, usage.Result{Verdict: r.Verdict, Work: p.need.key.work})
+}
+
+// endGrantedPrefill ends the prefill of a peer's permit. b.mu must be held.
+func (b *Broker) endGrantedPrefill(p *permit, completed bool) {
+	if p.units == 0 {
+		return
+	}
+	b.recordPrefill(p, completed)
+	b.recordKept(p, completed)
+	q := b.queue(p.need.key)
+	q.held -= p.units
+	q.granted -= p.units
+	addGrant(b.grantedByEngine, p.server.Key(), Grants{0, -1, -p.units})
+	p.units = 0
 }
 
 // reclaim takes back a granted permit and records the result. b.mu must be
 // held.
 func (b *Broker) reclaim(now time.Time, p *permit, result usage.Result) {
 	delete(b.grants, p.requester.requestKey)
-	b.queue(p.need.key).granted--
-	if b.grantedByEngine[p.server.Key()]--; b.grantedByEngine[p.server.Key()] <= 0 {
-		delete(b.grantedByEngine, p.server.Key())
-	}
+	b.endGrantedPrefill(p, false)
+	addGrant(b.grantedByEngine, p.server.Key(), Grants{-1, 0, 0})
 	switch result.Verdict {
 	case usage.OK, usage.Full, usage.Replaced:
 		b.Usage.RecordRemote(now, p.server, result)
@@ -238,7 +284,7 @@
 			continue
 		}
 		coordinator := ""
-		if b.Peers.Live() > peers.MaxUncoordinated {
+		if b.Peers.Live() > 1 {
 			coordinator = b.Peers.Coordinator(xxhash.Sum64String(name), b.shutdown.Load() != nil)
 		}
 		if coordinator == b.Name {
@@ -251,6 +297,12 @@
 	}
 }
 
+// coordinates reports whether this process issues all permits of the queue, as the
+// coordinator or as the only process. b.mu must be held.
+func (b *Broker) coordinates(key queueKey) bool {
+	return key.prefills() && b.elected[key.service] == ""
+}
+
 // Decision is a coordinator's decision on a permit request. The values are part
 // of the wire protocol.
 type Decision int
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -72,6 +72,10 @@
 	// prefilledBy is the prefill engine that has computed the prompt's KV
 	// cache.
 	prefilledBy roster.Server
+	// lastEvent is when the latest event of the stream arrived, longestGap the
+	// longest time between two events so far.
+	lastEvent  time.Time
+	longestGap time.Duration
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
 }
@@ -128,6 +132,7 @@
 // withTiming fills in the priority, the times and the excluded backend servers.
 func (j *job) withTiming(n need) need {
 	n.priority, n.excluded = j.route.Priority, j.excluded
+	n.target = j.route.LatencyTarget
 	n.startBy = j.request.Arrived.Add(j.route.LatencyTarget)
 	n.maxWait = min(time.Duration(maxWaitShare*float64(j.route.LatencyTarget)), time.Until(j.deadline))
 	return n
@@ -432,6 +437,9 @@
 		j.broker.Meters.Observe("Took."+string(j.route.Kind), took)
 	}
 	fields = append(fields, j.stages...)
+	if j.longestGap > 0 {
+		fields = append(fields, zap.Duration("MaxGap", j.longestGap))
+	}
 	if cause != nil {
 		fields = append(fields, zap.Error(cause))
 	}
--- /dev/null
+++ b/internal/node/broker/prefill.go
@@ -0,0 +1,434 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/call"
+	"ebonyscale.example/ebonyscale/internal/fleet/kept"
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
+	"ebonyscale.example/ebonyscale/internal/route/retry"
+)
+
+const (
+	// prefillPerSlot is the maximum number of permits per slot of a prefill
+	// engine.
+	prefillPerSlot = 0.75
+	// windowShare is the longest predicted wait at an engine for a prefill, as a
+	// share of the latency target. It keeps the engine busy between two
+	// permits; any longer wait is spent here, where the order can still change.
+	windowShare = 0.3
+	// prefillWaitShare is the longest wait for a permit to prefill, as a share of
+	// the latency target.
+	prefillWaitShare = 0.6
+	// smallPrompt is the number of tokens up to which a prompt is prefilled by
+	// the decode engine.
+	smallPrompt = 512
+	// releaseTimeout bounds the release of an unused KV cache.
+	releaseTimeout = time.Second
+)
+
+// prefillNeeds returns the needs for a prefill: the first for a prefill engine,
+// the second for a decode engine that prefills locally.
+func prefillNeeds(service string, prompt assign.Prompt, chain []kept.Part) (prefill, localPrefill need) {
+	prefill = need{key: queueKey{service, roster.Prefill, usage.Short}, perSlot: prefillPerSlot, prompt: prompt, chain: chain}
+	localPrefill = need{key: queueKey{service, roster.Decode, usage.LocalPrefill}, perSlot: decodePerSlot, prompt: prompt, chain: chain}
+	return prefill, localPrefill
+}
+
+// prefillNeeds returns the needs of the request's prefill, with its priority and
+// times.
+func (j *job) prefillNeeds() (prefill, localPrefill need) {
+	prompt, chain := j.prompt()
+	prefill, localPrefill = prefillNeeds(j.service.Name, prompt, chain)
+	prefill, localPrefill = j.withTiming(prefill), j.withTiming(localPrefill)
+	prefill.maxWait = min(time.Duration(prefillWaitShare*float64(j.route.LatencyTarget)), time.Until(j.deadline))
+	localPrefill.maxWait = prefill.maxWait
+	// The stages after the permit also take time, which counts towards the latency
+	// target.
+	prefill.startBy = prefill.startBy.Add(-j.broker.expectedStart(j.service.Name))
+	return prefill, localPrefill
+}
+
+// choosePrefill evaluates the engines for a prefill. b.mu must be held.
+func (b *Broker) choosePrefill(now time.Time, n need) view {
+	servers := b.Roster.Service(n.key.service)
+	v := view{peerLoad: b.withoutGrants(n.key.service, b.Peers.Queue(n.key.hash())), ejected: true}
+	links := b.links(now, n.key, servers)
+	engines := make([]assign.Engine, 0, len(servers))
+	options := make([]roster.Server, 0, len(servers))
+	speeds := make([]float64, 0, len(servers))
+	for _, s := range servers {
+		if s.Role != n.key.role {
+			continue
+		}
+		snapshot := b.Usage.Get(now, s)
+		excess := links.excess(snapshot)
+		e := b.engine(now, n, s, snapshot)
+		e.Delay = time.Duration(excess * float64(time.Second))
+		v.usable++
+		v.ejected = v.ejected && (e.Ejected || e.Excluded)
+		engines = append(engines, e)
+		options = append(options, s)
+		speeds = append(speeds, links.speed(excess)*b.zoneShare(s.Zone))
+	}
+	prompt := n.prompt
+	prompt.Window = n.window()
+	prompt.AssumePreferred = b.elected[n.key.service] != ""
+	if n.key.work == usage.LocalPrefill && b.hasPrefillEngine(now, servers) {
+		prompt.Longest = b.gapTarget(n.key.service)
+	}
+	_, prompt.Fetchable = b.kept.Holder(n.chain, 0, b.fetchable(now, servers))
+	average := assign.Average(engines)
+	for i, e := range engines {
+		if e.Ejected && !v.ejected {
+			continue
+		}
+		rate := e.Or(average).PerSecond(n.size()) * speeds[i]
+		v.rate += rate
+		v.capacity += max(int(rate*prompt.Window.Seconds()), n.size())
+	}
+	v.forecast = assign.Prefill(engines, prompt)
+	if i := v.forecast.Index; i >= 0 {
+		v.server, v.ahead = options[i], engines[i].Backlog
+	}
+	return v
+}
+
+// hasPrefillEngine reports whether an engine that only prefills can be used.
+func (b *Broker) hasPrefillEngine(now time.Time, servers []roster.Server) bool {
+	return slices.ContainsFunc(servers, func(s roster.Server) bool {
+		return s.Role == roster.Prefill && !b.Usage.Get(now, s).Ejected
+	})
+}
+
+// fetchable returns a function that reports whether KV caches can be fetched from
+// the engine with a key. Engines that are unreachable or stalled are left out,
+// because the fetch would not complete.
+func (b *Broker) fetchable(now time.Time, servers []roster.Server) func(key uint64) bool {
+	return func(key uint64) bool {
+		s, found := findKey(servers, key)
+		if !found {
+			return false
+		}
+		snapshot := b.Usage.Get(now, s)
+		return !snapshot.Unreachable && !snapshot.Stalled
+	}
+}
+
+// findKey returns the engine with the key.
+func findKey(servers []roster.Server, key uint64) (roster.Server, bool) {
+	i := slices.IndexFunc(servers, func(s roster.Server) bool { return s.Key() == key })
+	if i < 0 {
+		return roster.Server{}, false
+	}
+	return servers[i], true
+}
+
+// startPrefill records the prefill of a permit in the predicted caches, and chooses
+// the engine from which its prefix is fetched. b.mu must be held.
+func (b *Broker) startPrefill(p *permit) {
+	servers := b.Roster.Service(p.need.key.service)
+	key, chain := p.server.Key(), p.need.chain
+	holder, tokens := b.kept.Holder(chain, key, b.fetchable(p.since, servers))
+	if tokens > b.kept.Tokens(key, chain) {
+		s, _ := findKey(servers, holder)
+		p.fetch = s.Address
+	}
+	capacity := int64(0)
+	if t := b.Table(); t != nil && t.Services[p.need.key.service].Engine != nil {
+		capacity = int64(keptShare * float64(t.Services[p.need.key.service].Engine.CacheTokens))
+	}
+	b.kept.Start(key, capacity, chain, p.need.prompt.Own)
+	if p.ahead == 0 {
+		b.recordProgress(p.since, key)
+	}
+}
+
+// recordPrefill updates the times of an engine after the prefill of a permit that
+// this process issued. The prefill has occupied the engine since it began or the one
+// before it completed. b.mu must be held.
+func (b *Broker) recordPrefill(p *permit, completed bool) {
+	if !completed {
+		return
+	}
+	now, key := time.Now(), p.server.Key()
+	began := p.since
+	if last := b.progress[key]; last.After(began) {
+		began = last
+	}
+	b.Usage.RecordPrefill(p.server, p.units, now.Sub(began))
+	b.recordProgress(now, key)
+}
+
+// recordProgress records that an engine has completed a prefill or begins the first
+// one. b.mu must be held.
+func (b *Broker) recordProgress(now time.Time, engine uint64) {
+	if b.progress == nil {
+		b.progress = map[uint64]time.Time{}
+	}
+	b.progress[engine] = now
+}
+
+// keptShare is the share of an engine's KV cache that keeps prompts; running
+// requests need the rest.
+const keptShare = 0.8
+
+// recordKept records the end of the prefill of a permit in the predicted caches.
+// b.mu must be held.
+func (b *Broker) recordKept(p *permit, completed bool) {
+	if completed {
+		b.kept.Done(p.server.Key(), p.need.chain)
+		return
+	}
+	b.kept.Failed(p.server.Key(), p.need.chain)
+}
+
+// gapTarget returns the target for the time between two events of the service's
+// streams, 0 if there is none.
+func (b *Broker) gapTarget(service string) time.Duration {
+	if t := b.Table(); t != nil {
+		return t.Services[service].TokenGapTarget
+	}
+	return 0
+}
+
+// window returns the longest predicted wait for a prefill at an engine.
+func (n need) window() time.Duration {
+	return time.Duration(windowShare * float64(n.target))
+}
+
+// engine combines the load of this process and its peers at an engine. b.mu must
+// be held.
+func (b *Broker) engine(now time.Time, n need, s roster.Server, snapshot usage.Snapshot) assign.Engine {
+	peerLoad := b.withoutGrants(n.key.service, b.Peers.Server(s.Key()))
+	granted := b.grantedByEngine[s.Key()]
+	running := snapshot.Running + peerLoad.Running + granted.Requests
+	e := assign.Engine{
+		Hash: xxhash.Sum64String(s.ID), Backlog: max(snapshot.PrefillTokens+peerLoad.PrefillTokens+granted.Tokens, 0),
+		Prefills: max(snapshot.Prefills+peerLoad.Prefills+granted.Prefills, 0), Cached: b.kept.Tokens(s.Key(), n.chain),
+		Progress: now.Sub(b.progress[s.Key()]),
+		Base:     snapshot.Times.PrefillBase, Rate: snapshot.Times.PrefillRate,
+		Full:    running >= scaled(n.perSlot*float64(s.Slots), b.zoneShare(s.Zone)),
+		Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted.Requests, Ejected: snapshot.Ejected, Excluded: n.excluded[s.ID],
+	}
+	return e
+}
+
+// MarshalLogObject logs the prediction for the prefill, to compare with the actual
+// time. It is empty if another process made it.
+func (p *permit) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	if p.coordinator == "" {
+		e.AddInt("Tokens", p.forecast.Tokens)
+		e.AddInt("Cached", p.forecast.Cached)
+		e.AddInt("Fetched", p.forecast.Fetched)
+		e.AddInt("Ahead", p.ahead)
+		e.AddDuration("Finish", p.forecast.Finish)
+	}
+	return nil
+}
+
+// endPrefill ends the prefill of a permit that stays in use for the decode.
+func (p *permit) endPrefill() {
+	if p.finishPrefill(true) && p.coordinator != "" {
+		p.broker.Coordination.Release(p.coordinator, PermitRelease{Number: p.number, Prefilled: true, Kept: true})
+	}
+}
+
+// finishPrefill frees the permit's capacity for prefills. It returns false if there
+// was no prefill, or it has ended before.
+func (p *permit) finishPrefill(completed bool) bool {
+	b := p.broker
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !p.need.key.prefills() || p.units == 0 {
+		return false
+	}
+	b.Usage.EndPrefill(p.server, p.units)
+	q := b.queue(p.need.key)
+	q.held -= p.units
+	if p.coordinator == "" {
+		b.recordPrefill(p, completed)
+	} else {
+		q.remote -= p.units
+		addGrant(b.remoteByEngine, p.server.Key(), Grants{0, -1, -p.units})
+	}
+	b.recordKept(p, completed)
+	p.units = 0
+	b.serveFreed(time.Now(), p.need.key)
+	return true
+}
+
+// prompt returns the request's prompt, and its prefixes up to the end of each
+// shared part. Only the first maxChain parts count as shared.
+func (j *job) prompt() (assign.Prompt, []kept.Part) {
+	p := assign.Prompt{PrefixHash: j.hashPrefix(), Own: j.request.PromptTokens}
+	if p.PrefixHash == 0 {
+		return p, nil
+	}
+	shared := j.request.Parts[:min(len(j.request.Parts)-1, maxChain)]
+	chain := make([]kept.Part, 0, len(shared))
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range shared {
+		if _, err := d.WriteString(part.ID + ","); err != nil {
+			return p, nil
+		}
+		tokens := min(max(part.Tokens, 0), p.Own)
+		p.Shared += tokens
+		p.Own -= tokens
+		chain = append(chain, kept.Part{Hash: d.Sum64() | 1, Tokens: tokens})
+	}
+	return p, chain
+}
+
+// maxChain bounds the parts of a prompt that count as shared.
+const maxChain = 16
+
+// hashPrefix returns the hash of the prompt's prefix, which is all parts but
+// the last. It is 0 if there is none.
+func (j *job) hashPrefix() uint64 {
+	if len(j.request.Parts) < 2 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	for _, p := range j.request.Parts[:len(j.request.Parts)-1] {
+		if _, err := d.WriteString(p.ID + ","); err != nil {
+			return 0
+		}
+	}
+	return d.Sum64() | 1
+}
+
+// prefillPrompt prefills the prompt if it is not small. It returns the KV cache
+// of a prefill engine, or a permit at a decode engine that prefills locally;
+// neither if the prompt is small or no engine prefills. It returns false if the
+// request has ended.
+func (j *job) prefillPrompt() (KVSource, *permit, bool) {
+	if j.request.PromptTokens <= smallPrompt {
+		return KVSource{}, nil, true
+	}
+	for {
+		p, err := j.acquirePrefill()
+		if errors.Is(err, errNoServer) {
+			return KVSource{}, nil, true
+		}
+		if err != nil {
+			j.giveUp(err)
+			return KVSource{}, nil, false
+		}
+		if p.need.key.work == usage.LocalPrefill {
+			return KVSource{}, p, true
+		}
+		j.waited += p.waited
+		source, f := j.prefill(p)
+		if f == nil {
+			return source, nil, true
+		}
+		// A failed prefill counts as an attempt.
+		j.attempts++
+		if !j.prepareRetry(p.server, f) {
+			return KVSource{}, nil, false
+		}
+	}
+}
+
+// prefill computes the prompt's KV cache on the engine of the permit, which it
+// releases.
+func (j *job) prefill(p *permit) (KVSource, *failure) {
+	start := time.Now()
+	c := j.newCall()
+	c.Fetch = j.fetchSource(p)
+	j.broker.Log.Info("prefill placed", zap.String("Request", j.request.ID), zap.String("Route", j.route.Name),
+		zap.Uint64("Version", j.table.Version), zap.String("Server", p.server.ID), zap.Int64("Born", p.server.Born),
+		zap.Int("Prompt", j.request.PromptTokens), zap.Duration("Waited", p.waited), zap.String("Coordinator", p.coordinator),
+		zap.Int("Own", p.need.prompt.Own), zap.Object("Forecast", p), zap.Stringer("Fetch", c.Fetch))
+	ctx, cancel := context.WithCancelCause(j.ctx)
+	defer cancel(nil)
+	if j.attempts+1 < j.route.Attempts {
+		j.broker.setAbort(p, func() { cancel(errStalled) })
+	}
+	source, response, err := j.broker.Servers.Prefill(ctx, p.server, c)
+	took := time.Since(start)
+	j.stages = append(j.stages, zap.Duration("Prefill", took), zap.String("PrefillServer", p.server.ID))
+	if err == nil && response == nil {
+		j.prefilledBy = p.server
+		p.release(usage.Result{Verdict: usage.OK, Prefilled: true})
+		return source, nil
+	}
+	// A failed prefill never means that the request has run.
+	f := &failure{outcome: retry.NotRun, reason: serverLost, err: err, retryCharged: errors.Is(context.Cause(ctx), errStalled)}
+	if response != nil {
+		f.reason, f.err = serverRefused, newStatusError(response)
+		response.Body.Close()
+	}
+	f.dialFailed = err != nil && call.StageOf(err) == call.StageDialing
+	verdict := j.verdict(f)
+	if err != nil && verdict == usage.Unreachable && call.StageOf(err) != call.StageDialing {
+		verdict = usage.Failed
+	}
+	p.release(usage.Result{Verdict: verdict})
+	return KVSource{}, f
+}
+
+// releaseKV releases a KV cache that will not be used, in the background.
+func (j *job) releaseKV(source KVSource) {
+	if source.Handle == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := j.broker.Servers.Release(ctx, source); err != nil {
+			j.broker.Log.Info("release of a prompt's unused KV cache failed", zap.String("Request", j.request.ID), zap.Error(err))
+		}
+	}()
+}
+
+// fetchSource returns the address of the engine from which the engine of the permit
+// fetches the prompt's prefix: one that is predicted to keep it, else the preferred
+// decode engine. It is invalid if there is none.
+func (j *job) fetchSource(p *permit) netip.AddrPort {
+	if p.fetch.IsValid() {
+		return p.fetch
+	}
+	return j.broker.preferredEngine(time.Now(), j.service.Name, j.hashPrefix(), p.server)
+}
+
+// preferredEngine returns the address of the decode engine that comes first in
+// the rendezvous order of the prefix hash, from which requester can fetch the
+// prefix's KV cache. Engines that are unreachable or stalled are skipped,
+// because the fetch would not complete. The address is invalid if
+// there is no such engine or if it is requester itself.
+func (b *Broker) preferredEngine(now time.Time, service string, prefixHash uint64, requester roster.Server) netip.AddrPort {
+	if prefixHash == 0 {
+		return netip.AddrPort{}
+	}
+	var preferred roster.Server
+	bestScore := 2.0
+	for _, s := range b.Roster.Service(service) {
+		if s.Role != roster.Decode {
+			continue
+		}
+		if snapshot := b.Usage.Get(now, s); snapshot.Unreachable || snapshot.Stalled {
+			continue
+		}
+		if score := assign.Score(xxhash.Sum64String(s.ID), prefixHash); score < bestScore {
+			bestScore, preferred = score, s
+		}
+	}
+	if preferred.ID == requester.ID {
+		return netip.AddrPort{}
+	}
+	return preferred.Address
+}
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -5,15 +5,17 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math"
+	"net/netip"
 	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"ebonyscale.example/ebonyscale/internal/fleet/kept"
 	"ebonyscale.example/ebonyscale/internal/fleet/peers"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
 )
 
 // queueKey identifies the queue for one kind of backend server and one kind of
@@ -25,6 +27,10 @@
 	work    usage.Work
 }
 
+// prefills reports whether the queue is for prefills. Their unit is prompt tokens,
+// as prompts differ in length; that of other work is requests.
+func (k queueKey) prefills() bool { return k.role == roster.Prefill || k.work == usage.LocalPrefill }
+
 // hash identifies the queue in messages between processes.
 func (k queueKey) hash() uint64 {
 	return xxhash.Sum64String(fmt.Sprint(k.service, "/", k.role, "/", int(k.work)))
@@ -43,9 +49,9 @@
 	// avgLoad is the moving average of the requests per backend server, waiting
 	// ones included.
 	avgLoad float64
-	// granted counts the permits granted to peers, remote those that this
-	// process holds from a coordinator.
-	granted, remote int
+	// held counts the units of the permits, granted those of the permits granted
+	// to peers, remote those that this process holds from a coordinator.
+	held, granted, remote int
 }
 
 // waiter is a request that waits for a permit.
@@ -65,15 +71,19 @@
 // need describes the permit that a request needs.
 type need struct {
 	key queueKey
-	// prefixHash is the hash of the prompt prefix that the request shares with
-	// others, or 0. affinity is the weight of prefix locality against load.
-	prefixHash uint64
-	affinity   float64
+	// prompt has the request's prompt; it is zero if there is none. affinity is
+	// the weight of prefix locality against load for work other than prefills.
+	prompt assign.Prompt
+	// chain has the prompt's prefixes.
+	chain    []kept.Part
+	affinity float64
 	// priority is the route's; 0 is served first.
 	priority int
 	// startBy is when the request needs its permit to meet the latency target: at
 	// the end of the target, and earlier by expectedStart for a prefill engine.
 	startBy time.Time
+	// target is the route's latency target.
+	target time.Duration
 	// maxWait is the longest wait that is accepted.
 	maxWait time.Duration
 	// excluded has the IDs of the backend servers that must not be used.
@@ -83,6 +93,14 @@
 	perSlot float64
 }
 
+// size returns the units of a permit that the request needs.
+func (n need) size() int {
+	if n.key.prefills() {
+		return max(n.prompt.Own, 1)
+	}
+	return 1
+}
+
 // Errors of acquire.
 var (
 	errNoServer   = errors.New("no backend server is ready for this kind of request")
@@ -144,7 +162,8 @@
 			return
 		}
 	}
-	if b.expectedWait(w.since, w, v, q.ahead(w.need)) > w.need.maxWait {
+	rate, peersWaiting := b.throughput(w.since, w)
+	if expectedWait(q.ahead(w.need)+w.need.size()+peersWaiting, rate) > w.need.maxWait {
 		w.deliver(nil, errOverloaded)
 		return
 	}
@@ -177,53 +196,86 @@
 	if w.alternative == nil {
 		return b.tryAcquireFrom(now, w, w.need, v)
 	}
-	preferFirst := !v.ejected && v.firstEventTime <= b.queue(w.alternative.key).expectedHold()
-	if preferFirst {
-		if p := b.tryAcquireFrom(now, w, w.need, v); p != nil {
-			return p
-		}
-	}
 	altView := b.choose(now, *w.alternative)
-	if v.ejected && altView.ejected {
-		if p := b.tryAcquireFrom(now, w, w.need, v); p != nil {
+	if preferAlternative(v, altView) {
+		if p := b.tryAcquireFrom(now, w, *w.alternative, altView); p != nil || altView.ejected != v.ejected {
 			return p
 		}
+		return b.tryAcquireFrom(now, w, w.need, v)
 	}
-	if !altView.ejected || v.ejected {
-		if p := b.tryAcquireFrom(now, w, *w.alternative, altView); p != nil {
-			return p
-		}
+	if p := b.tryAcquireFrom(now, w, w.need, v); p != nil || altView.ejected != v.ejected {
+		return p
 	}
-	if preferFirst || v.ejected {
-		return nil
+	return b.tryAcquireFrom(now, w, *w.alternative, altView)
+}
+
+// preferAlternative reports whether the alternative queue is predicted to serve a
+// request sooner than the first. Ejected backend servers come last.
+func preferAlternative(first, alternative view) bool {
+	if first.ejected != alternative.ejected {
+		return first.ejected && alternative.usable > 0
+	}
+	switch {
+	case alternative.server.ID == "":
+		return false
+	case first.server.ID == "":
+		return true
 	}
-	return b.tryAcquireFrom(now, w, w.need, v)
+	return alternative.forecast.Finish < first.forecast.Finish
 }
 
 // tryAcquireFrom issues a permit at the backend server of v. It returns nil if
 // there is none or this process has its share already. b.mu must be held.
 func (b *Broker) tryAcquireFrom(now time.Time, w *waiter, n need, v view) *permit {
 	q := b.queue(n.key)
-	if v.server.ID == "" || !q.mayAcquire(now, v, b.Seed) {
+	if v.server.ID == "" {
 		return nil
 	}
+	// A coordinator decides for all, so that there is nothing to share.
+	if !b.coordinates(n.key) && !q.mayAcquire(now, v, n.size(), b.Seed) {
+		return nil
+	}
+	p := &permit{broker: b, need: n, server: v.server, since: now, units: n.size(), ahead: v.ahead}
+	if n.key.prefills() {
+		p.units = max(v.forecast.Tokens, 1)
+		p.forecast = v.forecast
+	}
 	if w.requester.process != "" {
-		return b.grant(now, q, v.server, n, w.requester)
+		p.requester = w.requester
+		b.grant(q, p)
+		return p
 	}
-	p := b.issue(now, q, v.server, n)
 	p.waited = now.Sub(w.since)
+	b.issue(q, p)
 	return p
 }
 
 // issue issues a permit to this process. b.mu must be held.
-func (b *Broker) issue(now time.Time, q *queue, server roster.Server, n need) *permit {
-	b.Usage.Start(now, server, n.key.work)
-	p := &permit{broker: b, need: n, server: server, since: now}
+func (b *Broker) issue(q *queue, p *permit) {
+	b.Usage.Start(p.since, p.server, p.need.key.work)
+	if p.need.key.prefills() {
+		b.Usage.StartPrefill(p.server, p.units)
+		b.startPrefill(p)
+	}
+	q.add(p)
+}
+
+// add adds a permit to those of the queue.
+func (q *queue) add(p *permit) {
 	if q.permits == nil {
 		q.permits = map[*permit]bool{}
 	}
 	q.permits[p] = true
-	return p
+	q.held += p.units
+}
+
+// waitingUnits returns the units that the waiters need.
+func (q *queue) waitingUnits() int {
+	sum := 0
+	for _, w := range q.waiting {
+		sum += w.need.size()
+	}
+	return sum
 }
 
 // expectedHold returns for how long, in seconds, a permit is expected to be
@@ -282,45 +334,64 @@
 // hasAhead reports whether waiters of the same or a higher priority are queued.
 func (q *queue) hasAhead(n need) bool { return q.ahead(n) > 0 }
 
-// expectedWait returns how long a request with the view v is expected to wait
-// behind the given number of waiters and those of the peers. b.mu must be held.
-func (b *Broker) expectedWait(now time.Time, w *waiter, v view, ahead int) time.Duration {
-	rate := float64(v.capacity) / b.queue(w.need.key).expectedHold()
+// throughput returns how many units per second the backend servers that can serve
+// the waiter complete, those of the alternative queue included, and how many units
+// of the peers wait. b.mu must be held.
+func (b *Broker) throughput(now time.Time, w *waiter) (rate float64, peersWaiting int) {
+	v := b.choose(now, w.need)
+	rate = v.rate
 	if w.alternative != nil {
 		altView := b.choose(now, *w.alternative)
-		altRate := float64(altView.capacity) / b.queue(w.alternative.key).expectedHold()
 		switch {
 		case v.ejected && !altView.ejected:
-			rate = altRate
+			rate = altView.rate
 		case v.ejected == altView.ejected:
-			rate += altRate
+			rate += altView.rate
 		}
 	}
-	if rate == 0 {
-		return math.MaxInt64
+	if rate == 0 && v.usable > 0 {
+		// Nothing is known about the engines yet.
+		rate = float64(v.usable*w.need.size()) / initialHold
+	}
+	return rate, v.peerLoad.Waiting
+}
+
+// expectedWait returns how long it takes to complete the units at a rate per second.
+func expectedWait(units int, rate float64) time.Duration {
+	if rate <= 0 {
+		return maxExpectedWait
 	}
-	return time.Duration(float64(ahead+1+v.peerLoad.Waiting) / rate * float64(time.Second))
+	return time.Duration(min(float64(units)/rate, maxExpectedWait.Seconds()) * float64(time.Second))
 }
 
-// ahead counts the waiters of the same or a higher priority.
+// maxExpectedWait bounds the expected wait. It is longer than any timeout.
+const maxExpectedWait = time.Hour
+
+// ahead counts the units of the waiters of the same or a higher priority.
 func (q *queue) ahead(n need) int {
-	count := 0
+	sum := 0
 	for _, other := range q.waiting {
 		if other.need.priority <= n.priority {
-			count++
+			sum += other.need.size()
 		}
 	}
-	return count
+	return sum
 }
 
 // rejectLate rejects the waiters whose total wait is now expected to exceed
 // maxWait, so that their clients can retry early. b.mu must be held.
 func (b *Broker) rejectLate(now time.Time, key queueKey) {
 	q := b.queue(key)
+	if len(q.waiting) == 0 {
+		return
+	}
 	kept := q.waiting[:0]
-	for i, w := range q.waiting {
+	rate, ahead := b.throughput(now, q.waiting[0])
+	for _, w := range q.waiting {
 		waited := now.Sub(w.since)
-		if waited+b.expectedWait(now, w, b.choose(now, w.need), i) > w.need.maxWait+waitSlack {
+		ahead += w.need.size()
+		expected := expectedWait(ahead, rate)
+		if waited+expected > w.need.maxWait+waitSlack {
 			w.deliver(nil, errOverloaded)
 			continue
 		}
@@ -372,10 +443,32 @@
 	b.mu.Lock()
 	b.elect()
 	b.expireGrants(now)
+	b.sweepKept(now)
 	b.mu.Unlock()
 	b.Dispatch(now)
 }
 
+// sweepKept forgets the predicted caches of engines that have left. b.mu must be
+// held.
+func (b *Broker) sweepKept(now time.Time) {
+	t := b.Table()
+	if t == nil || now.Sub(b.keptSwept) < keptSweepInterval {
+		return
+	}
+	b.keptSwept = now
+	present := map[uint64]bool{}
+	for name := range t.Services {
+		for _, s := range b.Roster.Service(name) {
+			present[s.Key()] = true
+		}
+	}
+	b.kept.Retain(func(engine uint64) bool { return present[engine] })
+	maps.DeleteFunc(b.progress, func(engine uint64, _ time.Time) bool { return !present[engine] })
+}
+
+// keptSweepInterval is the period of sweepKept.
+const keptSweepInterval = 5 * time.Second
+
 // Dispatch issues free permits in all queues and rejects late waiters. Tick calls
 // it because ejections end after some time; call it also after changes to the
 // backend servers.
@@ -400,6 +493,15 @@
 	since    time.Time
 	waited   time.Duration
 	released bool
+	// units is how much of the queue's capacity the permit takes: 1, or for a
+	// prefill the tokens to be prefilled, and 0 once the prefill has ended.
+	// ahead is how many tokens the engine had to prefill before, forecast the
+	// prediction for the prefill.
+	units, ahead int
+	forecast     assign.Forecast
+	// fetch is the address of an engine from which the prefix is fetched; it is
+	// invalid if none is known.
+	fetch netip.AddrPort
 	// abort cancels the attempt so that the request can be retried on another
 	// backend server; nil if it cannot.
 	abort func()
@@ -420,10 +522,11 @@
 	p.released = true
 	now := time.Now()
 	b := p.broker
+	p.finishPrefill(result.Prefilled)
 	result.Work = p.need.key.work
 	b.Usage.End(now, p.server, result)
 	if p.coordinator != "" {
-		b.releaseRemote(p, PermitRelease{p.number, result.Verdict, result.LatencyRatio})
+		b.releaseRemote(p, PermitRelease{Number: p.number, Verdict: result.Verdict, Prefilled: result.Prefilled})
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -435,17 +538,25 @@
 func (b *Broker) free(now time.Time, p *permit, result usage.Result) {
 	q := b.queue(p.need.key)
 	delete(q.permits, p)
+	q.held -= p.units
+	p.units = 0
 	p.abort = nil
 	if result.Verdict == usage.OK {
 		q.holdTime += holdWeight * (now.Sub(p.since).Seconds() - q.holdTime)
 	}
+	b.serveFreed(now, p.need.key)
+}
+
+// serveFreed serves the queues that can use capacity of the queue with the key.
+// b.mu must be held.
+func (b *Broker) serveFreed(now time.Time, key queueKey) {
 	// Short work is served first, since slots are reserved for it. Requests
 	// that wait for a prefill engine can also use a permit of a decode engine.
 	for work := usage.Short; work <= usage.LocalPrefill; work++ {
-		b.serveIfWaiting(now, queueKey{p.need.key.service, p.need.key.role, work})
+		b.serveIfWaiting(now, queueKey{key.service, key.role, work})
 	}
-	if p.need.key.role == roster.Decode {
-		b.serveIfWaiting(now, queueKey{p.need.key.service, roster.Prefill, usage.Short})
+	if key.role == roster.Decode {
+		b.serveIfWaiting(now, queueKey{key.service, roster.Prefill, usage.Short})
 	}
 }
 
@@ -463,7 +574,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, q := range b.queues {
-		load := peers.Load{Running: len(q.permits) - q.granted, Waiting: len(q.waiting), Granted: q.remote}
+		load := peers.Load{Running: q.held - q.granted, Waiting: q.waitingUnits(), Granted: q.remote}
 		if load != (peers.Load{}) {
 			do(key.hash(), load)
 		}
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -10,10 +10,13 @@
 var errNoDecision = errors.New("the coordinator gave no usable decision")
 
 const (
-	// coordinatorTimeout is how long to wait for the first decision of a
+	// coordinatorTimeout is the shortest time to wait for the first decision of a
 	// coordinator. It covers a round trip between availability zones and the
-	// delay of a busy processor.
+	// delay of a busy processor. A request with a longer latency target waits
+	// for decisionShare of that: what this process decides by itself it decides
+	// without knowing the engines' KV caches.
 	coordinatorTimeout = 15 * time.Millisecond
+	decisionShare      = 0.125
 	// coordinatorBackoff is how long a coordinator is not used after it did not
 	// respond.
 	coordinatorBackoff = 250 * time.Millisecond
@@ -25,8 +28,8 @@
 	// pending has the permit requests without a final decision, by number.
 	pending    map[uint64]*pendingRequest
 	lastNumber uint64
-	// remoteByEngine counts the permits granted by coordinators, by engine key.
-	remoteByEngine map[uint64]int
+	// remoteByEngine sums the permits granted by coordinators, by engine key.
+	remoteByEngine map[uint64]Grants
 	// avoided has the coordinators that did not respond, and until when they
 	// are not used.
 	avoided map[string]time.Time
@@ -71,11 +74,12 @@
 	p := &pendingRequest{coordinator, make(chan PermitGrant, 2)}
 	number := b.register(p)
 	b.Coordination.Request(coordinator, PermitRequest{
-		Number: number, Request: j.request.ID, Service: n.key.service, PrefixHash: n.prefixHash, Priority: n.priority,
-		StartWithin: time.Until(n.startBy), MaxWait: n.maxWait, TimeLeft: time.Until(j.deadline), Excluded: b.unusable(start, n),
+		Number: number, Request: j.request.ID, Service: n.key.service, PrefixHash: n.prompt.PrefixHash,
+		OwnTokens: n.prompt.Own, SharedTokens: n.prompt.Shared, Chain: n.chain, Priority: n.priority,
+		Target: n.target, StartWithin: time.Until(n.startBy), MaxWait: n.maxWait, TimeLeft: time.Until(j.deadline), Excluded: b.unusable(start, n),
 	})
 	b.Meters.Add("PlacesRequested", 1)
-	timer := time.NewTimer(coordinatorTimeout)
+	timer := time.NewTimer(max(coordinatorTimeout, time.Duration(decisionShare*float64(n.target))))
 	defer timer.Stop()
 	queued := false
 	for {
@@ -123,13 +127,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q := b.queue(n.key)
-	p := b.issue(now, q, server, n)
+	p := &permit{broker: b, need: n, server: server, since: now, units: n.size()}
 	p.coordinator, p.number, p.waited = coordinator, g.Number, now.Sub(start)
-	q.remote++
+	b.issue(q, p)
+	p.fetch = g.Fetch
+	q.remote += p.units
 	if b.remoteByEngine == nil {
-		b.remoteByEngine = map[uint64]int{}
+		b.remoteByEngine = map[uint64]Grants{}
 	}
-	b.remoteByEngine[server.Key()]++
+	addGrant(b.remoteByEngine, server.Key(), Grants{1, 1, p.units})
 	return p, nil
 }
 
@@ -138,10 +144,7 @@
 	b.Coordination.Release(p.coordinator, r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.queue(p.need.key).remote--
-	if b.remoteByEngine[p.server.Key()]--; b.remoteByEngine[p.server.Key()] <= 0 {
-		delete(b.remoteByEngine, p.server.Key())
-	}
+	addGrant(b.remoteByEngine, p.server.Key(), Grants{-1, 0, 0})
 }
 
 // register adds a permit request and returns its number.
@@ -218,9 +221,9 @@
 	return list
 }
 
-// GrantsHeld returns the number of permits at an engine that coordinators have
+// GrantsHeld returns the sum of the permits at an engine that coordinators have
 // granted to this process.
-func (b *Broker) GrantsHeld(server uint64) int {
+func (b *Broker) GrantsHeld(server uint64) Grants {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.remoteByEngine[server]
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -8,10 +8,8 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/event"
@@ -19,22 +17,12 @@
 )
 
 const (
-	// prefillPerSlot and decodePerSlot are the number of permits per slot of an
-	// engine in each stage, including those for requests that wait at the
-	// engine.
-	prefillPerSlot = 0.75
-	decodePerSlot  = 1.25
-	// The affinities weigh locality of the prompt prefix against load. They are
-	// low for prefill and local prefill, where the prefix's KV cache can be
-	// fetched, and higher for decode, which determines where it is stored.
-	prefillAffinity      = 0.05
-	decodeAffinity       = 0.13
-	localPrefillAffinity = 0.04
-	// smallPrompt is the number of tokens up to which a prompt is prefilled by
-	// the decode engine.
-	smallPrompt = 512
-	// releaseTimeout bounds the release of an unused KV cache.
-	releaseTimeout = time.Second
+	// decodePerSlot is the number of permits per slot of a decode engine,
+	// including those for requests that wait at the engine.
+	decodePerSlot = 1.25
+	// decodeAffinity weighs locality of the prompt prefix against load. The
+	// choice determines where the KV cache of the prefix is kept.
+	decodeAffinity = 0.13
 )
 
 // servePrompt serves a request with a prompt, disaggregated or colocated.
@@ -62,7 +50,7 @@
 		c := j.newCall()
 		c.Source = source
 		if p.need.key.work == usage.LocalPrefill {
-			c.Fetch = j.broker.preferredEngine(time.Now(), j.service.Name, j.hashPrefix(), p.server)
+			c.Fetch = j.fetchSource(p)
 		}
 		f := j.attempt(p, c)
 		if f == nil {
@@ -79,30 +67,12 @@
 	}
 }
 
-// prefillNeeds returns the needs for a prefill: the first for a prefill engine,
-// the second for a decode engine that prefills locally.
-func prefillNeeds(service string, prefixHash uint64) (prefill, localPrefill need) {
-	prefill = need{key: queueKey{service, roster.Prefill, usage.Short}, perSlot: prefillPerSlot, prefixHash: prefixHash, affinity: prefillAffinity}
-	localPrefill = need{key: queueKey{service, roster.Decode, usage.LocalPrefill}, perSlot: decodePerSlot, prefixHash: prefixHash, affinity: localPrefillAffinity}
-	return prefill, localPrefill
-}
-
-// prefillNeeds returns the needs of the request's prefill, with its priority and
-// times.
-func (j *job) prefillNeeds() (prefill, localPrefill need) {
-	prefill, localPrefill = prefillNeeds(j.service.Name, j.hashPrefix())
-	prefill, localPrefill = j.withTiming(prefill), j.withTiming(localPrefill)
-	// The stages after the permit also take time, which counts towards the latency
-	// target.
-	prefill.startBy = prefill.startBy.Add(-j.broker.expectedStart(j.service.Name))
-	return prefill, localPrefill
-}
-
 // decodeNeed returns the need for a permit at a decode engine. Long requests
 // may wait longer.
 func (j *job) decodeNeed() need {
 	n := j.need(roster.Decode, j.broker.workKind(j.route.Name, j.request.MaxOutputTokens), decodePerSlot)
-	n.prefixHash, n.affinity = j.hashPrefix(), decodeAffinity
+	n.prompt, n.chain = j.prompt()
+	n.affinity = decodeAffinity
 	if n.key.work == usage.Long {
 		n.maxWait = max(n.maxWait, time.Duration(longMaxWaitShare*float64(time.Until(j.deadline))))
 	}
@@ -162,107 +132,6 @@
 	b.routeHolds[route] = holdTime + holdWeight*(took.Seconds()-holdTime)
 }
 
-// hashPrefix returns the hash of the prompt's prefix, which is all parts but
-// the last. It is 0 if there is none.
-func (j *job) hashPrefix() uint64 {
-	if len(j.request.Parts) < 2 {
-		return 0
-	}
-	var d xxhash.Digest
-	d.Reset()
-	for _, p := range j.request.Parts[:len(j.request.Parts)-1] {
-		if _, err := d.WriteString(p.ID + ","); err != nil {
-			return 0
-		}
-	}
-	return d.Sum64() | 1
-}
-
-// prefillPrompt prefills the prompt if it is not small. It returns the KV cache
-// of a prefill engine, or a permit at a decode engine that prefills locally;
-// neither if the prompt is small or no engine prefills. It returns false if the
-// request has ended.
-func (j *job) prefillPrompt() (KVSource, *permit, bool) {
-	if j.request.PromptTokens <= smallPrompt {
-		return KVSource{}, nil, true
-	}
-	for {
-		p, err := j.acquirePrefill()
-		if errors.Is(err, errNoServer) {
-			return KVSource{}, nil, true
-		}
-		if err != nil {
-			j.giveUp(err)
-			return KVSource{}, nil, false
-		}
-		if p.need.key.work == usage.LocalPrefill {
-			return KVSource{}, p, true
-		}
-		j.waited += p.waited
-		source, f := j.prefill(p)
-		if f == nil {
-			return source, nil, true
-		}
-		// A failed prefill counts as an attempt.
-		j.attempts++
-		if !j.prepareRetry(p.server, f) {
-			return KVSource{}, nil, false
-		}
-	}
-}
-
-// prefill computes the prompt's KV cache on the engine of the permit, which it
-// releases.
-func (j *job) prefill(p *permit) (KVSource, *failure) {
-	start := time.Now()
-	c := j.newCall()
-	c.Fetch = j.broker.preferredEngine(start, j.service.Name, j.hashPrefix(), p.server)
-	j.broker.Log.Info("prefill placed", zap.String("Request", j.request.ID), zap.String("Route", j.route.Name),
-		zap.Uint64("Version", j.table.Version), zap.String("Server", p.server.ID), zap.Int64("Born", p.server.Born),
-		zap.Int("Prompt", j.request.PromptTokens), zap.Duration("Waited", p.waited), zap.String("Coordinator", p.coordinator),
-		zap.Stringer("Fetch", c.Fetch))
-	ctx, cancel := context.WithCancelCause(j.ctx)
-	defer cancel(nil)
-	if j.attempts+1 < j.route.Attempts {
-		j.broker.setAbort(p, func() { cancel(errStalled) })
-	}
-	source, response, err := j.broker.Servers.Prefill(ctx, p.server, c)
-	took := time.Since(start)
-	j.stages = append(j.stages, zap.Duration("Prefill", took), zap.String("PrefillServer", p.server.ID))
-	if err == nil && response == nil {
-		j.prefilledBy = p.server
-		p.release(usage.Result{Verdict: usage.OK, LatencyRatio: j.broker.latencyRatio(p.need.key, took)})
-		return source, nil
-	}
-	// A failed prefill never means that the request has run.
-	f := &failure{outcome: retry.NotRun, reason: serverLost, err: err, retryCharged: errors.Is(context.Cause(ctx), errStalled)}
-	if response != nil {
-		f.reason, f.err = serverRefused, newStatusError(response)
-		response.Body.Close()
-	}
-	f.dialFailed = err != nil && call.StageOf(err) == call.StageDialing
-	verdict := j.verdict(f)
-	if err != nil && verdict == usage.Unreachable && call.StageOf(err) != call.StageDialing {
-		verdict = usage.Failed
-	}
-	p.release(usage.Result{Verdict: verdict})
-	return KVSource{}, f
-}
-
-// releaseKV releases a KV cache that will not be used, in the background.
-func (j *job) releaseKV(source KVSource) {
-	if source.Handle == "" {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		if err := j.broker.Servers.Release(ctx, source); err != nil {
-			j.broker.Log.Info("release of a prompt's unused KV cache failed", zap.String("Request", j.request.ID), zap.Error(err))
-		}
-	}()
-}
-
 // relayStream relays a stream of events. A stream that breaks is resumed on
 // another engine if its route allows that. It returns a failure only if the
 // client has received nothing yet.
@@ -282,10 +151,12 @@
 		}
 		if err == nil {
 			j.broker.Usage.MarkActive(time.Now(), p.server)
+			j.measureGap(time.Now())
 		}
 		if err == nil && !started {
 			started = true
 			j.broker.clearAbort(p)
+			p.endPrefill()
 			if c.Source.Handle != "" {
 				j.broker.Usage.RecordTransfer(time.Now(), j.prefilledBy, time.Since(p.since))
 			}
@@ -302,6 +173,14 @@
 	}
 }
 
+// measureGap records the time of an event.
+func (j *job) measureGap(now time.Time) {
+	if !j.lastEvent.IsZero() {
+		j.longestGap = max(j.longestGap, now.Sub(j.lastEvent))
+	}
+	j.lastEvent = now
+}
+
 // relayEvent sends an event to the client, and before the first one the header.
 func (j *job) relayEvent(response *Response, e event.Event) error {
 	if err := j.sendHeader(response); err != nil {
--- a/internal/node/core/coordinate.go
+++ b/internal/node/core/coordinate.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/fleet/kept"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/node/broker"
 	"ebonyscale.example/ebonyscale/internal/node/ring"
@@ -41,24 +43,34 @@
 
 // Request implements broker.Coordination.
 func (c *coordination) Request(to string, r broker.PermitRequest) {
+	prefixes, tokens := make([]uint64, len(r.Chain)), make([]uint32, len(r.Chain))
+	for i, p := range r.Chain {
+		prefixes[i], tokens[i] = p.Hash, uint32(p.Tokens)
+	}
 	c.push(to, &wire.News{PlaceRequests: []*wire.PlaceRequest{{
 		Number: r.Number, Request: r.Request, Service: r.Service, Share: r.PrefixHash, Rank: int32(r.Priority),
 		AimMicroseconds: r.StartWithin.Microseconds(), PatienceMicroseconds: r.MaxWait.Microseconds(),
 		LimitMicroseconds: r.TimeLeft.Microseconds(), Excluded: r.Excluded,
+		OwnTokens: uint32(r.OwnTokens), SharedTokens: uint32(r.SharedTokens), TargetMicroseconds: r.Target.Microseconds(),
+		Prefixes: prefixes, PrefixTokens: tokens,
 	}}})
 }
 
 // Grant implements broker.Coordination.
 func (c *coordination) Grant(to string, g broker.PermitGrant) {
+	fetch := ""
+	if g.Fetch.IsValid() {
+		fetch = g.Fetch.String()
+	}
 	c.push(to, &wire.News{PlaceGrants: []*wire.PlaceGrant{{
-		Number: g.Number, Answer: uint32(g.Status), Server: g.ID, Born: g.Born, Reading: g.LocalPrefill,
+		Number: g.Number, Answer: uint32(g.Status), Server: g.ID, Born: g.Born, Reading: g.LocalPrefill, Fetch: fetch,
 	}}})
 }
 
 // Release implements broker.Coordination.
 func (c *coordination) Release(to string, r broker.PermitRelease) {
 	c.push(to, &wire.News{PlaceReleases: []*wire.PlaceRelease{{
-		Number: r.Number, Verdict: uint32(r.Verdict), Slowness: float32(r.LatencyRatio),
+		Number: r.Number, Verdict: uint32(r.Verdict), Prefilled: r.Prefilled, Kept: r.Kept,
 	}}})
 }
 
@@ -85,16 +97,32 @@
 			Number: q.Number, Request: q.Request, Service: q.Service, PrefixHash: q.Share, Priority: int(q.Rank),
 			StartWithin: microseconds(q.AimMicroseconds), MaxWait: microseconds(q.PatienceMicroseconds),
 			TimeLeft: microseconds(q.LimitMicroseconds), Excluded: q.Excluded,
+			OwnTokens: int(q.OwnTokens), SharedTokens: int(q.SharedTokens), Target: microseconds(q.TargetMicroseconds),
+			Chain: chainOf(q),
 		})
 	}
 	for _, g := range message.PlaceGrants {
+		// An address that is missing or cannot be parsed is invalid, so that
+		// nothing is fetched.
+		fetch, _ := netip.ParseAddrPort(g.Fetch)
 		n.Broker.HandleGrant(message.From, broker.PermitGrant{
-			Number: g.Number, Status: broker.Decision(g.Answer), ID: g.Server, Born: g.Born, LocalPrefill: g.Reading,
+			Number: g.Number, Status: broker.Decision(g.Answer), ID: g.Server, Born: g.Born, LocalPrefill: g.Reading, Fetch: fetch,
 		})
 	}
 	for _, r := range message.PlaceReleases {
-		n.Broker.HandleRelease(message.From, broker.PermitRelease{Number: r.Number, Verdict: usage.Verdict(r.Verdict), LatencyRatio: float64(r.Slowness)})
+		n.Broker.HandleRelease(message.From, broker.PermitRelease{
+			Number: r.Number, Verdict: usage.Verdict(r.Verdict), Prefilled: r.Prefilled, Kept: r.Kept,
+		})
+	}
+}
+
+// chainOf returns the prefixes of a permit request.
+func chainOf(q *wire.PlaceRequest) []kept.Part {
+	chain := make([]kept.Part, min(len(q.Prefixes), len(q.PrefixTokens)))
+	for i := range chain {
+		chain[i] = kept.Part{Hash: q.Prefixes[i], Tokens: int(q.PrefixTokens[i])}
 	}
+	return chain
 }
 
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -66,12 +66,14 @@
 	message := &wire.News{From: n.Name, Incarnation: n.incarnation, TableVersion: n.Version(), Stopping: n.stopping.Load()}
 	n.usage.Each(func(id string, born int64, snapshot usage.Snapshot) {
 		message.Loads = append(message.Loads, &wire.ServerLoad{
-			Server: roster.Key(id, born), Running: uint32(snapshot.Running), Long: uint32(snapshot.Long), Reading: uint32(snapshot.LocalPrefills),
+			Server: roster.Key(id, born), Running: uint32(snapshot.Running), Long: uint32(snapshot.Long), Reading: uint32(snapshot.Prefills),
+			Tokens: uint32(snapshot.PrefillTokens),
 		})
 	})
 	message.Loads = busiest(message.Loads)
 	for _, l := range message.Loads {
-		l.Granted = uint32(n.Broker.GrantsHeld(l.Server))
+		held := n.Broker.GrantsHeld(l.Server)
+		l.Granted, l.GrantedReading, l.GrantedTokens = uint32(held.Requests), uint32(held.Prefills), uint32(held.Tokens)
 	}
 	n.Broker.Queues(func(hash uint64, load peers.Load) {
 		message.Lines = append(message.Lines, &wire.LineLoad{
@@ -93,7 +95,7 @@
 	// maxLoads bounds the backend servers in a status message to those with the
 	// most requests. It and maxDepartures keep the message within one packet,
 	// which is lost less often than a fragmented datagram.
-	maxLoads = 48
+	maxLoads = 28
 	// maxDepartures bounds the departures in a status message. Half of them are
 	// the newest, the other half cycles through the older ones, so that each is
 	// sent a few times before it expires.
@@ -164,11 +166,6 @@
 			n.handleChanges([]roster.Change{c})
 		}
 	}
-	if n.peers.Live() <= peers.MaxUncoordinated {
-		// With more processes, messages arrive too often to dispatch after
-		// each; the next tick does.
-		n.Broker.Dispatch(now)
-	}
 }
 
 const (
--- a/internal/node/core/status_test.go
+++ b/internal/node/core/status_test.go
@@ -23,6 +23,7 @@
 		n.recordDeparture(roster.Change{Kind: roster.Left, Server: s, Removed: uint64(1_000_000 + i)})
 		for range 1 + i%3 {
 			n.usage.Start(time.Now(), s, usage.LocalPrefill)
+			n.usage.StartPrefill(s, 40_000)
 		}
 	}
 	sent := map[string]bool{}
--- /dev/null
+++ b/internal/route/assign/prefill.go
@@ -0,0 +1,215 @@
+package assign
+
+import (
+	"math"
+	"time"
+)
+
+// Engine is an engine that can prefill a prompt, with its load as this process
+// estimates it.
+type Engine struct {
+	// Hash is a hash of the engine's ID. It must be the same in all processes.
+	Hash uint64
+	// Backlog is how many prompt tokens of all processes are still to be
+	// prefilled there.
+	Backlog int
+	// Prefills is how many prompts these tokens belong to. Progress is how long ago
+	// the engine began the first of them or completed another.
+	Prefills int
+	Progress time.Duration
+	// Base is the estimated time that any prefill occupies the engine, Rate how
+	// many tokens per second it prefills beyond that; 0 if unknown.
+	Base time.Duration
+	Rate float64
+	// Cached is how many tokens of the prompt's prefix the engine is known to
+	// have in its KV cache once it has done the prefills ahead.
+	Cached int
+	// Delay is the time from the end of the prefill to the first event, apart
+	// from what every engine needs.
+	Delay time.Duration
+	// Full is set if the engine has no free slot for another prefill.
+	Full bool
+	// Suspect, OwnRunning, Ejected and Excluded have the meaning of Candidate.
+	Suspect           bool
+	OwnRunning        int
+	Ejected, Excluded bool
+}
+
+// Prompt has the properties of a prompt on which the choice of an engine depends.
+type Prompt struct {
+	// PrefixHash is the hash of the prefix that the prompt shares with others; 0
+	// if there is none.
+	PrefixHash uint64
+	// Own are the tokens behind the prefix, Shared those of the prefix.
+	Own, Shared int
+	// Fetchable is how many tokens of the prefix an engine can fetch from another.
+	Fetchable int
+	// AssumePreferred is set if this process does not know what the engines have
+	// in their KV caches. The preferred engine of the prefix, the one with the
+	// lowest rendezvous score, is then assumed to have the prefix.
+	AssumePreferred bool
+	// Window is the longest predicted wait at an engine. An engine without a
+	// prefill is available regardless.
+	Window time.Duration
+	// Longest bounds the predicted time of all prefills at an engine, this one
+	// included; 0 means no bound. A prefill interrupts the streams of an engine
+	// for its own time at most.
+	Longest time.Duration
+}
+
+// Forecast is the engine chosen for a prompt and its predicted times.
+type Forecast struct {
+	// Index is that of the engine, or -1 if none is available.
+	Index int
+	// Tokens is the expected work of the engine, in tokens to prefill. Cached is
+	// how many tokens it is expected to have in its KV cache, Fetched how many
+	// it is expected to fetch.
+	Tokens, Cached, Fetched int
+	// Wait is the predicted time until the prefill begins, Finish the predicted
+	// time until the first event, apart from what every engine needs. Both are
+	// 0 if nothing is known about the engines' rates.
+	Wait, Finish time.Duration
+}
+
+// fetchCost is the expected cost of a prefix that an engine has to fetch, as a
+// fraction of its prefill: the engine it is fetched from may have dropped it.
+const fetchCost = 0.25
+
+// Prefill chooses the engine that is predicted to finish the prefill of the prompt
+// first. It answers loads of prompts that differ much in length, on engines that
+// differ in speed: what counts is the time that the work ahead takes, not the
+// number of requests. Tokens in the engine's KV cache take no time, tokens that it
+// fetches a fraction. An engine whose times are unknown is assumed to have the
+// average times of the others.
+func Prefill(engines []Engine, p Prompt) Forecast {
+	allEjected := true
+	for _, e := range engines {
+		allEjected = allEjected && (e.Ejected || e.Excluded)
+	}
+	average := Average(engines)
+	preferred := -1
+	if p.AssumePreferred {
+		preferred = preferredEngine(engines, p.PrefixHash, allEjected)
+	}
+	best := Forecast{Index: -1}
+	for i, e := range engines {
+		if !e.available(allEjected) {
+			continue
+		}
+		e = e.Or(average)
+		if i == preferred {
+			e.Cached = p.Shared
+		}
+		f := e.forecast(p)
+		f.Index = i
+		if e.Prefills > 0 && (e.Rate == 0 || f.Wait > p.Window) || p.Longest > 0 && f.Finish-e.Delay > p.Longest {
+			continue
+		}
+		if best.Index < 0 || f.before(best) {
+			best = f
+		}
+	}
+	return best
+}
+
+// available reports whether the engine can be chosen. allEjected is whether every
+// engine is ejected or excluded.
+func (e Engine) available(allEjected bool) bool {
+	return !e.Excluded && !e.Full && (!e.Ejected || allEjected) && (!e.Suspect || e.OwnRunning == 0)
+}
+
+// Or returns the engine with the times of o if its own are unknown.
+func (e Engine) Or(o Engine) Engine {
+	if e.Rate == 0 {
+		e.Base, e.Rate = o.Base, o.Rate
+	}
+	return e
+}
+
+// occupied returns how long the prefill of the tokens occupies the engine, 0 if its
+// times are unknown.
+func (e Engine) occupied(tokens int) time.Duration { return e.Base + timeFor(tokens, e.Rate) }
+
+// wait predicts how long the prefills ahead still occupy the engine. They have made
+// progress since the last completion, at most half of their time: an engine that
+// completes nothing makes none.
+func (e Engine) wait() time.Duration {
+	total := time.Duration(e.Prefills)*e.Base + timeFor(e.Backlog, e.Rate)
+	return total - min(max(e.Progress, 0), total/2)
+}
+
+// PerSecond returns how many tokens per second the engine prefills if each prompt
+// has so many; 0 if its times are unknown.
+func (e Engine) PerSecond(tokens int) float64 {
+	if e.Rate <= 0 || tokens <= 0 {
+		return 0
+	}
+	return float64(tokens) / e.occupied(tokens).Seconds()
+}
+
+// forecast predicts the prefill of a prompt by the engine.
+func (e Engine) forecast(p Prompt) Forecast {
+	cached := min(max(e.Cached, 0), p.Shared)
+	fetched := max(min(p.Fetchable, p.Shared)-cached, 0)
+	f := Forecast{Tokens: p.Own + p.Shared - cached - fetched + int(fetchCost*float64(fetched)), Cached: cached, Fetched: fetched}
+	f.Wait = e.wait()
+	f.Finish = f.Wait + e.occupied(f.Tokens) + e.Delay
+	return f
+}
+
+// before reports whether f is better than o: it finishes earlier, or there are
+// fewer tokens to prefill.
+func (f Forecast) before(o Forecast) bool {
+	if f.Finish != o.Finish {
+		return f.Finish < o.Finish
+	}
+	return f.Tokens < o.Tokens
+}
+
+// maxTime bounds predicted times.
+const maxTime = time.Hour
+
+// timeFor returns the time for the tokens at a rate per second, 0 if the rate is 0.
+func timeFor(tokens int, rate float64) time.Duration {
+	if rate <= 0 || tokens <= 0 {
+		return 0
+	}
+	return time.Duration(min(float64(tokens)/rate, maxTime.Seconds()) * float64(time.Second))
+}
+
+// Average returns an engine with the averages of the known times.
+func Average(engines []Engine) Engine {
+	var sum Engine
+	timed := 0
+	for _, e := range engines {
+		if e.Rate > 0 {
+			sum.Base += e.Base
+			sum.Rate += e.Rate
+			timed++
+		}
+	}
+	if timed > 0 {
+		sum.Base /= time.Duration(timed)
+		sum.Rate /= float64(timed)
+	}
+	return sum
+}
+
+// preferredEngine returns the index of the engine with the lowest score for the
+// prefix hash, or -1 if there is no prefix. Ejected engines are skipped unless all
+// are.
+func preferredEngine(engines []Engine, prefixHash uint64, allEjected bool) int {
+	if prefixHash == 0 {
+		return -1
+	}
+	best, lowest := -1, math.Inf(1)
+	for i, e := range engines {
+		if e.Ejected && !allEjected {
+			continue
+		}
+		if score := Score(e.Hash, prefixHash); score < lowest {
+			best, lowest = i, score
+		}
+	}
+	return best
+}
