broker: the coordinator evaluates a service's engines once in 5 ms

For each prompt it computed keys, loads and caches of 140 engines several times over, and for each lookup of an engine by key hashed all of them.

Change: an engineSet per service, reused for 5 ms and kept up to date with the permits issued and released since; both queues are evaluated once for a waiter; prefixes are looked up once for all engines.

--- a/internal/fleet/kept/kept.go
+++ b/internal/fleet/kept/kept.go
@@ -131,13 +131,36 @@
 
 // Tokens returns how many tokens of the prefixes the engine is predicted to have
 // once it has done the prefills that were started.
-func (m *Map) Tokens(engine uint64, chain []Part) int {
-	sum := 0
+func (m *Map) Tokens(engine uint64, chain []Part) int { return m.Lookup(chain).Tokens(engine) }
+
+// Lookup has the engines that keep the prefixes of one prompt. It is valid until the
+// next change of the Map.
+type Lookup struct {
+	chain   []Part
+	holders []map[uint64]*list.Element
+}
+
+// Lookup looks up the prefixes of a prompt, to ask for many engines.
+func (m *Map) Lookup(chain []Part) Lookup {
+	l := Lookup{chain: chain}
 	for _, p := range chain {
-		if _, ok := m.holders[p.Hash][engine]; !ok {
+		holders := m.holders[p.Hash]
+		if len(holders) == 0 {
+			break
+		}
+		l.holders = append(l.holders, holders)
+	}
+	return l
+}
+
+// Tokens has the meaning of Map.Tokens.
+func (l Lookup) Tokens(engine uint64) int {
+	sum := 0
+	for i, holders := range l.holders {
+		if _, ok := holders[engine]; !ok {
 			break
 		}
-		sum += bounded(p.Tokens)
+		sum += bounded(l.chain[i].Tokens)
 	}
 	return sum
 }
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -40,6 +40,7 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/node/meter"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 )
 
@@ -214,6 +215,9 @@
 	// progress is when each engine last completed a prefill or began the first
 	// one, by engine key.
 	progress map[uint64]time.Time
+	// engineSets has the evaluated engines by service. engineBuffer is reused.
+	engineSets   map[string]*engineSet
+	engineBuffer []assign.Engine
 	coordinatorState
 	requesterState
 }
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -183,6 +183,7 @@
 	q.add(p)
 	q.granted += p.units
 	addGrant(b.grantedByEngine, p.server.Key(), Grants{1, 1, p.units})
+	b.adjustEngine(p.server, Grants{1, 1, p.units})
 	b.Meters.Add("PlacesGranted", 1)
 }
 
@@ -220,6 +221,7 @@
 	q.held -= p.units
 	q.granted -= p.units
 	addGrant(b.grantedByEngine, p.server.Key(), Grants{0, -1, -p.units})
+	b.adjustEngine(p.server, Grants{0, -1, -p.units})
 	p.units = 0
 }
 
--- /dev/null
+++ b/internal/node/broker/engines.go
@@ -0,0 +1,192 @@
+package broker
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
+)
+
+// engineSet has the engines of a service as they were evaluated at a time, with the
+// permits issued and released since. A coordinator evaluates hundreds of engines for
+// each prompt, so that it reuses a set for engineSetAge.
+type engineSet struct {
+	at      time.Time
+	prefill engineList
+	decode  engineList
+	// index has the engine of each key.
+	index map[uint64]*engineState
+	// hasPrefill is set if an engine that only prefills is not ejected.
+	hasPrefill bool
+}
+
+// engineList has the engines with one role.
+type engineList struct{ engines []*engineState }
+
+// engineState is an engine of a set.
+type engineState struct {
+	server roster.Server
+	// engine has everything but what depends on the prompt.
+	engine assign.Engine
+	// began is when the engine began the first of its prefills or last completed
+	// one.
+	began time.Time
+	// running counts the requests of all processes, limit bounds it.
+	running, limit int
+	// throughput is the share of the engine's throughput that this process may
+	// count on: less behind a slow link, or if silent peers may use the engine.
+	throughput float64
+	// fetchable is set if KV caches can be fetched from the engine.
+	fetchable bool
+}
+
+// engineSetAge is for how long a set is reused. Ejections and the loads that peers
+// report become visible after that time.
+const engineSetAge = 5 * time.Millisecond
+
+// list returns the engines with a role.
+func (s *engineSet) list(role roster.Role) []*engineState {
+	if role == roster.Prefill {
+		return s.prefill.engines
+	}
+	return s.decode.engines
+}
+
+// fetchable reports whether KV caches can be fetched from the engine with the key.
+func (s *engineSet) fetchable(key uint64) bool {
+	e, found := s.index[key]
+	return found && e.fetchable
+}
+
+// engineSet returns the engines of a service. b.mu must be held.
+func (b *Broker) engineSet(now time.Time, service string) *engineSet {
+	set, ok := b.engineSets[service]
+	if ok && !now.Before(set.at) && now.Sub(set.at) < engineSetAge {
+		return set
+	}
+	set = b.evaluateEngines(now, service)
+	if b.engineSets == nil {
+		b.engineSets = map[string]*engineSet{}
+	}
+	b.engineSets[service] = set
+	return set
+}
+
+// forgetEngines makes the next call of engineSet evaluate the engines anew. b.mu must
+// be held.
+func (b *Broker) forgetEngines() { clear(b.engineSets) }
+
+// evaluateEngines evaluates the engines of a service. b.mu must be held.
+func (b *Broker) evaluateEngines(now time.Time, service string) *engineSet {
+	servers := b.Roster.Service(service)
+	set := &engineSet{at: now, index: make(map[uint64]*engineState, len(servers))}
+	links := b.links(now, queueKey{service: service, role: roster.Prefill}, servers)
+	shares := map[string]float64{}
+	for _, s := range servers {
+		share, known := shares[s.Zone]
+		if !known {
+			share = b.zoneShare(s.Zone)
+			shares[s.Zone] = share
+		}
+		e := b.evaluateEngine(now, s, links, share)
+		set.index[e.engine.Key] = e
+		switch s.Role {
+		case roster.Prefill:
+			set.prefill.engines = append(set.prefill.engines, e)
+			set.hasPrefill = set.hasPrefill || !e.engine.Ejected
+		case roster.Decode:
+			set.decode.engines = append(set.decode.engines, e)
+		}
+	}
+	return set
+}
+
+// evaluateEngine combines the load of this process and its peers at an engine. share
+// is the share of its capacity that live processes may use. b.mu must be held.
+func (b *Broker) evaluateEngine(now time.Time, s roster.Server, links links, share float64) *engineState {
+	key := s.Key()
+	snapshot := b.Usage.Get(now, s)
+	peerLoad := b.withoutGrants(s.Service, b.Peers.Server(key))
+	granted := b.grantedByEngine[key]
+	e := &engineState{
+		server: s, began: b.progress[key], running: snapshot.Running + peerLoad.Running + granted.Requests,
+		limit: scaled(decodePerSlot*float64(s.Slots), share), throughput: share, fetchable: !snapshot.Unreachable && !snapshot.Stalled,
+		engine: assign.Engine{
+			Key: key, Hash: xxhash.Sum64String(s.ID),
+			Backlog:  max(snapshot.PrefillTokens+peerLoad.PrefillTokens+granted.Tokens, 0),
+			Prefills: max(snapshot.Prefills+peerLoad.Prefills+granted.Prefills, 0),
+			Base:     snapshot.Times.PrefillBase, Rate: snapshot.Times.PrefillRate,
+			Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted.Requests, Ejected: snapshot.Ejected,
+		},
+	}
+	if s.Role == roster.Prefill {
+		excess := links.excess(snapshot)
+		e.limit = scaled(prefillPerSlot*float64(s.Slots), share)
+		e.throughput = share * links.speed(excess)
+		e.engine.Delay = time.Duration(excess * float64(time.Second))
+	}
+	return e
+}
+
+// adjustEngine adds requests and prefills, which may be negative, to the load of an
+// engine since the set was evaluated. b.mu must be held.
+func (b *Broker) adjustEngine(s roster.Server, added Grants) {
+	set, ok := b.engineSets[s.Service]
+	if !ok {
+		return
+	}
+	e, ok := set.index[s.Key()]
+	if !ok {
+		return
+	}
+	e.running += added.Requests
+	e.engine.OwnRunning += added.Requests
+	e.engine.Prefills = max(e.engine.Prefills+added.Prefills, 0)
+	e.engine.Backlog = max(e.engine.Backlog+added.Tokens, 0)
+}
+
+// choosePrefill evaluates the engines for a prefill. b.mu must be held.
+func (b *Broker) choosePrefill(now time.Time, n need) view {
+	set := b.engineSet(now, n.key.service)
+	v := view{peerLoad: b.withoutGrants(n.key.service, b.Peers.Queue(n.key.hash())), ejected: true}
+	states := set.list(n.key.role)
+	lookup := b.kept.Lookup(n.chain)
+	engines := b.engineBuffer[:0]
+	for _, s := range states {
+		e := s.engine
+		e.Full, e.Excluded, e.Cached = s.running >= s.limit, n.excluded[s.server.ID], lookup.Tokens(e.Key)
+		e.Progress = now.Sub(s.began)
+		v.usable++
+		v.ejected = v.ejected && (e.Ejected || e.Excluded)
+		engines = append(engines, e)
+	}
+	b.engineBuffer = engines
+	prompt := n.prompt
+	prompt.Window = n.window()
+	prompt.AssumePreferred = b.elected[n.key.service] != ""
+	if n.key.work == usage.LocalPrefill && set.hasPrefill {
+		prompt.Longest = b.gapTarget(n.key.service)
+	}
+	_, prompt.Fetchable = b.kept.Holder(n.chain, 0, set.fetchable)
+	average := assign.Average(engines)
+	for i, e := range engines {
+		if e.Ejected && !v.ejected {
+			continue
+		}
+		rate := e.Or(average).PerSecond(n.size()) * states[i].throughput
+		v.rate += rate
+		v.capacity += max(int(math.Min(rate*prompt.Window.Seconds(), maxCapacity)), n.size())
+	}
+	v.forecast = assign.Prefill(engines, prompt)
+	if i := v.forecast.Index; i >= 0 {
+		v.server, v.ahead = states[i].server, engines[i].Backlog
+	}
+	return v
+}
+
+// maxCapacity bounds the tokens that one engine can take within the window.
+const maxCapacity = 1 << 30
--- a/internal/node/broker/links_test.go
+++ b/internal/node/broker/links_test.go
@@ -29,6 +29,12 @@
 	}
 }
 
+// chooseAnew is choose after changes that the broker was not told of.
+func (f *fixture) chooseAnew(now time.Time, n need) view {
+	f.forgetEngines()
+	return f.choose(now, n)
+}
+
 // promptOf returns the needs of a prompt without a prefix.
 func promptOf(tokens int) (prefill, localPrefill need) {
 	prefill, localPrefill = prefillNeeds("model", assign.Prompt{Own: tokens}, nil)
@@ -46,7 +52,7 @@
 		f.recordPrefills(id, 20*time.Millisecond, 100e3)
 	}
 	prefill, _ := promptOf(1000)
-	rate := func(now time.Time) float64 { return f.choose(now, prefill).rate }
+	rate := func(now time.Time) float64 { return f.chooseAnew(now, prefill).rate }
 
 	full := rate(now)
 	assert.InDelta(t, 2*1000/0.03, full, 100, "1,000 tokens take 20 and 10 ms at each engine")
@@ -57,14 +63,14 @@
 	f.recordTransfers(now, "p2", 6*time.Millisecond)
 	assert.Less(t, rate(now), full/2*1.15, "the engine with the slow link completes little")
 	assert.Greater(t, rate(now), full/2)
-	v := f.choose(now, prefill)
+	v := f.chooseAnew(now, prefill)
 	assert.Equal(t, "p2", v.server.ID)
 	assert.InDelta(t, 0.03, v.forecast.Finish.Seconds(), 0.005)
 
 	fast, _ := f.roster.Find("p2", 1)
 	f.progress = map[uint64]time.Time{fast.Key(): now}
 	f.Usage.StartPrefill(fast, 20_000)
-	v = f.choose(now, prefill)
+	v = f.chooseAnew(now, prefill)
 	assert.Equal(t, "p1", v.server.ID)
 	assert.InDelta(t, 0.3, v.forecast.Finish.Seconds(), 0.03, "prefill and transfer, less the slack")
 	f.Usage.EndPrefill(fast, 20_000)
@@ -94,7 +100,8 @@
 	first, alternative := promptOf(4000)
 	var servers []string
 	for range 3 {
-		p := f.tryAcquire(now, &waiter{need: first, alternative: &alternative, since: now})
+		w := &waiter{need: first, alternative: &alternative, since: now}
+		p := f.tryAcquire(now, w, f.views(now, w))
 		require.NotNil(t, p)
 		servers = append(servers, p.server.ID)
 	}
@@ -117,7 +124,7 @@
 	}
 	local := func(tokens int) string {
 		_, localPrefill := promptOf(tokens)
-		return f.choose(now, localPrefill).server.ID
+		return f.chooseAnew(now, localPrefill).server.ID
 	}
 	assert.NotEmpty(t, local(2000), "120 ms")
 	assert.Empty(t, local(2900), "156 ms")
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,90 +58,14 @@
 	return prefill, localPrefill
 }
 
-// choosePrefill evaluates the engines for a prefill. b.mu must be held.
-func (b *Broker) choosePrefill(now time.Time, n need) view {
-	servers := b.Roster.Service(n.key.service)
-	v := view{peerLoad: b.withoutGrants(n.key.service, b.Peers.Queue(n.key.hash())), ejected: true}
-	links := b.links(now, n.key, servers)
-	engines := make([]assign.Engine, 0, len(servers))
-	options := make([]roster.Server, 0, len(servers))
-	speeds := make([]float64, 0, len(servers))
-	for _, s := range servers {
-		if s.Role != n.key.role {
-			continue
-		}
-		snapshot := b.Usage.Get(now, s)
-		excess := links.excess(snapshot)
-		e := b.engine(now, n, s, snapshot)
-		e.Delay = time.Duration(excess * float64(time.Second))
-		v.usable++
-		v.ejected = v.ejected && (e.Ejected || e.Excluded)
-		engines = append(engines, e)
-		options = append(options, s)
-		speeds = append(speeds, links.speed(excess)*b.zoneShare(s.Zone))
-	}
-	prompt := n.prompt
-	prompt.Window = n.window()
-	prompt.AssumePreferred = b.elected[n.key.service] != ""
-	if n.key.work == usage.LocalPrefill && b.hasPrefillEngine(now, servers) {
-		prompt.Longest = b.gapTarget(n.key.service)
-	}
-	_, prompt.Fetchable = b.kept.Holder(n.chain, 0, b.fetchable(now, servers))
-	average := assign.Average(engines)
-	for i, e := range engines {
-		if e.Ejected && !v.ejected {
-			continue
-		}
-		rate := e.Or(average).PerSecond(n.size()) * speeds[i]
-		v.rate += rate
-		v.capacity += max(int(rate*prompt.Window.Seconds()), n.size())
-	}
-	v.forecast = assign.Prefill(engines, prompt)
-	if i := v.forecast.Index; i >= 0 {
-		v.server, v.ahead = options[i], engines[i].Backlog
-	}
-	return v
-}
-
-// hasPrefillEngine reports whether an engine that only prefills can be used.
-func (b *Broker) hasPrefillEngine(now time.Time, servers []roster.Server) bool {
-	return slices.ContainsFunc(servers, func(s roster.Server) bool {
-		return s.Role == roster.Prefill && !b.Usage.Get(now, s).Ejected
-	})
-}
-
-// fetchable returns a function that reports whether KV caches can be fetched from
-// the engine with a key. Engines that are unreachable or stalled are left out,
-// because the fetch would not complete.
-func (b *Broker) fetchable(now time.Time, servers []roster.Server) func(key uint64) bool {
-	return func(key uint64) bool {
-		s, found := findKey(servers, key)
-		if !found {
-			return false
-		}
-		snapshot := b.Usage.Get(now, s)
-		return !snapshot.Unreachable && !snapshot.Stalled
-	}
-}
-
-// findKey returns the engine with the key.
-func findKey(servers []roster.Server, key uint64) (roster.Server, bool) {
-	i := slices.IndexFunc(servers, func(s roster.Server) bool { return s.Key() == key })
-	if i < 0 {
-		return roster.Server{}, false
-	}
-	return servers[i], true
-}
-
 // startPrefill records the prefill of a permit in the predicted caches, and chooses
 // the engine from which its prefix is fetched. b.mu must be held.
 func (b *Broker) startPrefill(p *permit) {
-	servers := b.Roster.Service(p.need.key.service)
+	set := b.engineSet(p.since, p.need.key.service)
 	key, chain := p.server.Key(), p.need.chain
-	holder, tokens := b.kept.Holder(chain, key, b.fetchable(p.since, servers))
+	holder, tokens := b.kept.Holder(chain, key, set.fetchable)
 	if tokens > b.kept.Tokens(key, chain) {
-		s, _ := findKey(servers, holder)
-		p.fetch = s.Address
+		p.fetch = set.index[holder].server.Address
 	}
 	capacity := int64(0)
 	if t := b.Table(); t != nil && t.Services[p.need.key.service].Engine != nil {
@@ -177,6 +100,11 @@
 		b.progress = map[uint64]time.Time{}
 	}
 	b.progress[engine] = now
+	for _, set := range b.engineSets {
+		if e, ok := set.index[engine]; ok {
+			e.began = now
+		}
+	}
 }
 
 // keptShare is the share of an engine's KV cache that keeps prompts; running
@@ -207,23 +135,6 @@
 	return time.Duration(windowShare * float64(n.target))
 }
 
-// engine combines the load of this process and its peers at an engine. b.mu must
-// be held.
-func (b *Broker) engine(now time.Time, n need, s roster.Server, snapshot usage.Snapshot) assign.Engine {
-	peerLoad := b.withoutGrants(n.key.service, b.Peers.Server(s.Key()))
-	granted := b.grantedByEngine[s.Key()]
-	running := snapshot.Running + peerLoad.Running + granted.Requests
-	e := assign.Engine{
-		Hash: xxhash.Sum64String(s.ID), Backlog: max(snapshot.PrefillTokens+peerLoad.PrefillTokens+granted.Tokens, 0),
-		Prefills: max(snapshot.Prefills+peerLoad.Prefills+granted.Prefills, 0), Cached: b.kept.Tokens(s.Key(), n.chain),
-		Progress: now.Sub(b.progress[s.Key()]),
-		Base:     snapshot.Times.PrefillBase, Rate: snapshot.Times.PrefillRate,
-		Full:    running >= scaled(n.perSlot*float64(s.Slots), b.zoneShare(s.Zone)),
-		Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted.Requests, Ejected: snapshot.Ejected, Excluded: n.excluded[s.ID],
-	}
-	return e
-}
-
 // MarshalLogObject logs the prediction for the prefill, to compare with the actual
 // time. It is empty if another process made it.
 func (p *permit) MarshalLogObject(e zapcore.ObjectEncoder) error {
@@ -256,6 +167,7 @@
 	b.Usage.EndPrefill(p.server, p.units)
 	q := b.queue(p.need.key)
 	q.held -= p.units
+	b.adjustEngine(p.server, Grants{0, -1, -p.units})
 	if p.coordinator == "" {
 		b.recordPrefill(p, completed)
 	} else {
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -151,25 +151,41 @@
 // held.
 func (b *Broker) admit(w *waiter) {
 	q := b.queue(w.need.key)
-	v := b.choose(w.since, w.need)
-	if v.usable == 0 {
+	v := b.views(w.since, w)
+	if v.first.usable == 0 {
 		w.deliver(nil, errNoServer)
 		return
 	}
 	if !q.hasAhead(w.need) {
-		if p := b.tryAcquire(w.since, w); p != nil {
+		if p := b.tryAcquire(w.since, w, v); p != nil {
 			w.deliver(p, nil)
 			return
 		}
 	}
-	rate, peersWaiting := b.throughput(w.since, w)
-	if expectedWait(q.ahead(w.need)+w.need.size()+peersWaiting, rate) > w.need.maxWait {
+	if expectedWait(q.ahead(w.need)+w.need.size()+v.first.peerLoad.Waiting, v.throughput(w.need)) > w.need.maxWait {
 		w.deliver(nil, errOverloaded)
 		return
 	}
 	q.waiting = append(q.waiting, w)
 }
 
+// views are the views of the queues that can serve a waiter.
+type views struct {
+	first view
+	// alternative is nil if there is no second queue.
+	alternative *view
+}
+
+// views evaluates the queues for a waiter. b.mu must be held.
+func (b *Broker) views(now time.Time, w *waiter) views {
+	v := views{first: b.choose(now, w.need)}
+	if w.alternative != nil {
+		alternative := b.choose(now, *w.alternative)
+		v.alternative = &alternative
+	}
+	return v
+}
+
 // withdraw removes a canceled waiter from its queue.
 func (b *Broker) withdraw(w *waiter) {
 	b.mu.Lock()
@@ -191,22 +207,20 @@
 // tryAcquire issues a permit to the waiter if one is free, preferably from the
 // queue that is predicted to serve it sooner. Ejected backend servers are used
 // only if those of both queues are ejected. b.mu must be held.
-func (b *Broker) tryAcquire(now time.Time, w *waiter) *permit {
-	v := b.choose(now, w.need)
-	if w.alternative == nil {
-		return b.tryAcquireFrom(now, w, w.need, v)
-	}
-	altView := b.choose(now, *w.alternative)
-	if preferAlternative(v, altView) {
-		if p := b.tryAcquireFrom(now, w, *w.alternative, altView); p != nil || altView.ejected != v.ejected {
+func (b *Broker) tryAcquire(now time.Time, w *waiter, v views) *permit {
+	if v.alternative == nil {
+		return b.tryAcquireFrom(now, w, w.need, v.first)
+	}
+	if preferAlternative(v.first, *v.alternative) {
+		if p := b.tryAcquireFrom(now, w, *w.alternative, *v.alternative); p != nil || v.alternative.ejected != v.first.ejected {
 			return p
 		}
-		return b.tryAcquireFrom(now, w, w.need, v)
+		return b.tryAcquireFrom(now, w, w.need, v.first)
 	}
-	if p := b.tryAcquireFrom(now, w, w.need, v); p != nil || altView.ejected != v.ejected {
+	if p := b.tryAcquireFrom(now, w, w.need, v.first); p != nil || v.alternative.ejected != v.first.ejected {
 		return p
 	}
-	return b.tryAcquireFrom(now, w, *w.alternative, altView)
+	return b.tryAcquireFrom(now, w, *w.alternative, *v.alternative)
 }
 
 // preferAlternative reports whether the alternative queue is predicted to serve a
@@ -253,10 +267,13 @@
 // issue issues a permit to this process. b.mu must be held.
 func (b *Broker) issue(q *queue, p *permit) {
 	b.Usage.Start(p.since, p.server, p.need.key.work)
+	added := Grants{Requests: 1}
 	if p.need.key.prefills() {
 		b.Usage.StartPrefill(p.server, p.units)
 		b.startPrefill(p)
+		added.Prefills, added.Tokens = 1, p.units
 	}
+	b.adjustEngine(p.server, added)
 	q.add(p)
 }
 
@@ -334,26 +351,23 @@
 // hasAhead reports whether waiters of the same or a higher priority are queued.
 func (q *queue) hasAhead(n need) bool { return q.ahead(n) > 0 }
 
-// throughput returns how many units per second the backend servers that can serve
-// the waiter complete, those of the alternative queue included, and how many units
-// of the peers wait. b.mu must be held.
-func (b *Broker) throughput(now time.Time, w *waiter) (rate float64, peersWaiting int) {
-	v := b.choose(now, w.need)
-	rate = v.rate
-	if w.alternative != nil {
-		altView := b.choose(now, *w.alternative)
+// throughput returns how many units per second the backend servers that can serve a
+// request complete, those of the alternative queue included.
+func (v views) throughput(n need) float64 {
+	rate := v.first.rate
+	if a := v.alternative; a != nil {
 		switch {
-		case v.ejected && !altView.ejected:
-			rate = altView.rate
-		case v.ejected == altView.ejected:
-			rate += altView.rate
+		case v.first.ejected && !a.ejected:
+			rate = a.rate
+		case v.first.ejected == a.ejected:
+			rate += a.rate
 		}
 	}
-	if rate == 0 && v.usable > 0 {
+	if rate == 0 {
 		// Nothing is known about the engines yet.
-		rate = float64(v.usable*w.need.size()) / initialHold
+		rate = float64(v.first.usable*n.size()) / initialHold
 	}
-	return rate, v.peerLoad.Waiting
+	return rate
 }
 
 // expectedWait returns how long it takes to complete the units at a rate per second.
@@ -386,7 +400,8 @@
 		return
 	}
 	kept := q.waiting[:0]
-	rate, ahead := b.throughput(now, q.waiting[0])
+	v := b.views(now, q.waiting[0])
+	rate, ahead := v.throughput(q.waiting[0].need), v.first.peerLoad.Waiting
 	for _, w := range q.waiting {
 		waited := now.Sub(w.since)
 		ahead += w.need.size()
@@ -407,7 +422,7 @@
 	sort.SliceStable(q.waiting, func(i, k int) bool { return q.waiting[i].before(q.waiting[k], now) })
 	kept := q.waiting[:0]
 	for i, w := range q.waiting {
-		p := b.tryAcquire(now, w)
+		p := b.tryAcquire(now, w, b.views(now, w))
 		if p == nil && len(w.need.excluded) > 0 {
 			// This waiter excludes backend servers that may have permits for
 			// those behind it.
@@ -475,6 +490,7 @@
 func (b *Broker) Dispatch(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forgetEngines()
 	for key, q := range b.queues {
 		b.checkHeld(now, q)
 		b.updateLoad(key, q)
@@ -538,6 +554,7 @@
 func (b *Broker) free(now time.Time, p *permit, result usage.Result) {
 	q := b.queue(p.need.key)
 	delete(q.permits, p)
+	b.adjustEngine(p.server, Grants{Requests: -1})
 	q.held -= p.units
 	p.units = 0
 	p.abort = nil
--- a/internal/route/assign/prefill.go
+++ b/internal/route/assign/prefill.go
@@ -8,8 +8,9 @@
 // Engine is an engine that can prefill a prompt, with its load as this process
 // estimates it.
 type Engine struct {
-	// Hash is a hash of the engine's ID. It must be the same in all processes.
-	Hash uint64
+	// Key identifies the engine's incarnation. Hash is a hash of its ID, the same
+	// in all processes.
+	Key, Hash uint64
 	// Backlog is how many prompt tokens of all processes are still to be
 	// prefilled there.
 	Backlog int
