broker: requesters know what a prefill takes; no wait that ends late

(b) A decode engine whose first local prefill was long, or that had been down, seemed too slow for the pause target and was never tried again: 3 of 11 did all local prefills from second 8 on. (c) In an overload all wait up to 0.6 of the target, then the prefill makes them late. (d) After a coordinator was lost, the others knew no engine's times.

Change: a grant carries the expected tokens and the coordinator's times of the engine; times that were not observed for 2 s yield to the average of the others; the first prefill of an engine is compared with the others' times; while a role is unknown, one prompt at a time; the longest wait is what the target leaves after a typical prefill, 0.15 to 0.6 of it; an engine may have work for 0.4 of the target (was 0.3).

--- a/internal/fleet/usage/prefill.go
+++ b/internal/fleet/usage/prefill.go
@@ -14,6 +14,8 @@
 	// many prompt tokens per second it prefills beyond that.
 	PrefillBase time.Duration
 	PrefillRate float64
+	// Stale is set if they have not been observed for staleAfter.
+	Stale bool
 }
 
 // prefills has the prefills of one incarnation of an engine: the number in
@@ -26,6 +28,8 @@
 	// The tokens are the expected ones: if the KV cache has less than expected, the
 	// line is steeper.
 	took linfit.Line
+	// observed is when took was last observed.
+	observed time.Time
 }
 
 const (
@@ -44,8 +48,12 @@
 	}
 }
 
+// staleAfter is how long the times of an engine are believed if it prefills nothing.
+// An engine that seemed slow may be so no more.
+const staleAfter = 2 * time.Second
+
 // times returns the estimates for an engine with the role.
-func (p *prefills) times(role roster.Role) Times {
+func (p *prefills) times(now time.Time, role roster.Role) Times {
 	var t Times
 	if p.role != role {
 		return t
@@ -53,6 +61,7 @@
 	if p.took.Known() && p.took.Slope > 0 {
 		t.PrefillBase, _ = p.took.Durations()
 		t.PrefillRate = 1 / p.took.Slope
+		t.Stale = now.Sub(p.observed) > staleAfter
 	}
 	return t
 }
@@ -79,7 +88,7 @@
 // RecordPrefill updates the estimated times of an engine's prefills. took is how
 // long the prefill of the tokens has occupied the engine, that is since it began or
 // the one before it completed. Values that no engine can have are ignored.
-func (t *Table) RecordPrefill(server roster.Server, tokens int, took time.Duration) {
+func (t *Table) RecordPrefill(now time.Time, server roster.Server, tokens int, took time.Duration) {
 	if tokens <= 0 || tokens > maxPrefillTokens || took < 0 || took > maxPrefill {
 		return
 	}
@@ -87,13 +96,55 @@
 	defer t.mu.Unlock()
 	p := &t.record(server).prefills
 	p.setRole(server.Role)
+	p.observed = now
 	x, y := float64(tokens), took.Seconds()
 	if !p.took.Known() {
-		p.took.Reset(y/2, y/2/x)
+		p.took.Reset(t.firstTimes(server.Role, x, y))
 	}
 	p.took.Observe(x, y)
 }
 
+// firstTimes returns the base time and the time per token, in seconds, of an engine of
+// which only one prefill is known. It is as much slower than the others with its role
+// as that prefill was. If nothing is known of these, half of the time is the base. The
+// caller must hold mu.
+func (t *Table) firstTimes(role roster.Role, tokens, seconds float64) (base, perToken float64) {
+	known := 0.0
+	for _, r := range t.records {
+		if p := &r.prefills; p.role == role && p.took.Known() {
+			base += p.took.Intercept
+			perToken += p.took.Slope
+			known++
+		}
+	}
+	expected := (base + perToken*tokens) / max(known, 1)
+	if expected <= 0 {
+		return seconds / 2, seconds / 2 / tokens
+	}
+	factor := seconds / expected / known
+	return base * factor, perToken * factor
+}
+
+// SetTimes replaces the estimated times of an engine by those of a process that has
+// observed it. Unknown times, and values that no engine can have, are ignored.
+func (t *Table) SetTimes(now time.Time, server roster.Server, times Times) {
+	if !(times.PrefillRate >= minRate && times.PrefillRate <= maxRate) || times.PrefillBase < 0 || times.PrefillBase > maxPrefill {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := &t.record(server).prefills
+	p.setRole(server.Role)
+	p.observed = now
+	p.took.Reset(times.PrefillBase.Seconds(), 1/times.PrefillRate)
+}
+
+// minRate and maxRate bound the prefill rates that are believed, in tokens per second.
+const (
+	minRate = 1e-2
+	maxRate = 1e12
+)
+
 // stallTime returns for how long the backend server may send nothing. An engine
 // sends nothing while it prefills, so it gets a multiple of the time that this
 // process's prompts are expected to take.
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -293,7 +293,7 @@
 	stalled := r.running > 0 && now.Sub(r.lastActive) > r.stallTime()
 	return Snapshot{
 		Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
-		Times: r.prefills.times(server.Role), LatencyRatio: r.latencyRatio, Suspect: r.suspect,
+		Times: r.prefills.times(now, server.Role), LatencyRatio: r.latencyRatio, Suspect: r.suspect,
 		Ejected: stalled || r.unreachable || now.Before(r.ejectedUntil), Stalled: stalled, Unreachable: r.unreachable,
 		TransferSeconds: r.transferSeconds, TransferAt: r.transferAt,
 	}
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -60,6 +60,11 @@
 	// Fetch is the address of an engine that keeps more of the prefix; it is
 	// invalid if none does.
 	Fetch netip.AddrPort
+	// Times are the coordinator's estimates of the engine, so that its requesters
+	// can go on without it.
+	Times usage.Times
+	// Tokens is how many prompt tokens the engine is expected to prefill.
+	Tokens int
 }
 
 // PermitRelease gives a permit back, or cancels a permit request. It carries the
@@ -140,7 +145,7 @@
 		fields := []zap.Field{zap.String("Request", r.Request), zap.String("For", from), zap.Duration("Waited", time.Since(now)), zap.Error(err)}
 		if p != nil {
 			b.grants[key] = p
-			g.Fetch = p.fetch
+			g.Fetch, g.Times, g.Tokens = p.fetch, b.Usage.Get(time.Now(), p.server).Times, p.units
 			g.ID, g.Born, g.LocalPrefill = p.server.ID, p.server.Born, p.need.key.work == usage.LocalPrefill
 			fields = append(fields, zap.String("Server", g.ID), zap.Int64("Born", g.Born), zap.Bool("LocalPrefill", g.LocalPrefill),
 				zap.Int("Own", p.need.prompt.Own), zap.Object("Forecast", p))
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -62,6 +62,15 @@
 	return found && e.fetchable
 }
 
+// average returns an engine with the average times of all engines.
+func (s *engineSet) average() assign.Engine {
+	all := make([]assign.Engine, 0, len(s.index))
+	for _, e := range s.index {
+		all = append(all, e.engine)
+	}
+	return assign.Average(all)
+}
+
 // engineSet returns the engines of a service. b.mu must be held.
 func (b *Broker) engineSet(now time.Time, service string) *engineSet {
 	set, ok := b.engineSets[service]
@@ -119,7 +128,7 @@
 			Key: key, Hash: xxhash.Sum64String(s.ID),
 			Backlog:  max(snapshot.PrefillTokens+peerLoad.PrefillTokens+granted.Tokens, 0),
 			Prefills: max(snapshot.Prefills+peerLoad.Prefills+granted.Prefills, 0),
-			Base:     snapshot.Times.PrefillBase, Rate: snapshot.Times.PrefillRate,
+			Base:     snapshot.Times.PrefillBase, Rate: snapshot.Times.PrefillRate, Stale: snapshot.Times.Stale,
 			Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted.Requests, Ejected: snapshot.Ejected,
 		},
 	}
@@ -172,12 +181,15 @@
 		prompt.Longest = b.gapTarget(n.key.service)
 	}
 	_, prompt.Fetchable = b.kept.Holder(n.chain, 0, set.fetchable)
-	average := assign.Average(engines)
+	prompt.Average = assign.Average(engines)
+	if prompt.Average.Rate == 0 {
+		prompt.Guess = set.average()
+	}
 	for i, e := range engines {
 		if e.Ejected && !v.ejected {
 			continue
 		}
-		rate := e.Or(average).PerSecond(n.size()) * states[i].throughput
+		rate := e.Or(prompt.Average).PerSecond(n.size()) * states[i].throughput
 		v.rate += rate
 		v.capacity += max(int(math.Min(rate*prompt.Window.Seconds(), maxCapacity)), n.size())
 	}
--- a/internal/node/broker/links_test.go
+++ b/internal/node/broker/links_test.go
@@ -25,7 +25,7 @@
 	s, _ := f.roster.Find(id, 1)
 	for i := range 200 {
 		tokens := 500 * (1 + i%8)
-		f.Usage.RecordPrefill(s, tokens, base+time.Duration(float64(tokens)/perSecond*float64(time.Second)))
+		f.Usage.RecordPrefill(time.Now(), s, tokens, base+time.Duration(float64(tokens)/perSecond*float64(time.Second)))
 	}
 }
 
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -25,10 +25,11 @@
 	// windowShare is the longest predicted wait at an engine for a prefill, as a
 	// share of the latency target. It keeps the engine busy between two
 	// permits; any longer wait is spent here, where the order can still change.
-	windowShare = 0.3
-	// prefillWaitShare is the longest wait for a permit to prefill, as a share of
-	// the latency target.
-	prefillWaitShare = 0.6
+	windowShare = 0.4
+	// minPrefillWaitShare and maxPrefillWaitShare bound the longest wait for a
+	// permit to prefill, as shares of the latency target.
+	minPrefillWaitShare = 0.15
+	maxPrefillWaitShare = 0.6
 	// smallPrompt is the number of tokens up to which a prompt is prefilled by
 	// the decode engine.
 	smallPrompt = 512
@@ -50,11 +51,14 @@
 	prompt, chain := j.prompt()
 	prefill, localPrefill = prefillNeeds(j.service.Name, prompt, chain)
 	prefill, localPrefill = j.withTiming(prefill), j.withTiming(localPrefill)
-	prefill.maxWait = min(time.Duration(prefillWaitShare*float64(j.route.LatencyTarget)), time.Until(j.deadline))
-	localPrefill.maxWait = prefill.maxWait
 	// The stages after the permit also take time, which counts towards the latency
-	// target.
-	prefill.startBy = prefill.startBy.Add(-j.broker.expectedStart(j.service.Name))
+	// target: a request that waits longer is served late, and makes those behind it
+	// late as well.
+	target, start := j.route.LatencyTarget, j.broker.expectedStart(j.service.Name)
+	prefill.startBy = prefill.startBy.Add(-start)
+	longest := max(target-start, time.Duration(minPrefillWaitShare*float64(target)))
+	prefill.maxWait = min(longest, time.Duration(maxPrefillWaitShare*float64(target)), time.Until(j.deadline))
+	localPrefill.maxWait = prefill.maxWait
 	return prefill, localPrefill
 }
 
@@ -89,7 +93,7 @@
 	if last := b.progress[key]; last.After(began) {
 		began = last
 	}
-	b.Usage.RecordPrefill(p.server, p.units, now.Sub(began))
+	b.Usage.RecordPrefill(now, p.server, p.units, now.Sub(began))
 	b.recordProgress(now, key)
 }
 
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -127,8 +127,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q := b.queue(n.key)
-	p := &permit{broker: b, need: n, server: server, since: now, units: n.size()}
+	p := &permit{broker: b, need: n, server: server, since: now, units: max(g.Tokens, 1)}
 	p.coordinator, p.number, p.waited = coordinator, g.Number, now.Sub(start)
+	b.Usage.SetTimes(now, server, g.Times)
 	b.issue(q, p)
 	p.fetch = g.Fetch
 	q.remote += p.units
--- a/internal/node/core/coordinate.go
+++ b/internal/node/core/coordinate.go
@@ -64,6 +64,7 @@
 	}
 	c.push(to, &wire.News{PlaceGrants: []*wire.PlaceGrant{{
 		Number: g.Number, Answer: uint32(g.Status), Server: g.ID, Born: g.Born, Reading: g.LocalPrefill, Fetch: fetch,
+		BaseMicroseconds: g.Times.PrefillBase.Microseconds(), TokensPerSecond: g.Times.PrefillRate, Tokens: uint32(g.Tokens),
 	}}})
 }
 
@@ -107,6 +108,7 @@
 		fetch, _ := netip.ParseAddrPort(g.Fetch)
 		n.Broker.HandleGrant(message.From, broker.PermitGrant{
 			Number: g.Number, Status: broker.Decision(g.Answer), ID: g.Server, Born: g.Born, LocalPrefill: g.Reading, Fetch: fetch,
+			Times: usage.Times{PrefillBase: microseconds(g.BaseMicroseconds), PrefillRate: g.TokensPerSecond}, Tokens: int(g.Tokens),
 		})
 	}
 	for _, r := range message.PlaceReleases {
--- a/internal/route/assign/prefill.go
+++ b/internal/route/assign/prefill.go
@@ -22,6 +22,8 @@
 	// many tokens per second it prefills beyond that; 0 if unknown.
 	Base time.Duration
 	Rate float64
+	// Stale is set if Base and Rate have not been observed for some time.
+	Stale bool
 	// Cached is how many tokens of the prompt's prefix the engine is known to
 	// have in its KV cache once it has done the prefills ahead.
 	Cached int
@@ -49,6 +51,12 @@
 	// in their KV caches. The preferred engine of the prefix, the one with the
 	// lowest rendezvous score, is then assumed to have the prefix.
 	AssumePreferred bool
+	// Average has the times that are assumed for an engine whose own are unknown or
+	// stale.
+	Average Engine
+	// Guess has the times that are assumed for one prompt at a time while Average is
+	// unknown too, such as those of engines with another role.
+	Guess Engine
 	// Window is the longest predicted wait at an engine. An engine without a
 	// prefill is available regardless.
 	Window time.Duration
@@ -80,14 +88,12 @@
 // first. It answers loads of prompts that differ much in length, on engines that
 // differ in speed: what counts is the time that the work ahead takes, not the
 // number of requests. Tokens in the engine's KV cache take no time, tokens that it
-// fetches a fraction. An engine whose times are unknown is assumed to have the
-// average times of the others.
+// fetches a fraction.
 func Prefill(engines []Engine, p Prompt) Forecast {
 	allEjected := true
 	for _, e := range engines {
 		allEjected = allEjected && (e.Ejected || e.Excluded)
 	}
-	average := Average(engines)
 	preferred := -1
 	if p.AssumePreferred {
 		preferred = preferredEngine(engines, p.PrefixHash, allEjected)
@@ -97,13 +103,17 @@
 		if !e.available(allEjected) {
 			continue
 		}
-		e = e.Or(average)
+		e = e.Or(p.Average)
+		if e.Prefills > 0 && e.Rate == 0 {
+			continue
+		}
+		e = e.Or(p.Guess)
 		if i == preferred {
 			e.Cached = p.Shared
 		}
 		f := e.forecast(p)
 		f.Index = i
-		if e.Prefills > 0 && (e.Rate == 0 || f.Wait > p.Window) || p.Longest > 0 && f.Finish-e.Delay > p.Longest {
+		if e.Prefills > 0 && f.Wait > p.Window || p.Longest > 0 && f.Finish-e.Delay > p.Longest {
 			continue
 		}
 		if best.Index < 0 || f.before(best) {
@@ -119,9 +129,10 @@
 	return !e.Excluded && !e.Full && (!e.Ejected || allEjected) && (!e.Suspect || e.OwnRunning == 0)
 }
 
-// Or returns the engine with the times of o if its own are unknown.
+// Or returns the engine with the times of o if its own are unknown, or if they are
+// stale and those of o are known.
 func (e Engine) Or(o Engine) Engine {
-	if e.Rate == 0 {
+	if e.Rate == 0 || e.Stale && o.Rate > 0 {
 		e.Base, e.Rate = o.Base, o.Rate
 	}
 	return e
@@ -178,20 +189,31 @@
 	return time.Duration(min(float64(tokens)/rate, maxTime.Seconds()) * float64(time.Second))
 }
 
-// Average returns an engine with the averages of the known times.
+// Average returns an engine with the averages of the times that are known and not
+// stale, or of all that are known if all are stale.
 func Average(engines []Engine) Engine {
+	fresh, all := averageOf(engines, false), averageOf(engines, true)
+	if fresh.Rate > 0 {
+		return fresh
+	}
+	return all
+}
+
+// averageOf returns the averages of the known times, those that are stale only if
+// stale is set.
+func averageOf(engines []Engine, stale bool) Engine {
 	var sum Engine
-	timed := 0
+	count := 0
 	for _, e := range engines {
-		if e.Rate > 0 {
+		if e.Rate > 0 && (stale || !e.Stale) {
 			sum.Base += e.Base
 			sum.Rate += e.Rate
-			timed++
+			count++
 		}
 	}
-	if timed > 0 {
-		sum.Base /= time.Duration(timed)
-		sum.Rate /= float64(timed)
+	if count > 0 {
+		sum.Base /= time.Duration(count)
+		sum.Rate /= float64(count)
 	}
 	return sum
 }
