broker, platform: servers that say they leave, servers that ask for a pause

Change: a response of a backend server that says that it leaves, whatever its status and also if it is late and another request's, marks the incarnation as leaving for good, even if its entry is removed and listed again; peers are told and do the same. A 503 with Retry-After pauses the server for this process: no request, prefill, fetch or connection attempt until its end, also if nothing else is left (then a true not-run at once) and also if a coordinator grants it. It is no failure.

--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -135,6 +135,7 @@
 	}
 	p.node.StatusConn = statusConn
 	p.node.Prepare()
+	servers.Notify = p.node.Broker.Notice
 	p.peers.Meters = p.node.Meters
 	p.node.Meters.Gauge("StoreCalls", store.Calls)
 	p.node.Meters.Gauge("ServerConnectionsMade", servers.Client.Dials)
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -28,6 +28,7 @@
 package roster
 
 import (
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -93,8 +94,24 @@
 	// graceUntil is the end of the last grace period, in which removed entries
 	// are kept; zero if there was none.
 	graceUntil time.Time
+	// announced has the incarnations that have said themselves that they leave, by
+	// ID, also those whose entry is gone.
+	announced map[string]announcement
 }
 
+// announcement is that of an incarnation that leaves.
+type announcement struct {
+	born int64
+	at   time.Time
+}
+
+const (
+	// announcedRetention is how long announcements are kept if there are more than
+	// maxAnnounced. No incarnation takes longer to leave.
+	announcedRetention = time.Hour
+	maxAnnounced       = 1024
+)
+
 // Grace states whether entries that are found to be removed may have expired in
 // a store outage, and how long they are kept.
 type Grace struct {
@@ -189,6 +206,21 @@
 	return []Change{{e.server, Changed, removed}}
 }
 
+// Announce marks an incarnation as leaving, as it has said itself. It stays so even if
+// its entry is removed and written again.
+func (r *Roster) Announce(now time.Time, id string, born int64) []Change {
+	r.mu.Lock()
+	if r.announced == nil {
+		r.announced = map[string]announcement{}
+	}
+	if len(r.announced) > maxAnnounced {
+		maps.DeleteFunc(r.announced, func(_ string, a announcement) bool { return now.Sub(a.at) > announcedRetention })
+	}
+	r.announced[id] = announcement{born, now}
+	r.mu.Unlock()
+	return r.MarkLeaving(id, born, 0)
+}
+
 // Expire drops the missing entries that were not written again in time.
 func (r *Roster) Expire(now time.Time) []Change {
 	r.mu.Lock()
@@ -232,6 +264,9 @@
 	if known && before.staysLeaving(server) {
 		after.server.State, after.removed = Leaving, before.removed
 	}
+	if a, ok := r.announced[server.ID]; ok && a.born == server.Born {
+		after.server.State = Leaving
+	}
 	r.entries[server.ID] = after
 	// An entry that differs only in these fields is a heartbeat, not a change.
 	heartbeat := before.server
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -264,3 +264,25 @@
 		}
 	})
 }
+
+// An incarnation that has said itself that it leaves is not used again, whatever is
+// listed later. The next one is.
+func TestAnnouncedServerStaysLeaving(t *testing.T) {
+	var r Roster
+	now := time.Unix(1000, 0)
+	listed := Server{ID: "i-1", Born: 5, Service: "s", State: Ready, Slots: 1, Sequence: 1}
+	r.Replace(now, 10, []Server{listed}, Grace{})
+	assert.Len(t, r.Announce(now, "i-1", 5), 1)
+	assert.Empty(t, r.Announce(now, "i-1", 5), "told once")
+	assert.Empty(t, r.Service("s"))
+	listed.Sequence = 2
+	r.Replace(now, 11, []Server{listed}, Grace{})
+	assert.Empty(t, r.Service("s"), "a later heartbeat")
+	r.Replace(now, 12, nil, Grace{})
+	listed.Sequence = 3
+	r.Replace(now.Add(time.Minute), 13, []Server{listed}, Grace{})
+	assert.Empty(t, r.Service("s"), "removed and written again")
+	listed.Born, listed.Sequence = 6, 0
+	r.Replace(now.Add(time.Minute), 14, []Server{listed}, Grace{})
+	assert.Len(t, r.Service("s"), 1, "started again")
+}
--- a/internal/fleet/usage/prefill_test.go
+++ b/internal/fleet/usage/prefill_test.go
@@ -102,3 +102,21 @@
 		}
 	})
 }
+
+// A backend server that has asked for a pause gets nothing until its end, and that is
+// no failure.
+func TestPause(t *testing.T) {
+	var table Table
+	now := time.Unix(1000, 0)
+	table.Pause(now, server, 1500*time.Millisecond)
+	table.Pause(now, server, 100*time.Millisecond)
+	snapshot := table.Get(now.Add(1499*time.Millisecond), server)
+	assert.True(t, snapshot.Paused, "a shorter one does not end it")
+	assert.False(t, snapshot.Ejected || snapshot.Suspect)
+	assert.False(t, table.Get(now.Add(1500*time.Millisecond), server).Paused)
+	assert.False(t, table.Get(now, restarted).Paused, "another incarnation")
+	table.Pause(now, server, math.MaxInt64)
+	table.Sweep(now.Add(MaxPause - 1))
+	assert.True(t, table.Get(now.Add(MaxPause-1), server).Paused)
+	assert.False(t, table.Get(now.Add(MaxPause), server).Paused)
+}
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -108,6 +108,9 @@
 	// Unreachable is set after a connection could not be made, until one
 	// succeeds or the backend server sends something.
 	Unreachable bool
+	// Paused is set while the backend server wants no request from this process. It
+	// must get none, not even if there is no other.
+	Paused bool
 }
 
 // Incarnation identifies one run of a backend server: Born differs after each
@@ -132,6 +135,7 @@
 	suspect               bool
 	unreachable           bool
 	ejectedUntil          time.Time
+	pausedUntil           time.Time
 	lastUsed              time.Time
 	// lastActive is when the backend server last sent something, or when it
 	// got a request while it had none.
@@ -292,7 +296,7 @@
 	}
 	stalled := r.running > 0 && now.Sub(r.lastActive) > r.stallTime()
 	return Snapshot{
-		Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
+		Paused: now.Before(r.pausedUntil), Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
 		Times: r.prefills.times(now, server.Role), LatencyRatio: r.latencyRatio, Suspect: r.suspect,
 		Ejected: stalled || r.unreachable || now.Before(r.ejectedUntil), Stalled: stalled, Unreachable: r.unreachable,
 		TransferSeconds: r.transferSeconds, TransferAt: r.transferAt,
@@ -357,6 +361,19 @@
 	r.transferSeconds += transferWeight * (took.Seconds() - r.transferSeconds)
 }
 
+// MaxPause bounds a pause.
+const MaxPause = 10 * time.Minute
+
+// Pause records that the backend server wants no request from this process for a time,
+// at most MaxPause.
+func (t *Table) Pause(now time.Time, server roster.Server, pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(server)
+	r.lastUsed = now
+	r.pausedUntil = later(r.pausedUntil, now.Add(min(max(pause, 0), MaxPause)))
+}
+
 // Each calls visit, with only the counts set, for each backend server with
 // requests in progress. visit must not call methods of the table.
 func (t *Table) Each(visit func(id string, born int64, counts Snapshot)) {
@@ -375,7 +392,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, r := range t.records {
-		if r.running == 0 && now.Sub(r.lastUsed) > idleRetention {
+		if r.running == 0 && now.Sub(r.lastUsed) > idleRetention && !now.Before(r.pausedUntil) {
 			delete(t.records, k)
 		}
 	}
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// Notice is what a backend server says of itself beside a response.
+type Notice struct {
+	// Leaving is set if it is about to stop.
+	Leaving bool
+	// Pause is for how long it wants no request from this process.
+	Pause time.Duration
+}
+
 // Servers sends calls to backend servers. Errors carry a call.Stage. It must be
 // safe for concurrent use.
 type Servers interface {
@@ -187,6 +195,9 @@
 	Usage   *usage.Table
 	Servers Servers
 	Peers   Peers
+	// Announce, if set, is called with a backend server that has said that it
+	// leaves.
+	Announce func(server roster.Server)
 	// Name is the name of this process. Coordination sends messages to peers;
 	// if it is nil, this process uses no coordinator.
 	Name         string
@@ -226,6 +237,22 @@
 // after end are rejected.
 type shutdown struct{ rejectFrom, end time.Time }
 
+// Notice handles what a backend server says of itself. The server must be the one that
+// has sent the response.
+func (b *Broker) Notice(server roster.Server, n Notice) {
+	if n.Pause > 0 {
+		b.Log.Info("backend server asks for a pause", zap.String("Server", server.ID), zap.Int64("Born", server.Born), zap.Duration("Pause", n.Pause))
+		b.Meters.Add("PausesAsked", 1)
+		b.Usage.Pause(time.Now(), server, n.Pause)
+		b.mu.Lock()
+		b.forgetEngines()
+		b.mu.Unlock()
+	}
+	if n.Leaving && b.Announce != nil {
+		b.Announce(server)
+	}
+}
+
 // Close announces a planned stop: the process aborts requests that are still in
 // progress at end. From rejectFrom on, Serve rejects requests whose deadline is
 // after end.
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -74,7 +74,11 @@
 		if s.Role != n.key.role {
 			continue
 		}
-		c := b.candidate(n, s, b.Usage.Get(now, s))
+		snapshot := b.Usage.Get(now, s)
+		if snapshot.Paused {
+			continue
+		}
+		c := b.candidate(n, s, snapshot)
 		v.usable++
 		v.capacity += c.SameWorkLimit
 		if c.Ejected {
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -96,6 +96,9 @@
 	links := b.links(now, queueKey{service: service, role: roster.Prefill}, servers)
 	shares := map[string]float64{}
 	for _, s := range servers {
+		if b.Usage.Get(now, s).Paused {
+			continue
+		}
 		share, known := shares[s.Zone]
 		if !known {
 			share = b.zoneShare(s.Zone)
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -324,7 +324,7 @@
 // preferredEngine returns the address of the decode engine that comes first in
 // the rendezvous order of the prefix hash, from which requester can fetch the
 // prefix's KV cache. Engines that are unreachable or stalled are skipped,
-// because the fetch would not complete. The address is invalid if
+// because the fetch would not complete, and those that want no request. The address is invalid if
 // there is no such engine or if it is requester itself.
 func (b *Broker) preferredEngine(now time.Time, service string, prefixHash uint64, requester roster.Server) netip.AddrPort {
 	if prefixHash == 0 {
@@ -336,7 +336,7 @@
 		if s.Role != roster.Decode {
 			continue
 		}
-		if snapshot := b.Usage.Get(now, s); snapshot.Unreachable || snapshot.Stalled {
+		if snapshot := b.Usage.Get(now, s); snapshot.Unreachable || snapshot.Stalled || snapshot.Paused {
 			continue
 		}
 		if score := assign.Score(xxhash.Sum64String(s.ID), prefixHash); score < bestScore {
--- a/internal/node/broker/reconnect.go
+++ b/internal/node/broker/reconnect.go
@@ -36,7 +36,7 @@
 		unreachable := b.Usage.Unreachable()
 		r.logChanges(unreachable)
 		for _, i := range unreachable {
-			if server, ok := b.Roster.Find(i.ID, i.Born); ok && r.reserve(i) {
+			if server, ok := b.Roster.Find(i.ID, i.Born); ok && !b.Usage.Get(time.Now(), server).Paused && r.reserve(i) {
 				r.attempts.Go(func() { r.connect(ctx, i, server) })
 			}
 		}
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -113,10 +113,10 @@
 }
 
 // accept registers a permit that the coordinator granted, or releases it if the
-// engine is not in the roster of this process.
+// engine is not in the roster of this process or wants no request from it.
 func (b *Broker) accept(start time.Time, coordinator string, g PermitGrant, n, alternative need) (*permit, error) {
 	server, ok := b.Roster.Find(g.ID, g.Born)
-	if !ok {
+	if !ok || b.Usage.Get(time.Now(), server).Paused {
 		b.Coordination.Release(coordinator, PermitRelease{Number: g.Number})
 		return nil, errNoDecision
 	}
@@ -215,7 +215,8 @@
 func (b *Broker) unusable(now time.Time, n need) []string {
 	var list []string
 	for _, s := range b.Roster.Service(n.key.service) {
-		if n.excluded[s.ID] || b.Usage.Get(now, s).Ejected {
+		snapshot := b.Usage.Get(now, s)
+		if n.excluded[s.ID] || snapshot.Ejected || snapshot.Paused {
 			list = append(list, s.ID)
 		}
 	}
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -134,6 +134,7 @@
 	n.Broker = &broker.Broker{
 		Zone: n.Zone, Table: n.table.Load, Roster: &n.roster, Usage: &n.usage, Servers: n.Servers,
 		Peers: &n.peers, Name: n.Name, Coordination: n.coordination, RetryLimit: n.RetryLimit, Meters: n.Meters, Log: n.Log, Seed: n.Seed,
+		Announce: n.announceLeaving,
 	}
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.pollTimeout, n.debounce)
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// markLeaving applies a departure that a peer reports. What a backend server reports
+// itself, with no revision of a removal, holds for the whole incarnation.
+func (n *Node) markLeaving(now time.Time, d *wire.Departure) []roster.Change {
+	if d.Removed == 0 {
+		return n.roster.Announce(now, d.Server, d.Born)
+	}
+	return n.roster.MarkLeaving(d.Server, d.Born, d.Removed)
+}
+
 // mesh returns the datagram transport for messages to and from the peers.
 func (n *Node) mesh() *mesh.Mesh {
 	return &mesh.Mesh{Conn: n.StatusConn, Peers: n.peers.Peers, Compose: n.composeStatus, Handle: n.handleStatus, Meters: n.Meters, Log: n.Log}
@@ -160,7 +169,7 @@
 		n.Log.Info("process is live", zap.String("Peer", message.From), zap.Uint64("Incarnation", message.Incarnation), zap.Uint64("Version", message.TableVersion))
 	}
 	for _, d := range message.Departures {
-		for _, c := range n.roster.MarkLeaving(d.Server, d.Born, d.Removed) {
+		for _, c := range n.markLeaving(now, d) {
 			n.Log.Info("backend server is leaving, reported by another process", zap.String("Server", d.Server), zap.Int64("Born", d.Born),
 				zap.Uint64("Removed", d.Removed), zap.String("Peer", message.From))
 			n.handleChanges([]roster.Change{c})
--- a/internal/node/core/status_test.go
+++ b/internal/node/core/status_test.go
@@ -10,6 +10,7 @@
 
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+	"ebonyscale.example/ebonyscale/internal/node/broker"
 )
 
 // However many backend servers leave or are in use, a status message must fit into
@@ -42,3 +43,21 @@
 	}
 	assert.Len(t, sent, count)
 }
+
+// What a backend server has said itself, that it leaves, is told to the peers, and they
+// stop using it too.
+func TestAnnouncedDepartureIsTold(t *testing.T) {
+	a, b := newNode(t), newNode(t)
+	a.Name, b.Name = "a", "b"
+	a.peers.Self, b.peers.Self = "a", "b"
+	for _, n := range []*Node{a, b} {
+		(&serversView{n}).Replace(page(serverEntry("i-1", "")), false)
+		assert.Len(t, n.roster.Service("s"), 1)
+	}
+	server, _ := a.roster.Find("i-1", 1)
+	a.Broker.Notice(server, broker.Notice{Leaving: true})
+	assert.Empty(t, a.roster.Service("s"))
+	message, _ := a.composeStatus()
+	b.handleStatus(message)
+	assert.Empty(t, b.roster.Service("s"))
+}
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -115,6 +115,12 @@
 	return s, !errors.Is(err, roster.ErrInvalidEntry)
 }
 
+// announceLeaving handles a backend server that has said that it leaves. The peers are
+// told of it like of an entry with the state Leaving.
+func (n *Node) announceLeaving(server roster.Server) {
+	n.handleChanges(n.roster.Announce(time.Now(), server.ID, server.Born))
+}
+
 // handleChanges records and logs changes of the backend servers, and dispatches
 // queued requests.
 func (n *Node) handleChanges(changes []roster.Change) {
