--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -23,6 +23,17 @@
 //		}
 //	}
 //
+// Prefills of engines are counted in prompt tokens, and the times of an engine are
+// estimated from those that have completed:
+//
+//	table.StartPrefill(server, tokens)
+//	defer table.EndPrefill(server, tokens)
+//	table.RecordPrefill(now, server, tokens, took)
+//	rate := table.Get(now, server).Times.PrefillRate
+//
+// A backend server that has asked for a pause is reported as paused until its end. It
+// must get nothing meanwhile, whatever else there is.
+//
 // The zero value is ready to use. Every method is safe for concurrent use.
 package usage
 
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -40,8 +40,8 @@
 // prefillNeeds returns the needs for a prefill: the first for a prefill engine,
 // the second for a decode engine that prefills locally.
 func prefillNeeds(service string, prompt assign.Prompt, chain []kept.Part) (prefill, localPrefill need) {
-	prefill = need{key: queueKey{service, roster.Prefill, usage.Short}, perSlot: prefillPerSlot, prompt: prompt, chain: chain}
-	localPrefill = need{key: queueKey{service, roster.Decode, usage.LocalPrefill}, perSlot: decodePerSlot, prompt: prompt, chain: chain}
+	prefill = need{key: queueKey{service, roster.Prefill, usage.Short}, prompt: prompt, chain: chain}
+	localPrefill = need{key: queueKey{service, roster.Decode, usage.LocalPrefill}, prompt: prompt, chain: chain}
 	return prefill, localPrefill
 }
 
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -89,7 +89,7 @@
 	// excluded has the IDs of the backend servers that must not be used.
 	excluded map[string]bool
 	// perSlot is the number of permits per slot of a backend server, over all
-	// processes.
+	// processes, for work other than prefills.
 	perSlot float64
 }
 
--- a/internal/route/assign/assign.go
+++ b/internal/route/assign/assign.go
@@ -9,6 +9,10 @@
 // same server until the next report. In that case each compares only two servers
 // selected at random (power of two choices).
 //
+// Prompts differ too much in length for that: 64 of them may be a second's work for an
+// engine or ten. Prefill places them by the predicted time to the end of the prefill,
+// from the tokens ahead, those in the engine's KV cache, and its estimated times.
+//
 // # Usage
 //
 //	i := assign.Choose(candidates, assign.Request{PrefixHash: hash, Affinity: 0.5, Zone: "calicut"})
@@ -16,7 +20,12 @@
 //		enqueue()
 //	}
 //
-// Choose is a pure function.
+//	f := assign.Prefill(engines, assign.Prompt{Own: 700, Shared: 6000, Window: 100 * time.Millisecond})
+//	if f.Index < 0 {
+//		enqueue()
+//	}
+//
+// Choose and Prefill are pure functions.
 package assign
 
 import "math"
