--- a/internal/node/broker/notice_test.go
+++ b/internal/node/broker/notice_test.go
@@ -44,6 +44,7 @@
 				time.Sleep(30 * time.Millisecond)
 			}
 			time.Sleep(time.Second)
+			synctest.Wait()
 			before := len(f.fleet.sent)
 			s, _ := f.roster.Find(paused, 1)
 			f.Notice(s, Notice{Pause: 3 * time.Second})
