--- a/internal/node/broker/coordinate_test.go
+++ b/internal/node/broker/coordinate_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 
 	"ebonyscale.example/ebonyscale/internal/fleet/peers"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 )
 
 // cluster is a set of processes that share a fleet, and the state of the
@@ -24,6 +26,8 @@
 	coordinator string
 	// lose reports whether the next message is lost; nil if none is.
 	lose func() bool
+	// delay is how long a message takes; 0 means a millisecond.
+	delay time.Duration
 
 	mu sync.Mutex
 }
@@ -55,7 +59,7 @@
 	lost := !running || c.cluster.lose != nil && c.cluster.lose()
 	c.cluster.mu.Unlock()
 	if !lost {
-		time.AfterFunc(time.Millisecond, func() { do(f.Broker) })
+		time.AfterFunc(cmp.Or(c.cluster.delay, time.Millisecond), func() { do(f.Broker) })
 	}
 }
 
@@ -243,6 +247,72 @@
 	})
 }
 
+// A grant says what its process has to know to go on: the tokens that the engine is
+// expected to prefill, so that a long prefill does not count as a stall, the engine's
+// times, in case the coordinator is lost, and an engine that keeps the prefix.
+func TestGrantSaysWhatIsExpected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &serialEngines{
+			perSecond: map[string]float64{"p1": 100e3, "p2": 100e3, "d1": 10e3}, base: 5 * time.Millisecond,
+			free: map[string]time.Time{}, known: map[string]bool{}, longest: map[string]time.Duration{}, work: map[string]time.Duration{},
+		}
+		servers := &fleet{fallback: engines.serve}
+		s := newCluster(t, 3, servers)
+		f := s.nodes["p1"]
+		engine, _ := f.roster.Find("p1", 1)
+		first := newPromptRequest("/chat/1", 80_000, 100)
+		first.Parts = []Part{{"shared", 79_000}, {"own", 1000}}
+		go f.serve(t.Context(), first)
+		time.Sleep(700 * time.Millisecond)
+		snapshot := f.Usage.Get(time.Now(), engine)
+		assert.Equal(t, 80_000, snapshot.PrefillTokens, "the prefix is new")
+		time.Sleep(time.Second)
+		assert.Zero(t, f.Usage.Get(time.Now(), engine).PrefillTokens)
+		second := newPromptRequest("/chat/1", 80_000, 100)
+		second.Parts = []Part{{"shared", 79_000}, {"own", 1000}}
+		f.serve(t.Context(), second)
+		times := f.Usage.Get(time.Now(), engine).Times
+		assert.Positive(t, times.PrefillRate)
+
+		for _, n := range s.nodes {
+			n.addServer("p2", "model", roster.Prefill)
+			p1, _ := n.roster.Find("p1", 1)
+			n.Usage.RecordRemote(time.Now(), p1, usage.Result{Verdict: usage.Full})
+		}
+		third := newPromptRequest("/chat/1", 80_000, 100)
+		third.Parts = []Part{{"shared", 79_000}, {"own", 1000}}
+		s.nodes["p2"].serve(t.Context(), third)
+		last := servers.sent[len(servers.sent)-2]
+		assert.Equal(t, "p2", last.server)
+		assert.Equal(t, addressOf("p1"), last.call.Fetch)
+	})
+}
+
+// A decision is awaited for an eighth of the latency target, here 25 ms: what this
+// process would decide by itself it would decide knowing less.
+func TestDecisionIsAwaited(t *testing.T) {
+	for delay, granted := range map[time.Duration]int{10 * time.Millisecond: 1, 15 * time.Millisecond: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			counter := newLoadCounter()
+			s := newCluster(t, 2, &fleet{fallback: counter.delays(20 * time.Millisecond)})
+			s.delay = delay
+			f := s.nodes["p1"]
+			go f.serve(t.Context(), newPromptRequest("/chat/1", 9000, 100))
+			time.Sleep(26 * time.Millisecond)
+			synctest.Wait()
+			held := 0
+			for _, id := range []string{"p1", "d1"} {
+				engine, _ := f.roster.Find(id, 1)
+				held += f.GrantsHeld(engine.Key()).Requests
+			}
+			assert.Equal(t, granted, held, delay)
+			time.Sleep(6 * time.Second)
+			synctest.Wait()
+			s.assertIdle(t)
+		})
+	}
+}
+
 // Requests must be served without the coordinator if it does not respond, has no
 // engines, or grants engines that are not in the process's roster.
 func TestCoordinatorFails(t *testing.T) {
--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -364,10 +365,15 @@
 	return f
 }
 
+// addressOf returns the address of the fake backend server with the ID.
+func addressOf(id string) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(xxhash.Sum64String(id)|1))
+}
+
 func (f *fixture) addServer(id, service string, role roster.Role) {
 	f.roster.Update(time.Now(), 1, []roster.Event{{Server: roster.Server{
 		ID: id, Born: 1, Service: service, Zone: "calicut", Slots: 8, State: roster.Ready, Role: role,
-		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Address: addressOf(id),
 	}}}, roster.Grace{})
 }
 
--- a/internal/node/broker/links_test.go
+++ b/internal/node/broker/links_test.go
@@ -111,6 +111,25 @@
 	assert.Equal(t, "p1", servers[2], "the slow prefill engine comes last")
 }
 
+// The longest wait for a permit leaves time for a typical prefill, within bounds.
+func TestWaitLeavesTimeForThePrefill(t *testing.T) {
+	f := newFixture(t)
+	f.addEngines()
+	for hold, want := range map[time.Duration]time.Duration{
+		time.Millisecond:       120 * time.Millisecond,
+		80 * time.Millisecond:  200*time.Millisecond - 120*time.Millisecond - decodeStart,
+		500 * time.Millisecond: 30 * time.Millisecond,
+	} {
+		f.queue(queueKey{service: "model", role: roster.Prefill}).holdTime = hold.Seconds()
+		tab := f.Table()
+		route, _ := tab.Match("h", "/chat/1")
+		j := &job{broker: f.Broker, request: newPromptRequest("/chat/1", 9000, 100), route: route, service: tab.Services["model"], deadline: time.Now().Add(time.Minute)}
+		prefill, localPrefill := j.prefillNeeds()
+		assert.InDelta(t, want.Seconds(), prefill.maxWait.Seconds(), 1e-6, hold)
+		assert.Equal(t, prefill.maxWait, localPrefill.maxWait)
+	}
+}
+
 // A prefill on a decode engine interrupts its streams, so that it has to end within
 // their target for the time between two events, those ahead included. Without a
 // prefill engine there is no other way.
--- a/internal/node/broker/notice_test.go
+++ b/internal/node/broker/notice_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 )
 
 // A backend server that has asked for a pause gets no request until its end, also if
@@ -31,39 +33,64 @@
 	})
 }
 
-// Prompts avoid paused engines in each stage, as a source of KV caches as well.
+// servePrompts serves 20 prompts with five prefixes, one each 30 ms, and returns what
+// the engines got for them.
+func (f *fixture) servePrompts(ctx context.Context) []*sent {
+	before := f.fleet.arrived()
+	for i := range 20 {
+		r := newPromptRequest("/chat/1", 9000, 100)
+		r.ID, r.Parts[0].ID = fmt.Sprint("r", before+i), fmt.Sprint("shared", i%5)
+		go f.serve(ctx, r)
+		time.Sleep(30 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	synctest.Wait()
+	return f.fleet.sent[before:]
+}
+
+// Prompts avoid paused engines in each stage, and as a source of KV caches as well.
 func TestPausedEnginesGetNoPrompts(t *testing.T) {
 	for _, paused := range []string{"p1", "d1", "d2"} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFixture(t)
 			f.addEngines()
-			for i := range 20 {
-				r := newPromptRequest("/chat/1", 9000, 100)
-				r.ID = fmt.Sprint("warm", i)
-				go f.serve(t.Context(), r)
-				time.Sleep(30 * time.Millisecond)
+			f.addServer("p2", "model", roster.Prefill)
+			used := false
+			for _, s := range f.servePrompts(t.Context()) {
+				used = used || s.server == paused || s.call.Fetch == addressOf(paused)
 			}
-			time.Sleep(time.Second)
-			synctest.Wait()
-			before := len(f.fleet.sent)
+			assert.True(t, used, paused)
 			s, _ := f.roster.Find(paused, 1)
 			f.Notice(s, Notice{Pause: 3 * time.Second})
-			for i := range 20 {
-				r := newPromptRequest("/chat/1", 9000, 100)
-				r.ID = fmt.Sprint("r", i)
-				go f.serve(t.Context(), r)
-				time.Sleep(30 * time.Millisecond)
-			}
-			time.Sleep(time.Second)
-			synctest.Wait()
-			assert.Greater(t, len(f.fleet.sent), before+10)
-			for _, s := range f.fleet.sent[before:] {
+			got := f.servePrompts(t.Context())
+			assert.GreaterOrEqual(t, len(got), 20)
+			for _, s := range got {
 				assert.NotEqual(t, paused, s.server)
+				assert.NotEqual(t, addressOf(paused), s.call.Fetch)
 			}
 		})
 	}
 }
 
+// An unreachable backend server that has asked for a pause is not connected to before
+// its end.
+func TestPausedServerIsNotConnectedTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		s, _ := f.roster.Find("a", 1)
+		f.Usage.RecordRemote(time.Now(), s, usage.Result{Verdict: usage.Unreachable})
+		f.Notice(s, Notice{Pause: 2 * time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Reconnect(ctx) }()
+		time.Sleep(2*time.Second - time.Millisecond)
+		assert.Zero(t, f.fleet.connectCalls())
+		time.Sleep(time.Second)
+		assert.Positive(t, f.fleet.connectCalls())
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // A coordinator may grant an engine that has asked this process for a pause. The
 // permit is given back, and the request goes elsewhere.
 func TestGrantOfPausedEngineIsNotUsed(t *testing.T) {
