--- a/internal/fleet/kept/kept.go
+++ b/internal/fleet/kept/kept.go
@@ -8,7 +8,7 @@
 //	m.Start(engine, capacity, chain, own)
 //	m.Done(engine, chain)
 //	tokens := m.Tokens(engine, chain)
-//	holder, found := m.Holder(chain, engine)
+//	holder, tokens := m.Holder(chain, engine, usable)
 //
 // A process that places all prefills of a service predicts well. One that places
 // some of them knows only those, and expects too little. The zero value is empty. A
--- a/internal/fleet/usage/prefill.go
+++ b/internal/fleet/usage/prefill.go
@@ -5,19 +5,9 @@
 
 	"ebonyscale.example/ebonyscale/internal/base/linfit"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
 )
 
-// Times are an engine's times as estimated from the requests it has served. Each is
-// unknown, and then zero, until one has been.
-type Times struct {
-	// PrefillBase is the time that any prefill occupies the engine, PrefillRate how
-	// many prompt tokens per second it prefills beyond that.
-	PrefillBase time.Duration
-	PrefillRate float64
-	// Stale is set if they have not been observed for staleAfter.
-	Stale bool
-}
-
 // prefills has the prefills of one incarnation of an engine: the number in
 // progress and their tokens, both of this process only, and the estimated times
 // with the role that the engine had.
@@ -53,14 +43,14 @@
 const staleAfter = 2 * time.Second
 
 // times returns the estimates for an engine with the role.
-func (p *prefills) times(now time.Time, role roster.Role) Times {
-	var t Times
+func (p *prefills) times(now time.Time, role roster.Role) assign.Times {
+	var t assign.Times
 	if p.role != role {
 		return t
 	}
 	if p.took.Known() && p.took.Slope > 0 {
-		t.PrefillBase, _ = p.took.Durations()
-		t.PrefillRate = 1 / p.took.Slope
+		t.Base, _ = p.took.Durations()
+		t.Rate = 1 / p.took.Slope
 		t.Stale = now.Sub(p.observed) > staleAfter
 	}
 	return t
@@ -127,8 +117,8 @@
 
 // SetTimes replaces the estimated times of an engine by those of a process that has
 // observed it. Unknown times, and values that no engine can have, are ignored.
-func (t *Table) SetTimes(now time.Time, server roster.Server, times Times) {
-	if !(times.PrefillRate >= minRate && times.PrefillRate <= maxRate) || times.PrefillBase < 0 || times.PrefillBase > maxPrefill {
+func (t *Table) SetTimes(now time.Time, server roster.Server, times assign.Times) {
+	if !(times.Rate >= minRate && times.Rate <= maxRate) || times.Base < 0 || times.Base > maxPrefill {
 		return
 	}
 	t.mu.Lock()
@@ -136,7 +126,7 @@
 	p := &t.record(server).prefills
 	p.setRole(server.Role)
 	p.observed = now
-	p.took.Reset(times.PrefillBase.Seconds(), 1/times.PrefillRate)
+	p.took.Reset(times.Base.Seconds(), 1/times.Rate)
 }
 
 // minRate and maxRate bound the prefill rates that are believed, in tokens per second.
--- a/internal/fleet/usage/prefill_test.go
+++ b/internal/fleet/usage/prefill_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
 )
 
 // recordPrefills records prefills of an engine with the base time and rate.
@@ -24,14 +25,14 @@
 	prefill := roster.Server{ID: "i-1", Born: 1, Role: roster.Prefill}
 	assert.Zero(t, table.Get(now, prefill).Times)
 	recordPrefills(&table, prefill, 1, 50*time.Millisecond, 40e3)
-	assert.Positive(t, table.Get(now, prefill).Times.PrefillRate, "one prefill is a start")
+	assert.Positive(t, table.Get(now, prefill).Times.Rate, "one prefill is a start")
 	recordPrefills(&table, prefill, 200, 50*time.Millisecond, 40e3)
 	times := table.Get(now, prefill).Times
-	assert.InDelta(t, 0.05, times.PrefillBase.Seconds(), 0.002)
-	assert.InDelta(t, 40e3, times.PrefillRate, 1e3)
+	assert.InDelta(t, 0.05, times.Base.Seconds(), 0.002)
+	assert.InDelta(t, 40e3, times.Rate, 1e3)
 
 	recordPrefills(&table, prefill, 40, 400*time.Millisecond, 5e3)
-	assert.Less(t, table.Get(now, prefill).Times.PrefillRate, 10e3, "it has turned slow")
+	assert.Less(t, table.Get(now, prefill).Times.Rate, 10e3, "it has turned slow")
 
 	decode := prefill
 	decode.Role = roster.Decode
@@ -47,8 +48,8 @@
 	s := roster.Server{ID: "i-2", Born: 1, Role: roster.Decode}
 	table.RecordPrefill(now, s, 28_000, 2*(50*time.Millisecond+28*time.Second/25))
 	times := table.Get(now, s).Times
-	assert.InDelta(t, 0.1, times.PrefillBase.Seconds(), 0.03, "twice as slow")
-	assert.InDelta(t, 12.5e3, times.PrefillRate, 1e3)
+	assert.InDelta(t, 0.1, times.Base.Seconds(), 0.03, "twice as slow")
+	assert.InDelta(t, 12.5e3, times.Rate, 1e3)
 	assert.False(t, times.Stale)
 	assert.True(t, table.Get(now.Add(staleAfter+1), s).Times.Stale)
 }
@@ -58,16 +59,16 @@
 	var table Table
 	now := time.Unix(1000, 0)
 	s := roster.Server{ID: "i-1", Born: 1, Role: roster.Prefill}
-	want := Times{PrefillBase: 20 * time.Millisecond, PrefillRate: 30e3}
+	want := assign.Times{Base: 20 * time.Millisecond, Rate: 30e3}
 	table.SetTimes(time.Unix(1000, 0), s, want)
 	got := table.Get(now, s).Times
-	assert.InDelta(t, want.PrefillRate, got.PrefillRate, 1)
-	assert.Equal(t, want.PrefillBase, got.PrefillBase)
+	assert.InDelta(t, want.Rate, got.Rate, 1)
+	assert.Equal(t, want.Base, got.Base)
 	for _, rate := range []float64{0, -1, math.NaN(), math.Inf(1)} {
-		table.SetTimes(time.Unix(1000, 0), s, Times{PrefillRate: rate})
+		table.SetTimes(time.Unix(1000, 0), s, assign.Times{Rate: rate})
 	}
-	table.SetTimes(time.Unix(1000, 0), s, Times{PrefillBase: -1, PrefillRate: 7})
-	assert.InDelta(t, want.PrefillRate, table.Get(now, s).Times.PrefillRate, 1)
+	table.SetTimes(time.Unix(1000, 0), s, assign.Times{Base: -1, Rate: 7})
+	assert.InDelta(t, want.Rate, table.Get(now, s).Times.Rate, 1)
 }
 
 // An engine that prefills long prompts sends nothing meanwhile and has not stalled.
@@ -94,10 +95,10 @@
 		var table Table
 		s := roster.Server{ID: "i-1", Born: 1, Role: roster.Prefill}
 		table.RecordPrefill(time.Unix(0, 0), s, tokens, time.Duration(took))
-		table.SetTimes(time.Unix(1000, 0), s, Times{PrefillBase: time.Duration(base), PrefillRate: rate})
+		table.SetTimes(time.Unix(1000, 0), s, assign.Times{Base: time.Duration(base), Rate: rate})
 		table.RecordPrefill(time.Unix(0, 0), s, tokens, time.Duration(took))
 		times := table.Get(time.Unix(0, 0), s).Times
-		if !(times.PrefillRate >= 0) || math.IsInf(times.PrefillRate, 0) || times.PrefillBase < 0 {
+		if !(times.Rate >= 0) || math.IsInf(times.Rate, 0) || times.Base < 0 {
 			t.Fatalf("%+v", times)
 		}
 	})
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -29,7 +29,7 @@
 //	table.StartPrefill(server, tokens)
 //	defer table.EndPrefill(server, tokens)
 //	table.RecordPrefill(now, server, tokens, took)
-//	rate := table.Get(now, server).Times.PrefillRate
+//	rate := table.Get(now, server).Times.Rate
 //
 // A backend server that has asked for a pause is reported as paused until its end. It
 // must get nothing meanwhile, whatever else there is.
@@ -42,6 +42,7 @@
 	"time"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
 )
 
 // Result is how a request at a backend server ended.
@@ -98,7 +99,7 @@
 	// ended, and PrefillTokens the prompt tokens of these.
 	Running, Long, Prefills, PrefillTokens int
 	// Times are the engine's estimated times.
-	Times Times
+	Times assign.Times
 	// LatencyRatio is the average measured latency over the expected latency;
 	// 1 if nothing is known.
 	LatencyRatio float64
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -60,6 +60,57 @@
 	peerLoad peers.Load
 }
 
+// views are the views of the queues that can serve a waiter.
+type views struct {
+	first view
+	// alternative is nil if there is no second queue.
+	alternative *view
+}
+
+// views evaluates the queues for a waiter. b.mu must be held.
+func (b *Broker) views(now time.Time, w *waiter) views {
+	v := views{first: b.choose(now, w.need)}
+	if w.alternative != nil {
+		alternative := b.choose(now, *w.alternative)
+		v.alternative = &alternative
+	}
+	return v
+}
+
+// throughput returns how many units per second the backend servers that can serve a
+// request complete, those of the alternative queue included.
+func (v views) throughput(n need) float64 {
+	rate := v.first.rate
+	if a := v.alternative; a != nil {
+		switch {
+		case v.first.ejected && !a.ejected:
+			rate = a.rate
+		case v.first.ejected == a.ejected:
+			rate += a.rate
+		}
+	}
+	if rate == 0 {
+		// Nothing is known about the engines yet.
+		rate = float64(v.first.usable*n.size()) / initialHold
+	}
+	return rate
+}
+
+// preferAlternative reports whether the alternative queue is predicted to serve a
+// request sooner than the first. Ejected backend servers come last.
+func preferAlternative(first, alternative view) bool {
+	if first.ejected != alternative.ejected {
+		return first.ejected && alternative.usable > 0
+	}
+	switch {
+	case alternative.server.ID == "":
+		return false
+	case first.server.ID == "":
+		return true
+	}
+	return alternative.forecast.Finish < first.forecast.Finish
+}
+
 // choose evaluates the backend servers for a request. b.mu must be held.
 func (b *Broker) choose(now time.Time, n need) view {
 	if n.key.prefills() {
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -28,13 +28,10 @@
 	Number  uint64
 	Request string
 	Service string
-	// PrefixHash is the prefix hash of the request, or 0 if it shares no prefix.
-	// OwnTokens are the prompt tokens behind the prefix, SharedTokens those of
-	// the prefix.
-	PrefixHash              uint64
-	OwnTokens, SharedTokens int
-	// Chain has the prompt's prefixes.
-	Chain []kept.Part
+	// OwnTokens are the prompt tokens behind the prefix, Chain has the prefixes up
+	// to the end of each shared part.
+	OwnTokens int
+	Chain     []kept.Part
 	// Priority is the priority of the route; 0 is served first.
 	Priority int
 	// Target is the latency target of the route.
@@ -62,7 +59,7 @@
 	Fetch netip.AddrPort
 	// Times are the coordinator's estimates of the engine, so that its requesters
 	// can go on without it.
-	Times usage.Times
+	Times assign.Times
 	// Tokens is how many prompt tokens the engine is expected to prefill.
 	Tokens int
 }
@@ -167,8 +164,7 @@
 
 // remoteWaiter returns the waiter for a peer's permit request.
 func remoteWaiter(now time.Time, from string, r PermitRequest) *waiter {
-	prompt := assign.Prompt{PrefixHash: r.PrefixHash, Own: r.OwnTokens, Shared: r.SharedTokens}
-	n, alternative := prefillNeeds(r.Service, prompt, r.Chain)
+	n, alternative := prefillNeeds(r.Service, newPrompt(r.OwnTokens, r.Chain), r.Chain)
 	n.excluded = make(map[string]bool, len(r.Excluded))
 	for _, id := range r.Excluded {
 		n.excluded[id] = true
--- a/internal/node/broker/coordinate_test.go
+++ b/internal/node/broker/coordinate_test.go
@@ -272,7 +272,7 @@
 		second.Parts = []Part{{"shared", 79_000}, {"own", 1000}}
 		f.serve(t.Context(), second)
 		times := f.Usage.Get(time.Now(), engine).Times
-		assert.Positive(t, times.PrefillRate)
+		assert.Positive(t, times.Rate)
 
 		for _, n := range s.nodes {
 			n.addServer("p2", "model", roster.Prefill)
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -15,18 +16,15 @@
 // permits issued and released since. A coordinator evaluates hundreds of engines for
 // each prompt, so that it reuses a set for engineSetAge.
 type engineSet struct {
-	at      time.Time
-	prefill engineList
-	decode  engineList
+	at time.Time
+	// byRole has the engines with each role.
+	byRole map[roster.Role][]*engineState
 	// index has the engine of each key.
 	index map[uint64]*engineState
 	// hasPrefill is set if an engine that only prefills is not ejected.
 	hasPrefill bool
 }
 
-// engineList has the engines with one role.
-type engineList struct{ engines []*engineState }
-
 // engineState is an engine of a set.
 type engineState struct {
 	server roster.Server
@@ -48,22 +46,14 @@
 // report become visible after that time.
 const engineSetAge = 5 * time.Millisecond
 
-// list returns the engines with a role.
-func (s *engineSet) list(role roster.Role) []*engineState {
-	if role == roster.Prefill {
-		return s.prefill.engines
-	}
-	return s.decode.engines
-}
-
 // fetchable reports whether KV caches can be fetched from the engine with the key.
 func (s *engineSet) fetchable(key uint64) bool {
 	e, found := s.index[key]
 	return found && e.fetchable
 }
 
-// average returns an engine with the average times of all engines.
-func (s *engineSet) average() assign.Engine {
+// average returns the average times of all engines.
+func (s *engineSet) average() assign.Times {
 	all := make([]assign.Engine, 0, len(s.index))
 	for _, e := range s.index {
 		all = append(all, e.engine)
@@ -92,11 +82,12 @@
 // evaluateEngines evaluates the engines of a service. b.mu must be held.
 func (b *Broker) evaluateEngines(now time.Time, service string) *engineSet {
 	servers := b.Roster.Service(service)
-	set := &engineSet{at: now, index: make(map[uint64]*engineState, len(servers))}
+	set := &engineSet{at: now, byRole: map[roster.Role][]*engineState{}, index: make(map[uint64]*engineState, len(servers))}
 	links := b.links(now, queueKey{service: service, role: roster.Prefill}, servers)
 	shares := map[string]float64{}
 	for _, s := range servers {
-		if b.Usage.Get(now, s).Paused {
+		snapshot := b.Usage.Get(now, s)
+		if snapshot.Paused {
 			continue
 		}
 		share, known := shares[s.Zone]
@@ -104,24 +95,18 @@
 			share = b.zoneShare(s.Zone)
 			shares[s.Zone] = share
 		}
-		e := b.evaluateEngine(now, s, links, share)
+		e := b.evaluateEngine(s, snapshot, links, share)
 		set.index[e.engine.Key] = e
-		switch s.Role {
-		case roster.Prefill:
-			set.prefill.engines = append(set.prefill.engines, e)
-			set.hasPrefill = set.hasPrefill || !e.engine.Ejected
-		case roster.Decode:
-			set.decode.engines = append(set.decode.engines, e)
-		}
+		set.byRole[s.Role] = append(set.byRole[s.Role], e)
+		set.hasPrefill = set.hasPrefill || s.Role == roster.Prefill && !e.engine.Ejected
 	}
 	return set
 }
 
 // evaluateEngine combines the load of this process and its peers at an engine. share
 // is the share of its capacity that live processes may use. b.mu must be held.
-func (b *Broker) evaluateEngine(now time.Time, s roster.Server, links links, share float64) *engineState {
+func (b *Broker) evaluateEngine(s roster.Server, snapshot usage.Snapshot, links links, share float64) *engineState {
 	key := s.Key()
-	snapshot := b.Usage.Get(now, s)
 	peerLoad := b.withoutGrants(s.Service, b.Peers.Server(key))
 	granted := b.grantedByEngine[key]
 	e := &engineState{
@@ -131,8 +116,7 @@
 			Key: key, Hash: xxhash.Sum64String(s.ID),
 			Backlog:  max(snapshot.PrefillTokens+peerLoad.PrefillTokens+granted.Tokens, 0),
 			Prefills: max(snapshot.Prefills+peerLoad.Prefills+granted.Prefills, 0),
-			Base:     snapshot.Times.PrefillBase, Rate: snapshot.Times.PrefillRate, Stale: snapshot.Times.Stale,
-			Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted.Requests, Ejected: snapshot.Ejected,
+			Times:    snapshot.Times, Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted.Requests, Ejected: snapshot.Ejected,
 		},
 	}
 	if s.Role == roster.Prefill {
@@ -165,7 +149,7 @@
 func (b *Broker) choosePrefill(now time.Time, n need) view {
 	set := b.engineSet(now, n.key.service)
 	v := view{peerLoad: b.withoutGrants(n.key.service, b.Peers.Queue(n.key.hash())), ejected: true}
-	states := set.list(n.key.role)
+	states := set.byRole[n.key.role]
 	lookup := b.kept.Lookup(n.chain)
 	engines := b.engineBuffer[:0]
 	for _, s := range states {
@@ -177,26 +161,23 @@
 		engines = append(engines, e)
 	}
 	b.engineBuffer = engines
-	prompt := n.prompt
-	prompt.Window = n.window()
-	prompt.AssumePreferred = b.elected[n.key.service] != ""
+	query := assign.Query{Prompt: n.prompt, Window: n.window(), AssumePreferred: b.elected[n.key.service] != "", Average: assign.Average(engines)}
 	if n.key.work == usage.LocalPrefill && set.hasPrefill {
-		prompt.Longest = b.gapTarget(n.key.service)
+		query.Longest = b.gapTarget(n.key.service)
 	}
-	_, prompt.Fetchable = b.kept.Holder(n.chain, 0, set.fetchable)
-	prompt.Average = assign.Average(engines)
-	if prompt.Average.Rate == 0 {
-		prompt.Guess = set.average()
+	if query.Average.Rate == 0 {
+		query.Guess = set.average()
 	}
+	_, query.Fetchable = b.kept.Holder(n.chain, 0, set.fetchable)
 	for i, e := range engines {
 		if e.Ejected && !v.ejected {
 			continue
 		}
-		rate := e.Or(prompt.Average).PerSecond(n.size()) * states[i].throughput
+		rate := e.Or(query.Average).PerSecond(n.size()) * states[i].throughput
 		v.rate += rate
-		v.capacity += max(int(math.Min(rate*prompt.Window.Seconds(), maxCapacity)), n.size())
+		v.capacity += max(int(math.Min(rate*query.Window.Seconds(), maxCapacity)), n.size())
 	}
-	v.forecast = assign.Prefill(engines, prompt)
+	v.forecast = assign.Prefill(engines, query)
 	if i := v.forecast.Index; i >= 0 {
 		v.server, v.ahead = states[i].server, engines[i].Backlog
 	}
@@ -205,3 +186,24 @@
 
 // maxCapacity bounds the tokens that one engine can take within the window.
 const maxCapacity = 1 << 30
+
+// sweepKept forgets the predicted caches of engines that have left. b.mu must be
+// held.
+func (b *Broker) sweepKept(now time.Time) {
+	t := b.Table()
+	if t == nil || now.Sub(b.keptSwept) < keptSweepInterval {
+		return
+	}
+	b.keptSwept = now
+	present := map[uint64]bool{}
+	for name := range t.Services {
+		for _, s := range b.Roster.Service(name) {
+			present[s.Key()] = true
+		}
+	}
+	b.kept.Retain(func(engine uint64) bool { return present[engine] })
+	maps.DeleteFunc(b.progress, func(engine uint64, _ time.Time) bool { return !present[engine] })
+}
+
+// keptSweepInterval is the period of sweepKept.
+const keptSweepInterval = 5 * time.Second
--- a/internal/node/broker/engines_test.go
+++ b/internal/node/broker/engines_test.go
@@ -86,6 +86,6 @@
 		set := f.engineSet(time.Now(), "model")
 		assert.Same(t, set, f.engineSet(time.Now().Add(engineSetAge-1), "model"))
 		assert.NotSame(t, set, f.engineSet(time.Now().Add(engineSetAge), "model"))
-		assert.Len(t, set.list(roster.Decode), 2)
+		assert.Len(t, set.byRole[roster.Decode], 2)
 	})
 }
--- /dev/null
+++ b/internal/node/broker/permit.go
@@ -0,0 +1,121 @@
+package broker
+
+import (
+	"net/netip"
+	"time"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
+)
+
+// permit admits one request to a backend server.
+type permit struct {
+	broker   *Broker
+	need     need
+	server   roster.Server
+	since    time.Time
+	waited   time.Duration
+	released bool
+	// units is how much of the queue's capacity the permit takes: 1, or for a
+	// prefill the tokens to be prefilled, and 0 once the prefill has ended.
+	// ahead is how many tokens the engine had to prefill before, forecast the
+	// prediction for the prefill.
+	units, ahead int
+	forecast     assign.Forecast
+	// fetch is the address of an engine from which the prefix is fetched; it is
+	// invalid if none is known.
+	fetch netip.AddrPort
+	// abort cancels the attempt so that the request can be retried on another
+	// backend server; nil if it cannot.
+	abort func()
+	// coordinator is the process that granted the permit, empty if this process
+	// issued it by itself. number is that of the permit request.
+	coordinator string
+	number      uint64
+	// requester is set if the permit was granted to a peer.
+	requester requester
+}
+
+// release gives the permit back with the request's result. Further calls have
+// no effect.
+func (p *permit) release(result usage.Result) {
+	if p.released {
+		return
+	}
+	p.released = true
+	now := time.Now()
+	b := p.broker
+	p.finishPrefill(result.Prefilled)
+	result.Work = p.need.key.work
+	b.Usage.End(now, p.server, result)
+	if p.coordinator != "" {
+		b.releaseRemote(p, PermitRelease{Number: p.number, Verdict: result.Verdict, Prefilled: result.Prefilled})
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.free(now, p, result)
+}
+
+// free removes a permit from its queue and serves the queues that can use the
+// capacity. b.mu must be held.
+func (b *Broker) free(now time.Time, p *permit, result usage.Result) {
+	q := b.queue(p.need.key)
+	delete(q.permits, p)
+	b.adjustEngine(p.server, Grants{Requests: -1})
+	q.held -= p.units
+	p.units = 0
+	p.abort = nil
+	if result.Verdict == usage.OK {
+		q.holdTime += holdWeight * (now.Sub(p.since).Seconds() - q.holdTime)
+	}
+	b.serveFreed(now, p.need.key)
+}
+
+// serveFreed serves the queues that can use capacity of the queue with the key.
+// b.mu must be held.
+func (b *Broker) serveFreed(now time.Time, key queueKey) {
+	// Short work is served first, since slots are reserved for it. Requests
+	// that wait for a prefill engine can also use a permit of a decode engine.
+	for work := usage.Short; work <= usage.LocalPrefill; work++ {
+		b.serveIfWaiting(now, queueKey{key.service, key.role, work})
+	}
+	if key.role == roster.Decode {
+		b.serveIfWaiting(now, queueKey{key.service, roster.Prefill, usage.Short})
+	}
+}
+
+// serveIfWaiting serves a queue if it exists and has waiters. b.mu must be held.
+func (b *Broker) serveIfWaiting(now time.Time, key queueKey) {
+	if q, ok := b.queues[key]; ok && len(q.waiting) > 0 {
+		b.serveQueue(now, key)
+	}
+}
+
+// issue issues a permit to this process. b.mu must be held.
+func (b *Broker) issue(q *queue, p *permit) {
+	b.Usage.Start(p.since, p.server, p.need.key.work)
+	added := Grants{Requests: 1}
+	if p.need.key.prefills() {
+		b.Usage.StartPrefill(p.server, p.units)
+		b.startPrefill(p)
+		added.Prefills, added.Tokens = 1, p.units
+	}
+	b.adjustEngine(p.server, added)
+	q.add(p)
+}
+
+// setAbort allows the attempt at p's backend server to be aborted when that
+// server stalls.
+func (b *Broker) setAbort(p *permit, abort func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.abort = abort
+}
+
+// clearAbort disallows aborting the attempt.
+func (b *Broker) clearAbort(p *permit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.abort = nil
+}
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -184,48 +184,35 @@
 	return true
 }
 
-// prompt returns the request's prompt, and its prefixes up to the end of each
-// shared part. Only the first maxChain parts count as shared.
+// prompt returns the request's prompt, and its prefixes up to the end of each shared
+// part, which are all but the last. Only the first maxChain count as shared.
 func (j *job) prompt() (assign.Prompt, []kept.Part) {
-	p := assign.Prompt{PrefixHash: j.hashPrefix(), Own: j.request.PromptTokens}
-	if p.PrefixHash == 0 {
-		return p, nil
-	}
-	shared := j.request.Parts[:min(len(j.request.Parts)-1, maxChain)]
-	chain := make([]kept.Part, 0, len(shared))
+	own, chain := j.request.PromptTokens, []kept.Part(nil)
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range shared {
-		if _, err := d.WriteString(part.ID + ","); err != nil {
-			return p, nil
-		}
-		tokens := min(max(part.Tokens, 0), p.Own)
-		p.Shared += tokens
-		p.Own -= tokens
+	for _, part := range j.request.Parts[:min(max(len(j.request.Parts)-1, 0), maxChain)] {
+		// A Digest never returns an error.
+		_, _ = d.WriteString(part.ID + ",")
+		tokens := min(max(part.Tokens, 0), own)
+		own -= tokens
 		chain = append(chain, kept.Part{Hash: d.Sum64() | 1, Tokens: tokens})
 	}
-	return p, chain
+	return newPrompt(own, chain), chain
 }
 
-// maxChain bounds the parts of a prompt that count as shared.
-const maxChain = 16
-
-// hashPrefix returns the hash of the prompt's prefix, which is all parts but
-// the last. It is 0 if there is none.
-func (j *job) hashPrefix() uint64 {
-	if len(j.request.Parts) < 2 {
-		return 0
-	}
-	var d xxhash.Digest
-	d.Reset()
-	for _, p := range j.request.Parts[:len(j.request.Parts)-1] {
-		if _, err := d.WriteString(p.ID + ","); err != nil {
-			return 0
-		}
+// newPrompt returns the prompt with the prefixes and so many tokens behind them.
+func newPrompt(own int, chain []kept.Part) assign.Prompt {
+	p := assign.Prompt{Own: own}
+	for _, part := range chain {
+		p.Shared += part.Tokens
+		p.PrefixHash = part.Hash
 	}
-	return d.Sum64() | 1
+	return p
 }
 
+// maxChain bounds the parts of a prompt that count as shared.
+const maxChain = 16
+
 // prefillPrompt prefills the prompt if it is not small. It returns the KV cache
 // of a prefill engine, or a permit at a decode engine that prefills locally;
 // neither if the prompt is small or no engine prefills. It returns false if the
@@ -318,14 +305,14 @@
 	if p.fetch.IsValid() {
 		return p.fetch
 	}
-	return j.broker.preferredEngine(time.Now(), j.service.Name, j.hashPrefix(), p.server)
+	return j.broker.preferredEngine(time.Now(), j.service.Name, p.need.prompt.PrefixHash, p.server)
 }
 
 // preferredEngine returns the address of the decode engine that comes first in
 // the rendezvous order of the prefix hash, from which requester can fetch the
-// prefix's KV cache. Engines that are unreachable or stalled are skipped,
-// because the fetch would not complete, and those that want no request. The address is invalid if
-// there is no such engine or if it is requester itself.
+// prefix's KV cache. Engines that are unreachable or stalled are skipped, because
+// the fetch would not complete, and those that want no request. The address is
+// invalid if there is no such engine or if it is requester itself.
 func (b *Broker) preferredEngine(now time.Time, service string, prefixHash uint64, requester roster.Server) netip.AddrPort {
 	if prefixHash == 0 {
 		return netip.AddrPort{}
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net/netip"
 	"sort"
 	"time"
 
@@ -169,23 +168,6 @@
 	q.waiting = append(q.waiting, w)
 }
 
-// views are the views of the queues that can serve a waiter.
-type views struct {
-	first view
-	// alternative is nil if there is no second queue.
-	alternative *view
-}
-
-// views evaluates the queues for a waiter. b.mu must be held.
-func (b *Broker) views(now time.Time, w *waiter) views {
-	v := views{first: b.choose(now, w.need)}
-	if w.alternative != nil {
-		alternative := b.choose(now, *w.alternative)
-		v.alternative = &alternative
-	}
-	return v
-}
-
 // withdraw removes a canceled waiter from its queue.
 func (b *Broker) withdraw(w *waiter) {
 	b.mu.Lock()
@@ -211,31 +193,15 @@
 	if v.alternative == nil {
 		return b.tryAcquireFrom(now, w, w.need, v.first)
 	}
+	preferred, other := w.need, *w.alternative
+	preferredView, otherView := v.first, *v.alternative
 	if preferAlternative(v.first, *v.alternative) {
-		if p := b.tryAcquireFrom(now, w, *w.alternative, *v.alternative); p != nil || v.alternative.ejected != v.first.ejected {
-			return p
-		}
-		return b.tryAcquireFrom(now, w, w.need, v.first)
+		preferred, other, preferredView, otherView = other, preferred, otherView, preferredView
 	}
-	if p := b.tryAcquireFrom(now, w, w.need, v.first); p != nil || v.alternative.ejected != v.first.ejected {
+	if p := b.tryAcquireFrom(now, w, preferred, preferredView); p != nil || preferredView.ejected != otherView.ejected {
 		return p
 	}
-	return b.tryAcquireFrom(now, w, *w.alternative, *v.alternative)
-}
-
-// preferAlternative reports whether the alternative queue is predicted to serve a
-// request sooner than the first. Ejected backend servers come last.
-func preferAlternative(first, alternative view) bool {
-	if first.ejected != alternative.ejected {
-		return first.ejected && alternative.usable > 0
-	}
-	switch {
-	case alternative.server.ID == "":
-		return false
-	case first.server.ID == "":
-		return true
-	}
-	return alternative.forecast.Finish < first.forecast.Finish
+	return b.tryAcquireFrom(now, w, other, otherView)
 }
 
 // tryAcquireFrom issues a permit at the backend server of v. It returns nil if
@@ -264,19 +230,6 @@
 	return p
 }
 
-// issue issues a permit to this process. b.mu must be held.
-func (b *Broker) issue(q *queue, p *permit) {
-	b.Usage.Start(p.since, p.server, p.need.key.work)
-	added := Grants{Requests: 1}
-	if p.need.key.prefills() {
-		b.Usage.StartPrefill(p.server, p.units)
-		b.startPrefill(p)
-		added.Prefills, added.Tokens = 1, p.units
-	}
-	b.adjustEngine(p.server, added)
-	q.add(p)
-}
-
 // add adds a permit to those of the queue.
 func (q *queue) add(p *permit) {
 	if q.permits == nil {
@@ -351,25 +304,6 @@
 // hasAhead reports whether waiters of the same or a higher priority are queued.
 func (q *queue) hasAhead(n need) bool { return q.ahead(n) > 0 }
 
-// throughput returns how many units per second the backend servers that can serve a
-// request complete, those of the alternative queue included.
-func (v views) throughput(n need) float64 {
-	rate := v.first.rate
-	if a := v.alternative; a != nil {
-		switch {
-		case v.first.ejected && !a.ejected:
-			rate = a.rate
-		case v.first.ejected == a.ejected:
-			rate += a.rate
-		}
-	}
-	if rate == 0 {
-		// Nothing is known about the engines yet.
-		rate = float64(v.first.usable*n.size()) / initialHold
-	}
-	return rate
-}
-
 // expectedWait returns how long it takes to complete the units at a rate per second.
 func expectedWait(units int, rate float64) time.Duration {
 	if rate <= 0 {
@@ -463,27 +397,6 @@
 	b.Dispatch(now)
 }
 
-// sweepKept forgets the predicted caches of engines that have left. b.mu must be
-// held.
-func (b *Broker) sweepKept(now time.Time) {
-	t := b.Table()
-	if t == nil || now.Sub(b.keptSwept) < keptSweepInterval {
-		return
-	}
-	b.keptSwept = now
-	present := map[uint64]bool{}
-	for name := range t.Services {
-		for _, s := range b.Roster.Service(name) {
-			present[s.Key()] = true
-		}
-	}
-	b.kept.Retain(func(engine uint64) bool { return present[engine] })
-	maps.DeleteFunc(b.progress, func(engine uint64, _ time.Time) bool { return !present[engine] })
-}
-
-// keptSweepInterval is the period of sweepKept.
-const keptSweepInterval = 5 * time.Second
-
 // Dispatch issues free permits in all queues and rejects late waiters. Tick calls
 // it because ejections end after some time; call it also after changes to the
 // backend servers.
@@ -501,89 +414,6 @@
 	}
 }
 
-// permit admits one request to a backend server.
-type permit struct {
-	broker   *Broker
-	need     need
-	server   roster.Server
-	since    time.Time
-	waited   time.Duration
-	released bool
-	// units is how much of the queue's capacity the permit takes: 1, or for a
-	// prefill the tokens to be prefilled, and 0 once the prefill has ended.
-	// ahead is how many tokens the engine had to prefill before, forecast the
-	// prediction for the prefill.
-	units, ahead int
-	forecast     assign.Forecast
-	// fetch is the address of an engine from which the prefix is fetched; it is
-	// invalid if none is known.
-	fetch netip.AddrPort
-	// abort cancels the attempt so that the request can be retried on another
-	// backend server; nil if it cannot.
-	abort func()
-	// coordinator is the process that granted the permit, empty if this process
-	// issued it by itself. number is that of the permit request.
-	coordinator string
-	number      uint64
-	// requester is set if the permit was granted to a peer.
-	requester requester
-}
-
-// release gives the permit back with the request's result. Further calls have
-// no effect.
-func (p *permit) release(result usage.Result) {
-	if p.released {
-		return
-	}
-	p.released = true
-	now := time.Now()
-	b := p.broker
-	p.finishPrefill(result.Prefilled)
-	result.Work = p.need.key.work
-	b.Usage.End(now, p.server, result)
-	if p.coordinator != "" {
-		b.releaseRemote(p, PermitRelease{Number: p.number, Verdict: result.Verdict, Prefilled: result.Prefilled})
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.free(now, p, result)
-}
-
-// free removes a permit from its queue and serves the queues that can use the
-// capacity. b.mu must be held.
-func (b *Broker) free(now time.Time, p *permit, result usage.Result) {
-	q := b.queue(p.need.key)
-	delete(q.permits, p)
-	b.adjustEngine(p.server, Grants{Requests: -1})
-	q.held -= p.units
-	p.units = 0
-	p.abort = nil
-	if result.Verdict == usage.OK {
-		q.holdTime += holdWeight * (now.Sub(p.since).Seconds() - q.holdTime)
-	}
-	b.serveFreed(now, p.need.key)
-}
-
-// serveFreed serves the queues that can use capacity of the queue with the key.
-// b.mu must be held.
-func (b *Broker) serveFreed(now time.Time, key queueKey) {
-	// Short work is served first, since slots are reserved for it. Requests
-	// that wait for a prefill engine can also use a permit of a decode engine.
-	for work := usage.Short; work <= usage.LocalPrefill; work++ {
-		b.serveIfWaiting(now, queueKey{key.service, key.role, work})
-	}
-	if key.role == roster.Decode {
-		b.serveIfWaiting(now, queueKey{key.service, roster.Prefill, usage.Short})
-	}
-}
-
-// serveIfWaiting serves a queue if it exists and has waiters. b.mu must be held.
-func (b *Broker) serveIfWaiting(now time.Time, key queueKey) {
-	if q, ok := b.queues[key]; ok && len(q.waiting) > 0 {
-		b.serveQueue(now, key)
-	}
-}
-
 // Queues calls do for each queue with waiters or permits of this process.
 // Permits granted to peers are left out, since the peers report them. do must
 // not call the Broker, which is locked.
@@ -597,18 +427,3 @@
 		}
 	}
 }
-
-// setAbort allows the attempt at p's backend server to be aborted when that
-// server stalls.
-func (b *Broker) setAbort(p *permit, abort func()) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p.abort = abort
-}
-
-// clearAbort disallows aborting the attempt.
-func (b *Broker) clearAbort(p *permit) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p.abort = nil
-}
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -74,8 +74,8 @@
 	p := &pendingRequest{coordinator, make(chan PermitGrant, 2)}
 	number := b.register(p)
 	b.Coordination.Request(coordinator, PermitRequest{
-		Number: number, Request: j.request.ID, Service: n.key.service, PrefixHash: n.prompt.PrefixHash,
-		OwnTokens: n.prompt.Own, SharedTokens: n.prompt.Shared, Chain: n.chain, Priority: n.priority,
+		Number: number, Request: j.request.ID, Service: n.key.service,
+		OwnTokens: n.prompt.Own, Chain: n.chain, Priority: n.priority,
 		Target: n.target, StartWithin: time.Until(n.startBy), MaxWait: n.maxWait, TimeLeft: time.Until(j.deadline), Excluded: b.unusable(start, n),
 	})
 	b.Meters.Add("PlacesRequested", 1)
--- a/internal/node/broker/size_test.go
+++ b/internal/node/broker/size_test.go
@@ -50,7 +50,7 @@
 		number++
 		chain := []kept.Part{{Hash: 1, Tokens: 200}, {Hash: 2 + number%100, Tokens: 6000}}
 		f.HandleRequest("peer", PermitRequest{
-			Number: number, Service: "model", PrefixHash: chain[1].Hash, OwnTokens: 2000, SharedTokens: 6200, Chain: chain,
+			Number: number, Service: "model", OwnTokens: 2000, Chain: chain,
 			Target: 500 * time.Millisecond, StartWithin: 400 * time.Millisecond, MaxWait: 300 * time.Millisecond, TimeLeft: 4 * time.Second,
 		})
 		waiting = append(waiting, number)
--- a/internal/node/core/coordinate.go
+++ b/internal/node/core/coordinate.go
@@ -10,6 +10,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/broker"
 	"ebonyscale.example/ebonyscale/internal/node/ring"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/route/assign"
 )
 
 // coordination sends permit requests, grants and releases to peers. It
@@ -43,36 +44,17 @@
 
 // Request implements broker.Coordination.
 func (c *coordination) Request(to string, r broker.PermitRequest) {
-	prefixes, tokens := make([]uint64, len(r.Chain)), make([]uint32, len(r.Chain))
-	for i, p := range r.Chain {
-		prefixes[i], tokens[i] = p.Hash, uint32(p.Tokens)
-	}
-	c.push(to, &wire.News{PlaceRequests: []*wire.PlaceRequest{{
-		Number: r.Number, Request: r.Request, Service: r.Service, Share: r.PrefixHash, Rank: int32(r.Priority),
-		AimMicroseconds: r.StartWithin.Microseconds(), PatienceMicroseconds: r.MaxWait.Microseconds(),
-		LimitMicroseconds: r.TimeLeft.Microseconds(), Excluded: r.Excluded,
-		OwnTokens: uint32(r.OwnTokens), SharedTokens: uint32(r.SharedTokens), TargetMicroseconds: r.Target.Microseconds(),
-		Prefixes: prefixes, PrefixTokens: tokens,
-	}}})
+	c.push(to, &wire.News{PlaceRequests: []*wire.PlaceRequest{encodeRequest(r)}})
 }
 
 // Grant implements broker.Coordination.
 func (c *coordination) Grant(to string, g broker.PermitGrant) {
-	fetch := ""
-	if g.Fetch.IsValid() {
-		fetch = g.Fetch.String()
-	}
-	c.push(to, &wire.News{PlaceGrants: []*wire.PlaceGrant{{
-		Number: g.Number, Answer: uint32(g.Status), Server: g.ID, Born: g.Born, Reading: g.LocalPrefill, Fetch: fetch,
-		BaseMicroseconds: g.Times.PrefillBase.Microseconds(), TokensPerSecond: g.Times.PrefillRate, Tokens: uint32(g.Tokens),
-	}}})
+	c.push(to, &wire.News{PlaceGrants: []*wire.PlaceGrant{encodeGrant(g)}})
 }
 
 // Release implements broker.Coordination.
 func (c *coordination) Release(to string, r broker.PermitRelease) {
-	c.push(to, &wire.News{PlaceReleases: []*wire.PlaceRelease{{
-		Number: r.Number, Verdict: uint32(r.Verdict), Prefilled: r.Prefilled, Kept: r.Kept,
-	}}})
+	c.push(to, &wire.News{PlaceReleases: []*wire.PlaceRelease{encodeRelease(r)}})
 }
 
 // Send sends queued envelopes until ctx ends. Envelopes to peers without an entry
@@ -93,38 +75,70 @@
 // handleCoordination passes a peer's permit requests, grants and releases to the
 // broker.
 func (n *Node) handleCoordination(message *wire.News) {
-	for _, q := range message.PlaceRequests {
-		n.Broker.HandleRequest(message.From, broker.PermitRequest{
-			Number: q.Number, Request: q.Request, Service: q.Service, PrefixHash: q.Share, Priority: int(q.Rank),
-			StartWithin: microseconds(q.AimMicroseconds), MaxWait: microseconds(q.PatienceMicroseconds),
-			TimeLeft: microseconds(q.LimitMicroseconds), Excluded: q.Excluded,
-			OwnTokens: int(q.OwnTokens), SharedTokens: int(q.SharedTokens), Target: microseconds(q.TargetMicroseconds),
-			Chain: chainOf(q),
-		})
+	for _, r := range message.PlaceRequests {
+		n.Broker.HandleRequest(message.From, decodeRequest(r))
 	}
 	for _, g := range message.PlaceGrants {
-		// An address that is missing or cannot be parsed is invalid, so that
-		// nothing is fetched.
-		fetch, _ := netip.ParseAddrPort(g.Fetch)
-		n.Broker.HandleGrant(message.From, broker.PermitGrant{
-			Number: g.Number, Status: broker.Decision(g.Answer), ID: g.Server, Born: g.Born, LocalPrefill: g.Reading, Fetch: fetch,
-			Times: usage.Times{PrefillBase: microseconds(g.BaseMicroseconds), PrefillRate: g.TokensPerSecond}, Tokens: int(g.Tokens),
-		})
+		n.Broker.HandleGrant(message.From, decodeGrant(g))
 	}
 	for _, r := range message.PlaceReleases {
-		n.Broker.HandleRelease(message.From, broker.PermitRelease{
-			Number: r.Number, Verdict: usage.Verdict(r.Verdict), Prefilled: r.Prefilled, Kept: r.Kept,
-		})
+		n.Broker.HandleRelease(message.From, decodeRelease(r))
+	}
+}
+
+func encodeRequest(r broker.PermitRequest) *wire.PlaceRequest {
+	m := &wire.PlaceRequest{
+		Number: r.Number, Request: r.Request, Service: r.Service, Rank: int32(r.Priority),
+		TargetMicroseconds: r.Target.Microseconds(), AimMicroseconds: r.StartWithin.Microseconds(),
+		PatienceMicroseconds: r.MaxWait.Microseconds(), LimitMicroseconds: r.TimeLeft.Microseconds(), Excluded: r.Excluded,
+		OwnTokens: uint32(r.OwnTokens),
+	}
+	for _, p := range r.Chain {
+		m.Prefixes, m.PrefixTokens = append(m.Prefixes, p.Hash), append(m.PrefixTokens, uint32(p.Tokens))
+	}
+	return m
+}
+
+func decodeRequest(m *wire.PlaceRequest) broker.PermitRequest {
+	r := broker.PermitRequest{
+		Number: m.Number, Request: m.Request, Service: m.Service, Priority: int(m.Rank),
+		Target: microseconds(m.TargetMicroseconds), StartWithin: microseconds(m.AimMicroseconds),
+		MaxWait: microseconds(m.PatienceMicroseconds), TimeLeft: microseconds(m.LimitMicroseconds), Excluded: m.Excluded,
+		OwnTokens: int(m.OwnTokens),
 	}
+	for i := range min(len(m.Prefixes), len(m.PrefixTokens)) {
+		r.Chain = append(r.Chain, kept.Part{Hash: m.Prefixes[i], Tokens: int(m.PrefixTokens[i])})
+	}
+	return r
+}
+
+func encodeGrant(g broker.PermitGrant) *wire.PlaceGrant {
+	m := &wire.PlaceGrant{
+		Number: g.Number, Answer: uint32(g.Status), Server: g.ID, Born: g.Born, Reading: g.LocalPrefill,
+		BaseMicroseconds: g.Times.Base.Microseconds(), TokensPerSecond: g.Times.Rate, Tokens: uint32(g.Tokens),
+	}
+	if g.Fetch.IsValid() {
+		m.Fetch = g.Fetch.String()
+	}
+	return m
 }
 
-// chainOf returns the prefixes of a permit request.
-func chainOf(q *wire.PlaceRequest) []kept.Part {
-	chain := make([]kept.Part, min(len(q.Prefixes), len(q.PrefixTokens)))
-	for i := range chain {
-		chain[i] = kept.Part{Hash: q.Prefixes[i], Tokens: int(q.PrefixTokens[i])}
+func decodeGrant(m *wire.PlaceGrant) broker.PermitGrant {
+	// An address that is missing or cannot be parsed is invalid, so that nothing is
+	// fetched.
+	fetch, _ := netip.ParseAddrPort(m.Fetch)
+	return broker.PermitGrant{
+		Number: m.Number, Status: broker.Decision(m.Answer), ID: m.Server, Born: m.Born, LocalPrefill: m.Reading, Fetch: fetch,
+		Times: assign.Times{Base: microseconds(m.BaseMicroseconds), Rate: m.TokensPerSecond}, Tokens: int(m.Tokens),
 	}
-	return chain
+}
+
+func encodeRelease(r broker.PermitRelease) *wire.PlaceRelease {
+	return &wire.PlaceRelease{Number: r.Number, Verdict: uint32(r.Verdict), Prefilled: r.Prefilled, Kept: r.Kept}
+}
+
+func decodeRelease(m *wire.PlaceRelease) broker.PermitRelease {
+	return broker.PermitRelease{Number: m.Number, Verdict: usage.Verdict(m.Verdict), Prefilled: m.Prefilled, Kept: m.Kept}
 }
 
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/internal/route/assign/assign.go
+++ b/internal/route/assign/assign.go
@@ -20,7 +20,7 @@
 //		enqueue()
 //	}
 //
-//	f := assign.Prefill(engines, assign.Prompt{Own: 700, Shared: 6000, Window: 100 * time.Millisecond})
+//	f := assign.Prefill(engines, assign.Query{Prompt: assign.Prompt{Own: 700, Shared: 6000}, Window: 100 * time.Millisecond})
 //	if f.Index < 0 {
 //		enqueue()
 //	}
--- a/internal/route/assign/load_test.go
+++ b/internal/route/assign/load_test.go
@@ -66,7 +66,7 @@
 
 // byTime is Prefill.
 func byTime(l fleetLoad, now time.Duration, engines []*loadEngine, p loadPrompt) (int, int) {
-	prompt := Prompt{Own: p.own, Shared: l.prefixTokens, Window: l.target * 4 / 10}
+	query := Query{Prompt: Prompt{Own: p.own, Shared: l.prefixTokens}, Window: l.target * 4 / 10}
 	list := make([]Engine, len(engines))
 	for i, e := range engines {
 		list[i] = Engine{
@@ -78,11 +78,11 @@
 			list[i].Rate = 1 / e.learned.Slope
 		}
 		if e.kept[p.prefix] {
-			list[i].Cached, prompt.Fetchable = l.prefixTokens, l.prefixTokens
+			list[i].Cached, query.Fetchable = l.prefixTokens, l.prefixTokens
 		}
 	}
-	prompt.Average = Average(list)
-	f := Prefill(list, prompt)
+	query.Average = Average(list)
+	f := Prefill(list, query)
 	return f.Index, f.Tokens
 }
 
--- a/internal/route/assign/prefill.go
+++ b/internal/route/assign/prefill.go
@@ -5,6 +5,37 @@
 	"time"
 )
 
+// Times are an engine's estimated times for prefills; they are unknown if Rate is 0.
+type Times struct {
+	// Base is the time that any prefill occupies the engine, Rate how many prompt
+	// tokens per second it prefills beyond that.
+	Base time.Duration
+	Rate float64
+	// Stale is set if they have not been observed for some time.
+	Stale bool
+}
+
+// Or returns t, or o if t is unknown, or stale and o is known.
+func (t Times) Or(o Times) Times {
+	if t.Rate == 0 || t.Stale && o.Rate > 0 {
+		return o
+	}
+	return t
+}
+
+// occupied returns how long the prefill of the tokens occupies the engine, 0 if the
+// times are unknown.
+func (t Times) occupied(tokens int) time.Duration { return t.Base + timeFor(tokens, t.Rate) }
+
+// PerSecond returns how many tokens per second the engine prefills if each prompt has
+// so many; 0 if the times are unknown.
+func (t Times) PerSecond(tokens int) float64 {
+	if t.Rate <= 0 || tokens <= 0 {
+		return 0
+	}
+	return float64(tokens) / t.occupied(tokens).Seconds()
+}
+
 // Engine is an engine that can prefill a prompt, with its load as this process
 // estimates it.
 type Engine struct {
@@ -18,12 +49,7 @@
 	// the engine began the first of them or completed another.
 	Prefills int
 	Progress time.Duration
-	// Base is the estimated time that any prefill occupies the engine, Rate how
-	// many tokens per second it prefills beyond that; 0 if unknown.
-	Base time.Duration
-	Rate float64
-	// Stale is set if Base and Rate have not been observed for some time.
-	Stale bool
+	Times
 	// Cached is how many tokens of the prompt's prefix the engine is known to
 	// have in its KV cache once it has done the prefills ahead.
 	Cached int
@@ -45,18 +71,22 @@
 	PrefixHash uint64
 	// Own are the tokens behind the prefix, Shared those of the prefix.
 	Own, Shared int
+}
+
+// Query asks for the engine for a prompt.
+type Query struct {
+	Prompt
 	// Fetchable is how many tokens of the prefix an engine can fetch from another.
 	Fetchable int
 	// AssumePreferred is set if this process does not know what the engines have
 	// in their KV caches. The preferred engine of the prefix, the one with the
 	// lowest rendezvous score, is then assumed to have the prefix.
 	AssumePreferred bool
-	// Average has the times that are assumed for an engine whose own are unknown or
-	// stale.
-	Average Engine
-	// Guess has the times that are assumed for one prompt at a time while Average is
-	// unknown too, such as those of engines with another role.
-	Guess Engine
+	// Average is assumed for an engine whose times are unknown or stale.
+	Average Times
+	// Guess is assumed for one prompt at a time while Average is unknown too: the
+	// times of engines with another role.
+	Guess Times
 	// Window is the longest predicted wait at an engine. An engine without a
 	// prefill is available regardless.
 	Window time.Duration
@@ -89,31 +119,31 @@
 // differ in speed: what counts is the time that the work ahead takes, not the
 // number of requests. Tokens in the engine's KV cache take no time, tokens that it
 // fetches a fraction.
-func Prefill(engines []Engine, p Prompt) Forecast {
+func Prefill(engines []Engine, q Query) Forecast {
 	allEjected := true
 	for _, e := range engines {
 		allEjected = allEjected && (e.Ejected || e.Excluded)
 	}
 	preferred := -1
-	if p.AssumePreferred {
-		preferred = preferredEngine(engines, p.PrefixHash, allEjected)
+	if q.AssumePreferred {
+		preferred = preferredEngine(engines, q.PrefixHash, allEjected)
 	}
 	best := Forecast{Index: -1}
 	for i, e := range engines {
 		if !e.available(allEjected) {
 			continue
 		}
-		e = e.Or(p.Average)
+		e.Times = e.Or(q.Average)
 		if e.Prefills > 0 && e.Rate == 0 {
 			continue
 		}
-		e = e.Or(p.Guess)
+		e.Times = e.Or(q.Guess)
 		if i == preferred {
-			e.Cached = p.Shared
+			e.Cached = q.Shared
 		}
-		f := e.forecast(p)
+		f := e.forecast(q)
 		f.Index = i
-		if e.Prefills > 0 && f.Wait > p.Window || p.Longest > 0 && f.Finish-e.Delay > p.Longest {
+		if e.Prefills > 0 && f.Wait > q.Window || q.Longest > 0 && f.Finish-e.Delay > q.Longest {
 			continue
 		}
 		if best.Index < 0 || f.before(best) {
@@ -129,19 +159,6 @@
 	return !e.Excluded && !e.Full && (!e.Ejected || allEjected) && (!e.Suspect || e.OwnRunning == 0)
 }
 
-// Or returns the engine with the times of o if its own are unknown, or if they are
-// stale and those of o are known.
-func (e Engine) Or(o Engine) Engine {
-	if e.Rate == 0 || e.Stale && o.Rate > 0 {
-		e.Base, e.Rate = o.Base, o.Rate
-	}
-	return e
-}
-
-// occupied returns how long the prefill of the tokens occupies the engine, 0 if its
-// times are unknown.
-func (e Engine) occupied(tokens int) time.Duration { return e.Base + timeFor(tokens, e.Rate) }
-
 // wait predicts how long the prefills ahead still occupy the engine. They have made
 // progress since the last completion, at most half of their time: an engine that
 // completes nothing makes none.
@@ -150,20 +167,11 @@
 	return total - min(max(e.Progress, 0), total/2)
 }
 
-// PerSecond returns how many tokens per second the engine prefills if each prompt
-// has so many; 0 if its times are unknown.
-func (e Engine) PerSecond(tokens int) float64 {
-	if e.Rate <= 0 || tokens <= 0 {
-		return 0
-	}
-	return float64(tokens) / e.occupied(tokens).Seconds()
-}
-
 // forecast predicts the prefill of a prompt by the engine.
-func (e Engine) forecast(p Prompt) Forecast {
-	cached := min(max(e.Cached, 0), p.Shared)
-	fetched := max(min(p.Fetchable, p.Shared)-cached, 0)
-	f := Forecast{Tokens: p.Own + p.Shared - cached - fetched + int(fetchCost*float64(fetched)), Cached: cached, Fetched: fetched}
+func (e Engine) forecast(q Query) Forecast {
+	cached := min(max(e.Cached, 0), q.Shared)
+	fetched := max(min(q.Fetchable, q.Shared)-cached, 0)
+	f := Forecast{Tokens: q.Own + q.Shared - cached - fetched + int(fetchCost*float64(fetched)), Cached: cached, Fetched: fetched}
 	f.Wait = e.wait()
 	f.Finish = f.Wait + e.occupied(f.Tokens) + e.Delay
 	return f
@@ -189,20 +197,19 @@
 	return time.Duration(min(float64(tokens)/rate, maxTime.Seconds()) * float64(time.Second))
 }
 
-// Average returns an engine with the averages of the times that are known and not
-// stale, or of all that are known if all are stale.
-func Average(engines []Engine) Engine {
-	fresh, all := averageOf(engines, false), averageOf(engines, true)
-	if fresh.Rate > 0 {
+// Average returns the averages of the times that are known and not stale, or of all
+// that are known if all are stale.
+func Average(engines []Engine) Times {
+	if fresh := averageOf(engines, false); fresh.Rate > 0 {
 		return fresh
 	}
-	return all
+	return averageOf(engines, true)
 }
 
 // averageOf returns the averages of the known times, those that are stale only if
 // stale is set.
-func averageOf(engines []Engine, stale bool) Engine {
-	var sum Engine
+func averageOf(engines []Engine, stale bool) Times {
+	var sum Times
 	count := 0
 	for _, e := range engines {
 		if e.Rate > 0 && (stale || !e.Stale) {
