--- a/cmd/ebonybench/speed.go
+++ b/cmd/ebonybench/speed.go
@@ -9,9 +9,13 @@
 
 	"github.com/google/subcommands"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/bench/speed"
 )
 
+// settleTime is how long the cluster gets to become steady before the load.
+const settleTime = 3 * time.Second
+
 // speedCommand measures the overhead that one process adds to a request.
 type speedCommand struct {
 	deployment, product      string
@@ -69,7 +73,9 @@
 	if err := cluster.Start(ctx); err != nil {
 		return fail("speed", err)
 	}
-	time.Sleep(3 * time.Second)
+	if !timer.Wait(ctx, settleTime) {
+		return fail("speed", ctx.Err())
+	}
 	report, err := speed.Run(ctx, speed.Options{
 		Cluster: cluster, Deployment: deployment, Rate: c.rate, Length: time.Duration(c.seconds) * time.Second, Streams: c.streams, Tokens: c.tokens,
 	})
--- a/internal/bench/procs/procs.go
+++ b/internal/bench/procs/procs.go
@@ -26,6 +26,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 )
 
 // Ports that every process listens on, each at its own IP address.
@@ -149,18 +151,28 @@
 // least 5 s, until the platform's stand-in listens.
 func (c *Cluster) apply(ctx context.Context) error {
 	var err error
-	for range 50 {
+	for range applyAttempts {
 		var output []byte
 		output, err = exec.CommandContext(ctx, c.Product, "apply", "-platform", c.Platform.String(), "-base", "0", c.Deployment).CombinedOutput()
 		if err == nil {
 			return nil
 		}
 		err = fmt.Errorf("apply: %w: %s", err, output)
-		time.Sleep(100 * time.Millisecond)
+		if !timer.Wait(ctx, applyPause) {
+			break
+		}
 	}
 	return err
 }
 
+const (
+	// applyAttempts and applyPause bound the wait until the platform is there.
+	applyAttempts = 50
+	applyPause    = 100 * time.Millisecond
+	// readyPause is the pause between two checks whether the nodes are ready.
+	readyPause = 20 * time.Millisecond
+)
+
 // start starts a program whose output is appended to the log file name.log.
 func (c *Cluster) start(name, program string, arguments ...string) (*exec.Cmd, error) {
 	log, err := os.OpenFile(filepath.Join(c.Directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -217,7 +229,7 @@
 			if time.Now().After(end) || ctx.Err() != nil {
 				return fmt.Errorf("%s is not ready after %v", n.Name, timeout)
 			}
-			time.Sleep(20 * time.Millisecond)
+			timer.Wait(ctx, readyPause)
 		}
 		if !n.Running() {
 			return fmt.Errorf("%s has ended; its log is in %s", n.Name, c.Directory)
--- a/internal/bench/scale/goodput.go
+++ b/internal/bench/scale/goodput.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/bench/load"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
 )
@@ -60,7 +61,7 @@
 		Live: func(i int) bool { return r.cluster.Nodes[i].Running() },
 	}
 	var group sync.WaitGroup
-	group.Go(func() { r.injectFaults() })
+	group.Go(func() { r.injectFaults(ctx) })
 	outcomes := runner.Run(ctx, trace).Outcomes
 	group.Wait()
 	for _, phase := range phases {
@@ -83,16 +84,21 @@
 }
 
 // injectFaults kills killCount processes at once, partitions the zone into halves
-// and ends the partition, each at the start of its phase.
-func (r *run) injectFaults() {
-	time.Sleep(phases[1].From)
+// and ends the partition, each at the start of its phase. It stops when ctx ends.
+func (r *run) injectFaults(ctx context.Context) {
+	if !timer.Wait(ctx, phases[1].From) {
+		return
+	}
 	for i := range killCount {
 		// measureFailover has killed the last process.
 		_ = r.cluster.Signal(len(r.cluster.Nodes)-2-i, syscall.SIGKILL)
 	}
-	time.Sleep(phases[3].From - phases[1].From)
+	if !timer.Wait(ctx, phases[3].From-phases[1].From) {
+		return
+	}
 	_ = r.partition(true)
-	time.Sleep(phases[4].From - phases[3].From)
+	// The partition ends also if the run is canceled.
+	timer.Wait(ctx, phases[4].From-phases[3].From)
 	_ = r.partition(false)
 }
 
