base/linfit: the slope is bounded

Tokens are whole and at least 1, so no engine's times were concerned; the package promises more.

Change: the slope is at most 1e9 s per unit. The case is a test of its own, which failed before.

--- a/internal/base/linfit/linfit.go
+++ b/internal/base/linfit/linfit.go
@@ -36,6 +36,9 @@
 	minSlopeShare = 0.1
 	// maxObserved bounds the observations, so that their sums stay finite.
 	maxObserved = 1e9
+	// maxSlope bounds the slope, in seconds per unit of x, so that predictions are
+	// finite after an observation close to x = 0.
+	maxSlope = 1e9
 )
 
 // Known reports whether there is a prior or an observation.
@@ -79,9 +82,10 @@
 	if l.x > 0 {
 		l.Slope = max(l.Slope, minSlopeShare*l.y/l.x)
 	}
+	l.Slope = min(l.Slope, maxSlope)
 	l.Intercept = max((l.y-l.Slope*l.x)/l.weight, 0)
 	if l.Intercept == 0 && l.x > 0 {
-		l.Slope = l.y / l.x
+		l.Slope = min(l.y/l.x, maxSlope)
 	}
 }
 
--- a/internal/base/linfit/linfit_test.go
+++ b/internal/base/linfit/linfit_test.go
@@ -37,6 +37,19 @@
 	assert.Less(t, l.At(1000), 0.3)
 }
 
+// Found by TestLineIsAlwaysUsable (-rapid.seed=1513362951908042): the slope through an
+// observation close to x = 0 made predictions infinite.
+func TestObservationCloseToZero(t *testing.T) {
+	var l Line
+	l.Observe(2.916448807822559e-303, 5242.9375)
+	assert.False(t, math.IsInf(l.At(1000), 1), "%v", l.Slope)
+	for range 400 {
+		l.Observe(1000, 1)
+		l.Observe(3000, 2)
+	}
+	assert.InDelta(t, 1, l.At(1000), 0.01, "later observations count again")
+}
+
 // Whatever is observed, the line is finite, not negative, and rises if there is
 // anything to rise from.
 func TestLineIsAlwaysUsable(t *testing.T) {
