broker: logs say which requests a backend server ended under

Change: when a backend server breaks off a request, a connection is tried; a refused one proves that it has ended. A line for each request in progress with the shared parts of its prompt; the metric ServersEnded. No decision goes by it yet.

Test: TestEndedServerIsLogged, with a server that has ended and one that only closed the connection. go test ./internal/node/broker passed.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -229,6 +229,7 @@
 	// engineSets has the evaluated engines by service. engineBuffer is reused.
 	engineSets   map[string]*engineSet
 	engineBuffer []assign.Engine
+	endings      endings
 	coordinatorState
 	requesterState
 }
--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,7 +103,7 @@
 	defer f.mu.Unlock()
 	f.connects++
 	if f.down[server.ID] {
-		return &call.Error{Stage: call.StageDialing, Err: errReset}
+		return &call.Error{Stage: call.StageDialing, Err: syscall.ECONNREFUSED}
 	}
 	return nil
 }
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -178,6 +178,7 @@
 	response, err := j.broker.Servers.Send(ctx, p.server, c)
 	if err != nil {
 		f := j.sendFailure(ctx, err)
+		j.checkBroken(ctx, p.server, err)
 		p.release(usage.Result{Verdict: j.verdict(f)})
 		return f
 	}
@@ -232,6 +233,14 @@
 	return f
 }
 
+// checkBroken records the failure of an attempt at a backend server if the server broke
+// it off.
+func (j *job) checkBroken(ctx context.Context, server roster.Server, err error) {
+	if brokenOff(ctx, err) {
+		j.broker.recordBroken(server, j.request)
+	}
+}
+
 // rejection returns a failure if the response confirms that the request did not
 // run or is not verified, otherwise nil.
 func rejection(response *Response) *failure {
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -190,7 +190,7 @@
 	own, chain := j.request.PromptTokens, []kept.Part(nil)
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range j.request.Parts[:min(max(len(j.request.Parts)-1, 0), maxChain)] {
+	for _, part := range j.request.shared() {
 		// A Digest never returns an error.
 		_, _ = d.WriteString(part.ID + ",")
 		tokens := min(max(part.Tokens, 0), own)
@@ -210,9 +210,6 @@
 	return p
 }
 
-// maxChain bounds the parts of a prompt that count as shared.
-const maxChain = 16
-
 // prefillPrompt prefills the prompt if it is not small. It returns the KV cache
 // of a prefill engine, or a permit at a decode engine that prefills locally;
 // neither if the prompt is small or no engine prefills. It returns false if the
@@ -276,6 +273,7 @@
 		response.Body.Close()
 	}
 	f.dialFailed = err != nil && call.StageOf(err) == call.StageDialing
+	j.checkBroken(ctx, p.server, err)
 	verdict := j.verdict(f)
 	if err != nil && verdict == usage.Unreachable && call.StageOf(err) != call.StageDialing {
 		verdict = usage.Failed
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -216,6 +216,7 @@
 // it is resumed if its route allows that, and ends if not.
 func (j *job) handleBroken(p *permit, r *event.Reader, err error) *failure {
 	f := &failure{outcome: retry.Unknown, reason: streamBroken, err: err}
+	j.checkBroken(j.ctx, p.server, err)
 	p.release(usage.Result{Verdict: j.verdict(f)})
 	if !j.headerSent {
 		return f
