--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -310,6 +310,9 @@
 // Status returns the status code of the response.
 func (x *Exchange) Status() int { return x.Header.StatusCode() }
 
+// UntilClose reports whether the body ends where the server closes the connection.
+func (x *Exchange) UntilClose() bool { return x.body.untilClose }
+
 // Read reads the body. It returns io.EOF only after the complete body; other
 // errors are of type *Error.
 func (x *Exchange) Read(p []byte) (int, error) {
--- /dev/null
+++ b/internal/fleet/crash/evidence_test.go
@@ -0,0 +1,262 @@
+package crash
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// never is the known function of tests without a quarantine.
+func never(string) bool { return false }
+
+// add adds a report of a request with the parts.
+func (e *Evidence) add(at time.Time, server, request int, parts ...string) {
+	r := report(server, request, parts...)
+	r.At = at
+	e.Add(at, r)
+}
+
+// report returns a report of a request with the parts.
+func report(server, request int, parts ...string) Report {
+	r := Report{Server: uint64(server), Request: uint64(request)}
+	for _, part := range parts {
+		r.Suspects = append(r.Suspects, Suspect{Part: part})
+	}
+	return r
+}
+
+func TestCauses(t *testing.T) {
+	settled := settleTime.Milliseconds()
+	for _, c := range []struct {
+		name string
+		do   func(e *Evidence)
+		want []string
+	}{
+		{"no crash", func(*Evidence) {}, nil},
+		{"one crash less than required", func(e *Evidence) {
+			for i := range requiredCrashes - 1 {
+				e.add(at(100*i), i, i, "a", "bad")
+			}
+		}, nil},
+		{"first part served between", func(e *Evidence) {
+			for i := range requiredCrashes {
+				e.add(at(100*i), i, i, "a", "bad")
+				e.Succeeded("a", at(100*i+10))
+			}
+		}, []string{"bad"}},
+		{"nothing served: the part that fewer requests share", func(e *Evidence) {
+			for i := range requiredCrashes {
+				e.add(at(100*i), i, i, "a", "bad")
+			}
+		}, []string{"bad"}},
+		{"the first part is the cause", func(e *Evidence) {
+			for i := range requiredCrashes {
+				e.add(at(100*i), i, i, "a", fmt.Sprint("b", i))
+			}
+		}, []string{"a"}},
+		{"bystanders are explained by the cause", func(e *Evidence) {
+			for i := range 5 {
+				e.add(at(100*i), i, 10+i, "n", "rare")
+				e.add(at(100*i), i, i, "a", "bad")
+				e.Succeeded("a", at(100*i+10))
+			}
+			e.add(at(600), 9, 99, "a", "bad")
+		}, []string{"bad"}},
+		{"retries of a single request", func(e *Evidence) {
+			for i := range requiredCrashes {
+				e.add(at(100*i), i, 7, "a", "bad")
+			}
+		}, nil},
+		{"servers that end at the same moment", func(e *Evidence) {
+			for i := range 8 {
+				e.add(at(i), i, i, "a", "b")
+			}
+		}, nil},
+		{"served before: more crashes are required", func(e *Evidence) {
+			for i := range requiredAfterSuccess - 1 {
+				r := report(i, i, "a", "bad")
+				r.Suspects[1].Succeeded = at(-1000)
+				r.At = at(100 * i)
+				e.Add(r.At, r)
+				e.Succeeded("a", at(100*i+10))
+			}
+		}, nil},
+		{"served before, then a cause", func(e *Evidence) {
+			for i := range requiredAfterSuccess {
+				r := report(i, i, "a", "bad")
+				r.Suspects[1].Succeeded = at(-1000)
+				r.At = at(100 * i)
+				e.Add(r.At, r)
+				e.Succeeded("a", at(100*i+10))
+			}
+		}, []string{"bad"}},
+		{"served after the crashes", func(e *Evidence) {
+			for i := range 6 {
+				e.add(at(100*i), i, i, "a", "b")
+			}
+			e.Succeeded("a", at(550))
+			e.Succeeded("b", at(550))
+		}, nil},
+		{"two causes", func(e *Evidence) {
+			for i := range 2 * requiredCrashes {
+				e.add(at(100*i), i, i, "a", fmt.Sprint("bad", i%2))
+				e.Succeeded("a", at(100*i+10))
+			}
+		}, []string{"bad0", "bad1"}},
+		{"forgotten", func(e *Evidence) {
+			for i := range requiredCrashes {
+				e.add(at(100*i), i, i, "bad")
+			}
+			e.Forget("bad")
+		}, nil},
+	} {
+		var e Evidence
+		c.do(&e)
+		assert.Equal(t, c.want, e.Causes(at(1000+int(settled)), never), c.name)
+	}
+}
+
+// TestCausesSettle checks that a part is not found before the processes that have
+// served it can have said so.
+func TestCausesSettle(t *testing.T) {
+	var e Evidence
+	for i := range requiredCrashes {
+		e.add(at(100*i), i, i, "a", "bad")
+	}
+	last := at(100 * (requiredCrashes - 1))
+	assert.ElementsMatch(t, []string{"a", "bad"}, e.Suspects(last, never))
+	assert.Empty(t, e.Causes(last, never))
+	assert.Empty(t, e.Suspects(last.Add(askWithin), never), "nobody is asked for ever")
+	e.Succeeded("a", last.Add(50*time.Millisecond))
+	known := func(part string) bool { return part == "bad" }
+	assert.Equal(t, []string{"bad"}, e.Causes(last.Add(settleTime), never))
+	assert.Empty(t, e.Causes(last.Add(settleTime), known), "it is known already")
+	e.add(last.Add(retention+time.Millisecond), 9, 9, "z")
+	assert.Empty(t, e.Causes(at(300).Add(retention), never), "old crashes are no evidence")
+}
+
+// traffic plays requests of several processes that share one Evidence. Each process
+// reports what it knows, and says when asked which parts it has served.
+type traffic struct {
+	Evidence
+	random    *rand.Rand
+	processes [6]Successes
+	requests  int
+}
+
+// sound returns the shared parts of a request that crashes nothing.
+func (f *traffic) sound() []string {
+	return []string{fmt.Sprint("a", f.random.IntN(4)), fmt.Sprint("b", f.random.IntN(300))}
+}
+
+// process returns a process at random.
+func (f *traffic) process() *Successes { return &f.processes[f.random.IntN(len(f.processes))] }
+
+// crash plays the end of a server with a request with the parts in progress.
+func (f *traffic) crash(now time.Time, server int, parts []string) {
+	f.requests++
+	reporter := f.process()
+	r := report(server, f.requests, parts...)
+	for i := range r.Suspects {
+		r.Suspects[i].Succeeded = reporter.Last(r.Suspects[i].Part)
+	}
+	r.At = now
+	f.Add(now, r)
+}
+
+// ask asks all processes about the suspect parts.
+func (f *traffic) ask(now time.Time, known func(string) bool) {
+	for _, part := range f.Suspects(now, known) {
+		for i := range f.processes {
+			if last := f.processes[i].Last(part); !last.IsZero() {
+				f.Succeeded(part, last)
+			}
+		}
+	}
+}
+
+// TestCausesAmongManyPrompts plays crashes in random traffic. The part that causes
+// them is found within a few crashes, and no other part ever is, also while engines
+// end for other reasons.
+func TestCausesAmongManyPrompts(t *testing.T) {
+	for seed := range uint64(200) {
+		f := traffic{random: rand.New(rand.NewPCG(seed, 1))}
+		found := map[string]bool{}
+		known := func(part string) bool { return found[part] }
+		crashes, caused, poisoned := 0, 0, seed%4 != 0
+		for ms := 0; ms < 8000; ms += 10 {
+			now := at(ms)
+			for range 2 {
+				f.process().Record(now, f.sound())
+			}
+			cause := poisoned && ms > 2000 && !found["bad"] && f.random.IntN(12) == 0
+			if cause || f.random.IntN(100) == 0 {
+				crashes++
+				for range 7 {
+					f.crash(now, crashes, f.sound())
+				}
+			}
+			if cause {
+				caused++
+				f.crash(now, crashes, []string{"a0", "bad"})
+			}
+			if ms%50 != 0 {
+				continue
+			}
+			f.ask(now, known)
+			for _, part := range f.Causes(now, known) {
+				found[part] = true
+			}
+		}
+		want := map[string]bool{}
+		if poisoned {
+			want["bad"] = true
+		}
+		assert.Equal(t, want, found, "seed %d, %d crashes caused", seed, caused)
+	}
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	var e Evidence
+	for i := range 2 * maxCrashes {
+		for k := range 50 {
+			e.add(at(i), i, k, fmt.Sprint("p", k), "", string(make([]byte, MaxPartBytes+1)))
+		}
+	}
+	assert.Len(t, e.crashes, maxCrashes)
+	assert.Len(t, e.crashes[0].involved, 50, "parts without a usable ID are left out")
+	assert.LessOrEqual(t, len(e.Suspects(at(2*maxCrashes), never)), maxAsked)
+}
+
+func TestQuarantine(t *testing.T) {
+	var q Quarantine
+	_, found := q.Until(at(0), []string{"a"})
+	assert.False(t, found)
+	assert.True(t, q.Add("bad", at(1000)))
+	assert.False(t, q.Add("bad", at(500)), "it is known, and not shortened")
+	until, found := q.Until(at(999), []string{"a", "bad"})
+	assert.True(t, found)
+	assert.Equal(t, at(1000), until)
+	_, found = q.Until(at(1000), []string{"a", "bad"})
+	assert.False(t, found, "it has ended")
+	assert.True(t, q.Remove("bad"))
+	assert.False(t, q.Remove("bad"))
+}
+
+func TestSuccessesAreBounded(t *testing.T) {
+	var s Successes
+	for i := range 3 * maxSuccesses {
+		s.Record(at(i), []string{fmt.Sprint(i)})
+	}
+	assert.LessOrEqual(t, len(s.last), maxSuccesses)
+	s.Record(at(0), []string{"x"})
+	assert.Equal(t, at(0), s.Last("x"))
+	assert.Zero(t, s.Last("y"))
+}
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -129,7 +129,10 @@
 	// Verified is set if the response provably comes from the backend server and
 	// belongs to the request.
 	Verified bool
-	Body     interface {
+	// UntilClose is set if the end of the body is that of the connection. If the
+	// backend server ends, the body looks complete.
+	UntilClose bool
+	Body       interface {
 		Read(p []byte) (int, error)
 		Close() error
 	}
@@ -182,6 +185,21 @@
 	Coordinator(key uint64, stopping bool) string
 }
 
+// Quarantine knows the parts of prompts that crash backend servers. It must be safe for
+// concurrent use, and its methods must neither block nor call the Broker, which may
+// hold its lock.
+type Quarantine interface {
+	// Until returns until when prompts with one of the parts must not be sent; false
+	// if they may be.
+	Until(now time.Time, parts []string) (time.Time, bool)
+	// Crashed is called with a request that was in progress at a backend server when
+	// that ended, and the shared parts of its prompt.
+	Crashed(server roster.Server, request string, parts []string)
+	// Succeeded is called with the shared parts of a prompt that was served
+	// completely.
+	Succeeded(parts []string)
+}
+
 // Broker serves requests. The exported fields are set before the first call of a
 // method and not changed after. All methods are safe for concurrent use.
 type Broker struct {
@@ -198,6 +216,8 @@
 	// Announce, if set, is called with a backend server that has said that it
 	// leaves.
 	Announce func(server roster.Server)
+	// Quarantine, if set, has the parts of prompts that crash backend servers.
+	Quarantine Quarantine
 	// Name is the name of this process. Coordination sends messages to peers;
 	// if it is nil, this process uses no coordinator.
 	Name         string
@@ -296,6 +316,10 @@
 	j.ctx = ctx
 	b.countRequest(j.service.Name)
 	b.Meters.Add("Requests", 1)
+	if j.quarantined() {
+		j.giveUp(errQuarantined)
+		return
+	}
 	if route.Kind == table.Stream && route.Prompted && j.service.Engine != nil {
 		j.servePrompt()
 		return
--- a/internal/node/broker/ended.go
+++ b/internal/node/broker/ended.go
@@ -99,12 +99,38 @@
 	})
 }
 
-// reportEnded logs a backend server that ended with requests in progress. b.mu must be
-// held.
+// reportEnded logs and reports the requests that were in progress at a backend server
+// when it ended. b.mu must be held.
 func (b *Broker) reportEnded(server roster.Server, requests []*Request) {
 	for _, r := range requests {
 		b.Log.Info("backend server ended with a request in progress", zap.String("Server", server.ID), zap.Int64("Born", server.Born),
 			zap.String("Request", r.ID), zap.Strings("Parts", r.sharedParts()))
+		if b.Quarantine != nil {
+			b.Quarantine.Crashed(server, r.ID, r.sharedParts())
+		}
+	}
+}
+
+// errQuarantined means that the prompt has a part that crashes backend servers.
+var errQuarantined = errors.New("a part of the prompt crashes backend servers")
+
+// quarantined reports whether the request must not be sent, as its prompt has a part
+// that crashes backend servers.
+func (j *job) quarantined() bool {
+	q := j.broker.Quarantine
+	if q == nil || len(j.request.Parts) < 2 {
+		return false
+	}
+	until, found := q.Until(time.Now(), j.request.sharedParts())
+	j.quarantinedUntil = until
+	return found
+}
+
+// recordServed records that the request was served completely, so that no part of its
+// prompt crashes backend servers.
+func (j *job) recordServed() {
+	if q := j.broker.Quarantine; q != nil && len(j.request.Parts) > 1 {
+		q.Succeeded(j.request.sharedParts())
 	}
 }
 
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -35,6 +35,7 @@
 	serverLost      Reason = "ServerLost"    // no complete, verified response
 	streamBroken    Reason = "StreamBroken"
 	notDelivered    Reason = "NotDelivered" // sending to the client failed
+	quarantined     Reason = "Quarantined"  // the prompt crashes backend servers
 )
 
 // errTimeout is the cancellation cause of a request whose deadline has passed.
@@ -76,6 +77,9 @@
 	// longest time between two events so far.
 	lastEvent  time.Time
 	longestGap time.Duration
+	// quarantinedUntil is when the quarantine of the request ends, zero if it is in
+	// none.
+	quarantinedUntil time.Time
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
 }
@@ -384,8 +388,11 @@
 
 // retryAfter returns how long a rejected client should wait before it retries.
 // Jitter of a quarter in both directions spreads clients that are rejected
-// together.
+// together. A prompt in quarantine isn't served before the end of that.
 func (j *job) retryAfter() time.Duration {
+	if left := time.Until(j.quarantinedUntil); left > 0 {
+		return left
+	}
 	wait := time.Duration(retryAfterShare * float64(time.Until(j.deadline)))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait*3/4 + time.Duration(j.broker.random()%uint64(wait/2))
@@ -402,6 +409,8 @@
 		j.reject(noServer)
 	case errors.Is(cause, errOverloaded):
 		j.reject(overloaded)
+	case errors.Is(cause, errQuarantined):
+		j.reject(quarantined)
 	case errors.Is(cause, errTimeout) && notRun:
 		j.reject(timedOut)
 	case errors.Is(cause, errTimeout):
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -231,6 +231,11 @@
 			return KVSource{}, p, true
 		}
 		j.waited += p.waited
+		if j.quarantined() {
+			p.release(usage.Result{})
+			j.giveUp(errQuarantined)
+			return KVSource{}, nil, false
+		}
 		source, f := j.prefill(p)
 		if f == nil {
 			return source, nil, true
--- /dev/null
+++ b/internal/node/broker/quarantine_test.go
@@ -0,0 +1,108 @@
+package broker
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+)
+
+// quarantineList is a fake Quarantine.
+type quarantineList struct {
+	part             string
+	until            time.Time
+	crashed, success []string
+}
+
+func (q *quarantineList) Until(now time.Time, parts []string) (time.Time, bool) {
+	for _, part := range parts {
+		if part == q.part && now.Before(q.until) {
+			return q.until, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func (q *quarantineList) Crashed(_ roster.Server, _ string, parts []string) {
+	q.crashed = append(q.crashed, parts...)
+}
+func (q *quarantineList) Succeeded(parts []string) { q.success = append(q.success, parts...) }
+
+// newCrashing returns a request with a prompt that has the part "bad".
+func newCrashing(path string) *Request {
+	r := newPromptRequest(path, 3000, 80)
+	r.Parts = []Part{{"a", 1000}, {"bad", 1000}, {"own", 1000}}
+	return r
+}
+
+// TestPromptInQuarantineIsRejected checks that no backend server gets it, and that the
+// client is told when to come back.
+func TestPromptInQuarantineIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		q := &quarantineList{part: "bad", until: time.Now().Add(time.Minute)}
+		f.Quarantine = q
+		f.fleet.fallback = events(1, 3, true)
+		f.addServer("p", "model", "Prefill")
+		f.addServer("d", "model", "Decode")
+		c := f.serve(t.Context(), newCrashing("/talk/"))
+		assert.Empty(t, f.fleet.servers())
+		if assert.Len(t, c.replies, 1) {
+			assert.Equal(t, Reply{Status: 503, RetryAfter: time.Minute}, c.replies[0])
+		}
+		r := newCrashing("/talk/")
+		r.Parts = []Part{{"a", 1000}, {"b", 1000}, {"bad", 1000}}
+		c = f.serve(t.Context(), r)
+		assert.True(t, c.ended, "the last part is the request's own")
+		assert.Equal(t, []string{"a", "b"}, q.success)
+		time.Sleep(time.Minute)
+		assert.True(t, f.serve(t.Context(), newCrashing("/talk/")).ended, "the quarantine has ended")
+	})
+}
+
+// TestPromptInQuarantineIsNotRetried checks that a prompt that is found to crash
+// backend servers while it is in progress goes to no further one.
+func TestPromptInQuarantineIsNotRetried(t *testing.T) {
+	for name, first := range map[string]behavior{"no response": breaksOff, "stream broke": events(1, 2, false)} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			q := &quarantineList{part: "bad"}
+			f.Quarantine = q
+			f.addServer("d", "model", "Decode")
+			f.addServer("e", "model", "Decode")
+			f.fleet.fallback = func(ctx context.Context, s *sent) (*Response, error) {
+				q.until = time.Now().Add(time.Minute)
+				return first(ctx, s)
+			}
+			c := f.serve(t.Context(), newCrashing("/talk/"))
+			assert.Len(t, f.fleet.sent, 1, name)
+			assert.False(t, c.ended, name)
+			if len(c.replies) > 0 {
+				assert.Equal(t, 502, c.replies[0].Status, "it may have run")
+			}
+			assert.Empty(t, q.success, name)
+		})
+	}
+}
+
+// TestResponseThatEndsWithItsConnectionProvesNothing checks that a stream whose end
+// looks like that of its backend server does not clear the prompt.
+func TestResponseThatEndsWithItsConnectionProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		q := &quarantineList{}
+		f.Quarantine = q
+		f.addServer("d", "model", "Decode")
+		f.fleet.fallback = func(ctx context.Context, s *sent) (*Response, error) {
+			response, err := events(1, 3, true)(ctx, s)
+			response.UntilClose = true
+			return response, err
+		}
+		assert.True(t, f.serve(t.Context(), newCrashing("/talk/")).ended)
+		assert.Empty(t, q.success)
+	})
+}
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -47,6 +47,12 @@
 			return
 		}
 		j.waited += p.waited
+		if j.quarantined() {
+			p.release(usage.Result{})
+			j.releaseKV(source)
+			j.giveUp(errQuarantined)
+			return
+		}
 		c := j.newCall()
 		c.Source = source
 		if p.need.key.work == usage.LocalPrefill {
@@ -146,6 +152,9 @@
 		if err == io.EOF && started {
 			j.broker.recordHold(j.route.Name, time.Since(p.since))
 			p.release(usage.Result{Verdict: usage.OK})
+			if !response.UntilClose {
+				j.recordServed()
+			}
 			j.endStream()
 			return nil
 		}
@@ -251,6 +260,11 @@
 		j.logEnd(0, streamBroken, err)
 		return
 	}
+	if j.quarantined() {
+		p.release(usage.Result{})
+		j.logEnd(0, quarantined, errQuarantined)
+		return
+	}
 	c := j.newCall()
 	if r.HasLastID {
 		c.After = strconv.FormatUint(r.LastID, 10)
--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -46,7 +46,7 @@
 	t.Helper()
 	n := &Node{
 		Name: "a", Zone: "calicut", Log: zap.NewNop(), Peers: peerTables{}, Address: netip.MustParseAddrPort("10.0.0.1:7660"),
-		Keys: Keys{TableKind: "config", TableName: "main", ServersKind: "servers", MembersKind: "members"},
+		Keys: Keys{TableKind: "config", TableName: "main", ServersKind: "servers", MembersKind: "members", QuarantineKind: "quarantine"},
 	}
 	n.Prepare()
 	return n
@@ -80,12 +80,14 @@
 	assert.Equal(t, 8*time.Second, n.Limits().IdleTimeout)
 }
 
-func TestReadyAfterConfigurationAndServers(t *testing.T) {
+func TestReadyAfterAllLists(t *testing.T) {
 	n := newNode(t)
 	assert.False(t, n.Ready())
 	(&tableView{n}).Replace(page(configObject(3)), false)
 	assert.False(t, n.Ready(), "the backend servers are not listed yet")
 	(&serversView{n}).Replace(page(serverEntry("i-1", "")), false)
+	assert.False(t, n.Ready(), "the prompt parts in quarantine are not listed yet")
+	quarantineView{n.quarantine}.Replace(page(), false)
 	assert.True(t, n.Ready())
 	n.stopping.Store(true)
 	assert.False(t, n.Ready())
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -16,6 +16,9 @@
 //	Servers    watches the backend servers in the store
 //	Members    watches the other processes in the store
 //	Announce   keeps this process's entry in the store
+//	Quarantine watches the prompt parts in quarantine in the store
+//	Causes     finds the prompt parts that crash backend servers
+//	Write      writes prompt parts in quarantine to the store
 //	Send       sends status messages to the peers
 //	Receive    handles messages from the peers
 //	Coordinate sends permit requests, grants and releases to peers
@@ -55,7 +58,8 @@
 	// TableKind and TableName are the kind and name of the configuration.
 	// ServersKind is the kind of the backend servers' entries, MembersKind that
 	// of the entry processes' own entries.
-	TableKind, TableName, ServersKind, MembersKind string
+	// QuarantineKind is the kind of the prompt parts that crash backend servers.
+	TableKind, TableName, ServersKind, MembersKind, QuarantineKind string
 }
 
 // Node is one entry process. The exported fields above Broker are set before
@@ -93,16 +97,18 @@
 	Broker *broker.Broker
 	Meters *meter.Set
 
-	incarnation   uint64
-	peers         peers.Table
-	tableFollower *follow.Follower
-	health        follow.Health
-	roster        roster.Roster
-	usage         usage.Table
-	coordination  *coordination
-	table         atomic.Pointer[table.Table]
-	serversListed atomic.Bool
-	stopping      atomic.Bool
+	incarnation      uint64
+	peers            peers.Table
+	tableFollower    *follow.Follower
+	health           follow.Health
+	roster           roster.Roster
+	usage            usage.Table
+	coordination     *coordination
+	quarantine       *quarantine
+	table            atomic.Pointer[table.Table]
+	serversListed    atomic.Bool
+	quarantineListed atomic.Bool
+	stopping         atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -131,10 +137,11 @@
 	n.incarnation = uint64(time.Now().UnixMilli())
 	n.peers.Self = n.Name
 	n.coordination = newCoordination(n)
+	n.quarantine = newQuarantine(n)
 	n.Broker = &broker.Broker{
 		Zone: n.Zone, Table: n.table.Load, Roster: &n.roster, Usage: &n.usage, Servers: n.Servers,
 		Peers: &n.peers, Name: n.Name, Coordination: n.coordination, RetryLimit: n.RetryLimit, Meters: n.Meters, Log: n.Log, Seed: n.Seed,
-		Announce: n.announceLeaving,
+		Announce: n.announceLeaving, Quarantine: n.quarantine,
 	}
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.pollTimeout, n.debounce)
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
@@ -150,9 +157,10 @@
 }
 
 // Ready reports whether the process should get clients' requests: it has a
-// configuration and the list of backend servers, and is not stopping.
+// configuration and the lists of backend servers and of prompt parts in quarantine, and
+// is not stopping.
 func (n *Node) Ready() bool {
-	return n.table.Load() != nil && n.serversListed.Load() && !n.stopping.Load()
+	return n.table.Load() != nil && n.serversListed.Load() && n.quarantineListed.Load() && !n.stopping.Load()
 }
 
 // defaultLimits apply without a configuration, and for each limit that the
@@ -191,6 +199,9 @@
 		{Name: "Servers", Do: n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce)).Run},
 		{Name: "Members", Do: n.follower(n.Keys.MembersKind, &membersView{n}, n.membersPollTimeout, n.membersDebounce).Run},
 		{Name: "Announce", Do: n.announce},
+		{Name: "Quarantine", Do: n.follower(n.Keys.QuarantineKind, quarantineView{n.quarantine}, n.membersPollTimeout, nil).Run},
+		{Name: "Causes", Do: n.quarantine.Run},
+		{Name: "Write", Do: n.quarantine.Write},
 		{Name: "Send", Do: n.mesh().Send},
 		{Name: "Receive", Do: n.mesh().Receive},
 		{Name: "Coordinate", Do: n.coordination.Send},
--- /dev/null
+++ b/internal/node/core/quarantine.go
@@ -0,0 +1,472 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"ebonyscale.example/ebonyscale/internal/base/timer"
+	"ebonyscale.example/ebonyscale/internal/fleet/crash"
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/node/ring"
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// quarantine keeps prompts that crash backend servers away from them, in all processes
+// together. It implements broker.Quarantine and is safe for concurrent use.
+//
+// Each process reports the requests that a backend server ended under to one of them,
+// the collector, and to itself. Whoever has evidence asks the others which of the
+// suspect parts they have served. A part that is found to be the cause is told to all
+// and written to the store, from which processes learn it that start later or were
+// cut off. Nothing depends on there being one collector: a finding is the same from
+// whoever makes it.
+type quarantine struct {
+	node      *Node
+	parts     crash.Quarantine
+	successes crash.Successes
+	writes    *ring.Ring[store.Object]
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	evidence crash.Evidence
+	// reports are this process's own recent ones.
+	reports []*ownReport
+	// asked has when the peers were last asked about a part, questions the parts
+	// that peers have asked about.
+	asked     map[string]time.Time
+	questions map[string]question
+	// found has the parts that are told to the peers, and until when.
+	found map[string]time.Time
+	// stored has the versions of the entries in the store, by part. written is when
+	// an entry was last given to the writer.
+	stored  map[string]uint64
+	written map[string]time.Time
+}
+
+// ownReport is a report of this process, which is sent several times as datagrams may
+// be lost.
+type ownReport struct {
+	crash.Report
+	sent time.Time
+}
+
+// question is that of a peer about a part. It is responded to until it expires.
+type question struct {
+	from             string
+	expires, replied time.Time
+}
+
+const (
+	// quarantineInterval is the period of the task.
+	quarantineInterval = 50 * time.Millisecond
+	// resendInterval is the pause after which a message is sent again, resendFor how
+	// long reports, questions and findings are sent.
+	resendInterval = 200 * time.Millisecond
+	resendFor      = 3 * time.Second
+	// quarantineWriteRetry is the pause after which an entry that the store still
+	// lacks is written again.
+	quarantineWriteRetry = time.Second
+	// maxReports bounds the reports of this process that are sent again,
+	// maxReportsPerMessage those in one message, so that it fits one packet.
+	maxReports           = 256
+	maxReportsPerMessage = 6
+	// maxQuestions bounds the parts that peers ask about.
+	maxQuestions = 256
+	// maxQuarantineWrites bounds the writes that wait. Further ones are made again
+	// after quarantineWriteRetry.
+	maxQuarantineWrites = 64
+)
+
+func newQuarantine(n *Node) *quarantine {
+	return &quarantine{
+		node: n, writes: ring.New[store.Object]("Quarantine", maxQuarantineWrites), asked: map[string]time.Time{},
+		questions: map[string]question{}, found: map[string]time.Time{}, stored: map[string]uint64{}, written: map[string]time.Time{},
+	}
+}
+
+// Until implements broker.Quarantine.
+func (q *quarantine) Until(now time.Time, parts []string) (time.Time, bool) {
+	return q.parts.Until(now, parts)
+}
+
+// Crashed implements broker.Quarantine.
+func (q *quarantine) Crashed(server roster.Server, request string, parts []string) {
+	now := time.Now()
+	r := &ownReport{Report: crash.Report{Server: server.Key(), Request: xxhash.Sum64String(request), At: now}}
+	for _, part := range parts {
+		r.Suspects = append(r.Suspects, crash.Suspect{Part: part, Succeeded: q.successes.Last(part)})
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.evidence.Add(now, r.Report)
+	if len(q.reports) < maxReports {
+		q.reports = append(q.reports, r)
+	}
+	q.sendReports(now)
+}
+
+// Succeeded implements broker.Quarantine. It tells those peers that have asked.
+func (q *quarantine) Succeeded(parts []string) {
+	now := time.Now()
+	q.successes.Record(now, parts)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range parts {
+		q.evidence.Succeeded(part, now)
+		if asked, ok := q.questions[part]; ok && now.Before(asked.expires) && now.Sub(asked.replied) >= resendInterval {
+			asked.replied = now
+			q.questions[part] = asked
+			q.node.coordination.push(asked.from, &wire.News{Served: []*wire.PartTime{encodePartTime(part, now, now)}})
+		}
+	}
+}
+
+// collector returns the process that collects the reports, "" if it is this one.
+func (q *quarantine) collector() string {
+	name := q.node.peers.Coordinator(collectorKey, q.node.stopping.Load())
+	if name == q.node.Name {
+		return ""
+	}
+	return name
+}
+
+// collectorKey is the key by which the collector is chosen.
+var collectorKey = xxhash.Sum64String("quarantine")
+
+// sendReports sends the reports that are due to the collector. q.mu must be held.
+func (q *quarantine) sendReports(now time.Time) {
+	kept := q.reports[:0]
+	for _, r := range q.reports {
+		if now.Sub(r.At) < resendFor {
+			kept = append(kept, r)
+		}
+	}
+	clear(q.reports[len(kept):])
+	q.reports = kept
+	collector := q.collector()
+	if collector == "" {
+		return
+	}
+	var due []*wire.CrashReport
+	for _, r := range q.reports {
+		if now.Sub(r.sent) < resendInterval {
+			continue
+		}
+		r.sent = now
+		due = append(due, encodeReport(now, r.Report))
+		if len(due) == maxReportsPerMessage {
+			q.node.coordination.push(collector, &wire.News{Crashes: due})
+			due = nil
+		}
+	}
+	if len(due) > 0 {
+		q.node.coordination.push(collector, &wire.News{Crashes: due})
+	}
+}
+
+// handle handles what a peer says of crashes.
+func (q *quarantine) handle(now time.Time, message *wire.News) {
+	if len(message.Crashes)+len(message.Suspects)+len(message.Served)+len(message.Quarantined) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range message.Crashes {
+		q.evidence.Add(now, decodeReport(now, r))
+	}
+	for _, p := range message.Served {
+		if p.Ms > 0 {
+			q.evidence.Succeeded(p.Part, decodePartTime(now, p))
+		}
+	}
+	q.answer(now, message)
+	for _, p := range message.Quarantined {
+		left := min(time.Duration(p.Ms)*time.Millisecond, crash.QuarantineTime)
+		if p.Part != "" && len(p.Part) <= crash.MaxPartBytes && q.parts.Add(p.Part, now.Add(left)) {
+			q.node.Log.Info("prompt part is in quarantine", zap.String("Part", p.Part), zap.Duration("Left", left), zap.String("Source", message.From))
+		}
+	}
+}
+
+// answer responds to a peer's question which parts this process has served. q.mu must
+// be held.
+func (q *quarantine) answer(now time.Time, message *wire.News) {
+	var served []*wire.PartTime
+	for _, part := range message.Suspects {
+		asked := q.questions[part]
+		if len(q.questions) < maxQuestions || !asked.expires.IsZero() {
+			q.questions[part] = question{from: message.From, expires: now.Add(resendFor), replied: asked.replied}
+		}
+		if last := q.successes.Last(part); !last.IsZero() {
+			served = append(served, encodePartTime(part, now, last))
+		}
+	}
+	if len(served) > 0 {
+		q.node.coordination.push(message.From, &wire.News{Served: served})
+	}
+}
+
+// Run looks for the causes of crashes until ctx ends and returns its error.
+func (q *quarantine) Run(ctx context.Context) error {
+	for timer.Wait(ctx, quarantineInterval) {
+		q.tick(time.Now())
+	}
+	return ctx.Err()
+}
+
+// tick sends what is due, and puts the parts that are the cause of crashes into
+// quarantine.
+func (q *quarantine) tick(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sendReports(now)
+	q.ask(now)
+	for _, part := range q.evidence.Causes(now, q.known(now)) {
+		q.parts.Add(part, now.Add(crash.QuarantineTime))
+		q.found[part] = now
+		q.node.Meters.Add("PartsFound", 1)
+		q.node.Log.Warn("prompt part crashes backend servers and is in quarantine", zap.String("Part", part), zap.Duration("For", crash.QuarantineTime))
+		q.tell(now, part)
+	}
+	for part, at := range q.found {
+		if now.Sub(at) > resendFor {
+			delete(q.found, part)
+			continue
+		}
+		if now.Sub(q.asked[part]) >= resendInterval {
+			q.tell(now, part)
+		}
+	}
+	for part, asked := range q.questions {
+		if now.After(asked.expires) {
+			delete(q.questions, part)
+		}
+	}
+	q.forgetEnded(now)
+	if q.collector() == "" {
+		q.keepStored(now)
+	}
+}
+
+// known returns a function that reports whether a part is in quarantine.
+func (q *quarantine) known(now time.Time) func(part string) bool {
+	return func(part string) bool {
+		_, found := q.parts.Until(now, []string{part})
+		return found
+	}
+}
+
+// ask asks the peers which of the suspect parts they have served. q.mu must be held.
+func (q *quarantine) ask(now time.Time) {
+	for part, at := range q.asked {
+		if now.Sub(at) > resendFor {
+			delete(q.asked, part)
+		}
+	}
+	var due []string
+	for _, part := range q.evidence.Suspects(now, q.known(now)) {
+		if last := q.successes.Last(part); !last.IsZero() {
+			q.evidence.Succeeded(part, last)
+		}
+		if now.Sub(q.asked[part]) >= resendInterval {
+			q.asked[part] = now
+			due = append(due, part)
+		}
+	}
+	if len(due) > 0 {
+		q.sendAll(&wire.News{Suspects: due})
+	}
+}
+
+// tell tells the peers that a part is in quarantine. q.mu must be held.
+func (q *quarantine) tell(now time.Time, part string) {
+	q.asked[part] = now
+	until, found := q.parts.Until(now, []string{part})
+	if !found {
+		return
+	}
+	q.sendAll(&wire.News{Quarantined: []*wire.PartTime{{Part: part, Ms: uint32(until.Sub(now).Milliseconds())}}})
+}
+
+// sendAll sends a message to all peers.
+func (q *quarantine) sendAll(message *wire.News) {
+	for _, m := range q.node.peers.Peers() {
+		q.node.coordination.push(m.Name, message)
+	}
+}
+
+// keepStored gives the writer the entries that the store lacks, and those to be
+// removed as their quarantine has ended. q.mu must be held.
+func (q *quarantine) keepStored(now time.Time) {
+	for part, until := range q.parts.Parts() {
+		version, stored := q.stored[part]
+		if until.After(now) == stored || now.Sub(q.written[part]) < quarantineWriteRetry {
+			continue
+		}
+		object := store.Object{Key: q.key(part), Version: version}
+		if !stored {
+			object.Value = encodeQuarantined(now, part, until)
+		}
+		if q.writes.Push(object) {
+			q.written[part] = now
+		}
+	}
+}
+
+// forgetEnded forgets the parts whose quarantine has ended and that are not in the
+// store any more. q.mu must be held.
+func (q *quarantine) forgetEnded(now time.Time) {
+	for part, until := range q.parts.Parts() {
+		if _, stored := q.stored[part]; !stored && !until.After(now) {
+			q.parts.Remove(part)
+			delete(q.written, part)
+		}
+	}
+}
+
+// key returns the store key of a part's entry. IDs of parts may hold any character.
+func (q *quarantine) key(part string) string {
+	return q.node.Keys.QuarantineKind + "/" + strconv.FormatUint(xxhash.Sum64String(part), 16)
+}
+
+// Write writes entries to the store until ctx ends and returns its error.
+func (q *quarantine) Write(ctx context.Context) error {
+	for {
+		object, err := q.writes.Pop(ctx)
+		if err != nil {
+			return err
+		}
+		if _, err := q.node.Store.Put(ctx, object); err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrAbsent) {
+			q.node.Log.Info("quarantine could not be written", zap.String("Key", object.Key), zap.Error(err))
+		}
+	}
+}
+
+// quarantined is the entry of a part in the store.
+type quarantined struct {
+	Part string
+	// UntilMs is the end of the quarantine in milliseconds since 1970.
+	UntilMs int64
+}
+
+// encodeQuarantined returns the entry of a part.
+func encodeQuarantined(now time.Time, part string, until time.Time) []byte {
+	// A struct of a string and an integer can always be encoded.
+	data, _ := json.Marshal(quarantined{part, time.Now().Add(until.Sub(now)).UnixMilli()})
+	return data
+}
+
+// errInvalidQuarantine means that an entry names no part.
+var errInvalidQuarantine = errors.New("entry names no part of a prompt")
+
+// parseQuarantined decodes an entry of the store.
+func parseQuarantined(data []byte) (quarantined, error) {
+	var entry quarantined
+	if err := json.Unmarshal(data, &entry); err != nil {
+		return entry, fmt.Errorf("%w: %w", errInvalidQuarantine, err)
+	}
+	if entry.Part == "" || len(entry.Part) > crash.MaxPartBytes {
+		return entry, errInvalidQuarantine
+	}
+	return entry, nil
+}
+
+// quarantineView applies the entries of the store. It implements follow.View.
+type quarantineView struct{ *quarantine }
+
+// Replace implements follow.View. Parts that the store lacks stay in quarantine: it may
+// have come back from an older copy.
+func (v quarantineView) Replace(page store.Page, _ bool) {
+	v.mu.Lock()
+	clear(v.stored)
+	v.mu.Unlock()
+	v.Change(page)
+	v.node.quarantineListed.Store(true)
+}
+
+// Change implements follow.View.
+func (v quarantineView) Change(page store.Page) {
+	for _, o := range page.Objects {
+		if o.Removed {
+			v.removed(o.Key)
+			continue
+		}
+		entry, err := parseQuarantined(o.Value)
+		if err != nil || v.key(entry.Part) != o.Key {
+			v.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", o.Version), zap.Error(err))
+			continue
+		}
+		v.added(entry, o.Version)
+	}
+}
+
+// added puts the part of an entry into quarantine.
+func (v quarantineView) added(entry quarantined, version uint64) {
+	now := time.Now()
+	left := min(time.Until(time.UnixMilli(entry.UntilMs)), crash.QuarantineTime)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.stored[entry.Part] = version
+	if v.parts.Add(entry.Part, now.Add(left)) {
+		v.node.Log.Info("prompt part is in quarantine", zap.String("Part", entry.Part), zap.Duration("Left", left), zap.String("Source", "store"))
+	}
+}
+
+// removed ends the quarantine of the part whose entry was removed.
+func (v quarantineView) removed(key string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for part := range v.stored {
+		if v.key(part) != key {
+			continue
+		}
+		delete(v.stored, part)
+		delete(v.found, part)
+		v.evidence.Forget(part)
+		if v.parts.Remove(part) {
+			v.node.Log.Info("quarantine of a prompt part has ended", zap.String("Part", part))
+		}
+	}
+}
+
+func encodeReport(now time.Time, r crash.Report) *wire.CrashReport {
+	m := &wire.CrashReport{Server: r.Server, Request: r.Request, AgeMs: uint32(max(now.Sub(r.At).Milliseconds(), 0))}
+	for _, s := range r.Suspects {
+		m.Parts = append(m.Parts, encodePartTime(s.Part, now, s.Succeeded))
+	}
+	return m
+}
+
+func decodeReport(now time.Time, m *wire.CrashReport) crash.Report {
+	r := crash.Report{Server: m.Server, Request: m.Request, At: now.Add(-time.Duration(m.AgeMs) * time.Millisecond)}
+	for _, p := range m.Parts {
+		r.Suspects = append(r.Suspects, crash.Suspect{Part: p.Part, Succeeded: decodePartTime(now, p)})
+	}
+	return r
+}
+
+// encodePartTime encodes a part and the time since at, which may be zero.
+func encodePartTime(part string, now, at time.Time) *wire.PartTime {
+	m := &wire.PartTime{Part: part}
+	if !at.IsZero() {
+		m.Ms = uint32(max(now.Sub(at).Milliseconds(), 0)) + 1
+	}
+	return m
+}
+
+// decodePartTime returns the time that encodePartTime has encoded.
+func decodePartTime(now time.Time, m *wire.PartTime) time.Time {
+	if m.Ms == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(m.Ms-1) * time.Millisecond)
+}
--- /dev/null
+++ b/internal/node/core/quarantine_test.go
@@ -0,0 +1,200 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/crash"
+	"ebonyscale.example/ebonyscale/internal/fleet/peers"
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// cluster is a set of processes whose datagrams a test delivers.
+type cluster []*Node
+
+// newCluster returns processes that are live for each other. The first has the most
+// cores, so that it is the collector.
+func newCluster(t *testing.T, size int) cluster {
+	c := make(cluster, size)
+	for i := range c {
+		c[i] = newNode(t)
+		c[i].Name = string(rune('a' + i))
+		c[i].peers.Self = c[i].Name
+	}
+	for i, n := range c {
+		for k, other := range c {
+			n.peers.Set(peers.Member{Name: other.Name, Address: netip.MustParseAddrPort("10.0.0.1:1"), Cores: float64(10 - k)})
+			if i != k {
+				n.peers.Apply(time.Now(), &wire.News{From: other.Name, Incarnation: 1, Sequence: 1})
+			}
+		}
+	}
+	return c
+}
+
+// deliver delivers the datagrams that wait, but for those that drop accepts.
+func (c cluster) deliver(drop func(from, to string) bool) {
+	for more := true; more; {
+		more = false
+		for _, n := range c {
+			select {
+			case e := <-n.coordination.outbox.Values():
+				more = true
+				for _, to := range c {
+					if to.Name == e.to && (drop == nil || !drop(n.Name, to.Name)) {
+						to.handleStatus(e.message)
+					}
+				}
+			default:
+			}
+		}
+	}
+}
+
+// run plays the tasks for a time.
+func (c cluster) run(d time.Duration, drop func(from, to string) bool) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(quarantineInterval)
+		for _, n := range c {
+			n.quarantine.tick(time.Now())
+		}
+		c.deliver(drop)
+	}
+}
+
+// crashAll plays prompts that each crash a server, one at each process in turn.
+func (c cluster) crashAll(count int, drop func(from, to string) bool, parts ...string) {
+	for i := range count {
+		c[i%len(c)].quarantine.Crashed(roster.Server{ID: fmt.Sprint("i-", i), Born: 1}, fmt.Sprint("r", i), parts)
+		c.run(2*quarantineInterval, drop)
+	}
+}
+
+// has reports whether prompts with the part are in quarantine at a process.
+func (n *Node) has(part string) bool {
+	_, found := n.quarantine.Until(time.Now(), []string{part})
+	return found
+}
+
+// entry returns the write that waits for the store.
+func (n *Node) entry(t *testing.T) store.Object {
+	t.Helper()
+	select {
+	case o := <-n.quarantine.writes.Values():
+		return o
+	default:
+		require.Fail(t, "no write waits")
+		return store.Object{}
+	}
+}
+
+// TestCrashesOfAllProcessesCount checks that processes that each saw too few crashes
+// find the cause together, also if every second datagram is lost.
+func TestCrashesOfAllProcessesCount(t *testing.T) {
+	for _, loss := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 6)
+			random := rand.New(rand.NewPCG(1, 2))
+			drop := func(string, string) bool { return loss && random.IntN(2) == 0 }
+			c[3].quarantine.Succeeded([]string{"a"})
+			c.crashAll(5, drop, "a", "bad")
+			c[3].quarantine.Succeeded([]string{"a"})
+			c.run(2*time.Second, drop)
+			for _, n := range c {
+				assert.True(t, n.has("bad"), n.Name)
+				assert.False(t, n.has("a"), "another process has served it")
+			}
+			o := c[0].entry(t)
+			assert.Regexp(t, `^quarantine/[0-9a-f]+$`, o.Key)
+			assert.Zero(t, o.Version)
+			assert.Empty(t, c[1].quarantine.writes.Values(), "one process writes")
+		})
+	}
+}
+
+// TestCausesAreFoundWithoutTheCollector checks that each side of a partition finds the
+// cause of its own crashes.
+func TestCausesAreFoundWithoutTheCollector(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		cut := func(from, to string) bool { return from == "a" || to == "a" }
+		c[1:].crashAll(8, cut, "bad")
+		c.run(time.Second, cut)
+		assert.False(t, c[0].has("bad"))
+		for _, n := range c[1:] {
+			assert.True(t, n.has("bad"), n.Name)
+		}
+		c.run(2*time.Second, nil)
+		assert.True(t, c[0].has("bad"), "it is told again")
+	})
+}
+
+// TestQuarantineOutlivesProcesses checks that a process that starts learns the parts
+// from the store, and that the store gets them again if it has lost them.
+func TestQuarantineOutlivesProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		c.crashAll(6, nil, "bad")
+		c.run(time.Second, nil)
+		o := c[0].entry(t)
+		o.Version = 7
+		started := newNode(t)
+		view := quarantineView{started.quarantine}
+		view.Replace(page(o, store.Object{Key: "quarantine/1", Value: []byte("{")}, store.Object{Key: "quarantine/2", Value: []byte(`{"Part":"other"}`)}), false)
+		assert.True(t, started.has("bad"))
+		assert.False(t, started.has("other"), "an entry under a key that is not its own")
+
+		v := quarantineView{c[0].quarantine}
+		v.Change(page(o))
+		c.run(2*quarantineWriteRetry, nil)
+		assert.Empty(t, c[0].quarantine.writes.Values(), "the store has it")
+		v.Replace(page(), false)
+		assert.True(t, c[0].has("bad"), "the store has lost it")
+		c.run(2*quarantineWriteRetry, nil)
+		assert.Equal(t, o.Key, c[0].entry(t).Key)
+	})
+}
+
+// TestQuarantineEnds checks that a quarantine ends when its entry is removed, and that
+// the entry is removed when its time is over.
+func TestQuarantineEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		c.crashAll(6, nil, "bad")
+		c.run(time.Second, nil)
+		o := c[0].entry(t)
+		o.Version = 7
+		for _, n := range c {
+			quarantineView{n.quarantine}.Change(page(o))
+			quarantineView{n.quarantine}.Change(page(store.Object{Key: o.Key, Removed: true}))
+		}
+		c.run(time.Second, nil)
+		for _, n := range c {
+			assert.False(t, n.has("bad"), n.Name)
+		}
+
+		quarantineView{c[0].quarantine}.Change(page(o))
+		time.Sleep(crash.QuarantineTime + time.Second)
+		assert.False(t, c[0].has("bad"))
+		c[0].quarantine.tick(time.Now())
+		assert.Equal(t, store.Object{Key: o.Key, Version: 7}, c[0].entry(t))
+		quarantineView{c[0].quarantine}.Change(page(store.Object{Key: o.Key, Removed: true}))
+		c[0].quarantine.tick(time.Now())
+		assert.Empty(t, c[0].quarantine.parts.Parts())
+	})
+}
+
+func TestQuarantineCodec(t *testing.T) {
+	now := time.Now()
+	r := crash.Report{Server: 1, Request: 2, At: now.Add(-5 * time.Millisecond), Suspects: []crash.Suspect{{Part: "a", Succeeded: now.Add(-time.Second)}, {Part: "b"}}}
+	assert.Equal(t, r, decodeReport(now, encodeReport(now, r)))
+}
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -158,6 +158,7 @@
 func (n *Node) handleStatus(message *wire.News) {
 	now := time.Now()
 	n.handleCoordination(message)
+	n.quarantine.handle(now, message)
 	if message.Sequence == 0 {
 		return
 	}
