broker: logs say when a backend server names a limit

Change: the limit of a response is read and recorded with the backend server; a line when it is new, changes or ends, the metric LimitsNamed. A response to a request that was sent before the limit became known doesn't end it. No decision goes by it yet.

Tests: rows of TestServersNotify with limits, without, with nonsense and of another server. A Notice has a new field SentAt, checked by itself there; the comparison of the others is as strict as before.

--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -148,6 +148,7 @@
 	unreachable           bool
 	ejectedUntil          time.Time
 	pausedUntil           time.Time
+	limited               limited
 	lastUsed              time.Time
 	// lastActive is when the backend server last sent something, or when it
 	// got a request while it had none.
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -144,6 +144,13 @@
 	Leaving bool
 	// Pause is for how long it wants no request from this process.
 	Pause time.Duration
+	// Limit is how many requests per second it takes from all processes together; it
+	// is valid if Limited is set.
+	Limited bool
+	Limit   float64
+	// SentAt is when the request was sent to which the response belongs. It is zero if
+	// the response says nothing about a limit, such as one to an earlier request.
+	SentAt time.Time
 }
 
 // Servers sends calls to backend servers. Errors carry a call.Stage. It must be
@@ -269,11 +276,28 @@
 		b.forgetEngines()
 		b.mu.Unlock()
 	}
+	b.noticeLimit(server, n)
 	if n.Leaving && b.Announce != nil {
 		b.Announce(server)
 	}
 }
 
+// noticeLimit records the limit that a backend server names, or that it names none any
+// more.
+func (b *Broker) noticeLimit(server roster.Server, n Notice) {
+	switch {
+	case n.Limited:
+		if b.Usage.SetLimit(time.Now(), server, n.Limit) {
+			b.Meters.Add("LimitsNamed", 1)
+			b.Log.Info("backend server names a limit", zap.String("Server", server.ID), zap.Int64("Born", server.Born), zap.Float64("PerSecond", n.Limit))
+		}
+	case !n.SentAt.IsZero():
+		if b.Usage.EndLimit(server, n.SentAt) {
+			b.Log.Info("backend server's limit has ended", zap.String("Server", server.ID), zap.Int64("Born", server.Born))
+		}
+	}
+}
+
 // Close announces a planned stop: the process aborts requests that are still in
 // progress at end. From rejectFrom on, Serve rejects requests whose deadline is
 // after end.
