route/limit, fleet/usage: servers get no more than the limit they name (LIMIT)

What callers saw: nothing.

Cause: a limit in a response was not read. Class: what a backend server says of itself beside the response is lost unless someone looks for it; pauses and departures were read before, rates were not.

Change: a process may send its share of a limit (limit.Share, pure): a token bucket of one request that begins empty, kept with the server's health, so that every attempt, prefill, retry and resumption takes from it. With many processes and a low limit some send, chosen by rendezvous hashing over all members, cut off or not. The limit is told to the peers in status messages; what a process is told itself counts more. It changes with each response and ends with one to a request that was sent after it was last named. A server without a free request is passed over; if there is no other, requests wait as long as the limits allow within their time, and are rejected at once if no server takes any.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -336,7 +336,7 @@
 	defer t.mu.RUnlock()
 	best, cores, lowest := t.Self, -1.0, uint64(0)
 	consider := func(m Member) {
-		score := xxhash.Sum64String(m.Name + "/" + strconv.FormatUint(key, 16))
+		score := rendezvous(m.Name, key)
 		if m.Cores > cores || m.Cores == cores && score < lowest {
 			best, cores, lowest = m.Name, m.Cores, score
 		}
@@ -352,6 +352,30 @@
 	return best
 }
 
+// Rank returns the position of this process, from 0, in the rendezvous order of all
+// members for a key, and their number. Silent members count, since they may still run.
+func (t *Table) Rank(key uint64) (rank, members int) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	own := rendezvous(t.Self, key)
+	members = 1
+	for name := range t.members {
+		if name == t.Self {
+			continue
+		}
+		members++
+		if rendezvous(name, key) < own {
+			rank++
+		}
+	}
+	return rank, members
+}
+
+// rendezvous returns the score of a process for a key. The lowest comes first.
+func rendezvous(name string, key uint64) uint64 {
+	return xxhash.Sum64String(name + "/" + strconv.FormatUint(key, 16))
+}
+
 // Member returns the member with the name.
 func (t *Table) Member(name string) (Member, bool) {
 	t.mu.RLock()
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -176,3 +176,33 @@
 	assert.Equal(t, 20*time.Millisecond, HeartbeatInterval(MaxFresh-1))
 	assert.Equal(t, 395*time.Millisecond, HeartbeatInterval(79))
 }
+
+// TestRank checks that the processes that know the same members agree on their order,
+// that it differs between keys, and that silent members keep their place.
+func TestRank(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	for key := range uint64(20) {
+		ranks := map[int]string{}
+		for _, self := range names {
+			table := Table{Self: self}
+			for _, name := range names {
+				table.Set(Member{Name: name})
+			}
+			rank, members := table.Rank(key)
+			assert.Equal(t, len(names), members)
+			ranks[rank] = self
+		}
+		assert.Len(t, ranks, len(names), "each process has its own place")
+	}
+	first := map[int]bool{}
+	table := Table{Self: "a"}
+	for _, name := range names[1:] {
+		table.Set(Member{Name: name})
+	}
+	for key := range uint64(20) {
+		rank, members := table.Rank(key)
+		assert.Equal(t, len(names), members, "a process without an entry counts itself")
+		first[rank] = true
+	}
+	assert.Len(t, first, len(names))
+}
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -32,7 +32,11 @@
 //	rate := table.Get(now, server).Times.Rate
 //
 // A backend server that has asked for a pause is reported as paused until its end. It
-// must get nothing meanwhile, whatever else there is.
+// must get nothing meanwhile, whatever else there is. One that names a rate limit is
+// reported as throttled while the process has used its share of that:
+//
+//	table.SetLimit(now, server, 7.5, share)
+//	throttled := table.Get(now, server).Throttled
 //
 // The zero value is ready to use. Every method is safe for concurrent use.
 package usage
@@ -123,6 +127,11 @@
 	// Paused is set while the backend server wants no request from this process. It
 	// must get none, not even if there is no other.
 	Paused bool
+	// Throttled is set while this process has used its share of the backend server's
+	// rate limit. It must get no request for a moment, of which there are LimitShare a
+	// second.
+	Throttled  bool
+	LimitShare float64
 }
 
 // Incarnation identifies one run of a backend server: Born differs after each
@@ -219,6 +228,9 @@
 	if r.running == 0 {
 		r.lastActive = now
 	}
+	if r.limited.active(now) {
+		r.limited.bucket.ReserveN(now, 1)
+	}
 	r.running++
 	r.work[work]++
 	r.lastUsed = now
@@ -307,9 +319,10 @@
 	if !ok {
 		return Snapshot{LatencyRatio: 1}
 	}
+	shareless := r.limited.active(now) && r.limited.share == 0
 	stalled := r.running > 0 && now.Sub(r.lastActive) > r.stallTime()
 	return Snapshot{
-		Paused: now.Before(r.pausedUntil), Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
+		Paused: now.Before(r.pausedUntil) || shareless, Throttled: r.limited.throttled(now), LimitShare: r.limited.share, Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
 		Times: r.prefills.times(now, server.Role), LatencyRatio: r.latencyRatio, Suspect: r.suspect,
 		Ejected: stalled || r.unreachable || now.Before(r.ejectedUntil), Stalled: stalled, Unreachable: r.unreachable,
 		TransferSeconds: r.transferSeconds, TransferAt: r.transferAt,
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -41,6 +41,7 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/node/meter"
 	"ebonyscale.example/ebonyscale/internal/route/assign"
+	"ebonyscale.example/ebonyscale/internal/route/limit"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 )
 
@@ -186,6 +187,9 @@
 	Server(key uint64) peers.Load
 	// Queue returns the peers' load in the queue with the hash.
 	Queue(key uint64) peers.Load
+	// Rank returns the position of this process, from 0, in an order of all processes
+	// that depends on the key, and their number.
+	Rank(key uint64) (rank, processes int)
 	// Coordinator returns the name of the process that grants permits for the
 	// service with the hash key. If stopping is set, this process is not
 	// eligible.
@@ -287,17 +291,30 @@
 func (b *Broker) noticeLimit(server roster.Server, n Notice) {
 	switch {
 	case n.Limited:
-		if b.Usage.SetLimit(time.Now(), server, n.Limit) {
+		if b.Usage.SetLimit(time.Now(), server, n.Limit, b.limitShare(server, n.Limit)) {
 			b.Meters.Add("LimitsNamed", 1)
 			b.Log.Info("backend server names a limit", zap.String("Server", server.ID), zap.Int64("Born", server.Born), zap.Float64("PerSecond", n.Limit))
 		}
 	case !n.SentAt.IsZero():
-		if b.Usage.EndLimit(server, n.SentAt) {
+		if b.Usage.EndLimit(time.Now(), server, n.SentAt) {
 			b.Log.Info("backend server's limit has ended", zap.String("Server", server.ID), zap.Int64("Born", server.Born))
 		}
 	}
 }
 
+// limitShare returns this process's share of a backend server's rate limit.
+func (b *Broker) limitShare(server roster.Server, perSecond float64) float64 {
+	rank, processes := b.Peers.Rank(server.Key())
+	return limit.Share(perSecond, processes, rank)
+}
+
+// HearLimit handles a rate limit of which a peer has been told.
+func (b *Broker) HearLimit(id string, born int64, perSecond float64) {
+	if server, ok := b.Roster.Find(id, born); ok {
+		b.Usage.HearLimit(time.Now(), server, perSecond, b.limitShare(server, perSecond))
+	}
+}
+
 // Close announces a planned stop: the process aborts requests that are still in
 // progress at end. From rejectFrom on, Serve rejects requests whose deadline is
 // after end.
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -120,7 +120,7 @@
 	candidates := make([]assign.Candidate, 0, len(servers))
 	options := make([]roster.Server, 0, len(servers))
 	v := view{peerLoad: b.Peers.Queue(n.key.hash()), ejected: true}
-	ejected := 0
+	ejected, throttled := 0, 0.0
 	for _, s := range servers {
 		if s.Role != n.key.role {
 			continue
@@ -129,6 +129,14 @@
 		if snapshot.Paused {
 			continue
 		}
+		if snapshot.Throttled {
+			v.usable++
+			if !n.excluded[s.ID] {
+				v.ejected = false
+				throttled += snapshot.LimitShare
+			}
+			continue
+		}
 		c := b.candidate(n, s, snapshot)
 		v.usable++
 		v.capacity += c.SameWorkLimit
@@ -142,7 +150,7 @@
 	if ejected < v.capacity {
 		v.capacity -= ejected
 	}
-	v.rate = float64(v.capacity) / b.queue(n.key).expectedHold()
+	v.rate = float64(v.capacity)/b.queue(n.key).expectedHold() + throttled
 	request := assign.Request{PrefixHash: n.prompt.PrefixHash, Affinity: n.affinity, Zone: b.Zone}
 	if b.Peers.Live() > peers.MaxFresh {
 		request.Seed = b.nextRandom()
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -38,6 +38,9 @@
 	// throughput is the share of the engine's throughput that this process may
 	// count on: less behind a slow link, or if silent peers may use the engine.
 	throughput float64
+	// throttled is set while this process has used its share of the engine's rate
+	// limit.
+	throttled bool
 	// fetchable is set if KV caches can be fetched from the engine.
 	fetchable bool
 }
@@ -111,7 +114,7 @@
 	granted := b.grantedByEngine[key]
 	e := &engineState{
 		server: s, began: b.progress[key], running: snapshot.Running + peerLoad.Running + granted.Requests,
-		limit: scaled(decodePerSlot*float64(s.Slots), share), throughput: share, fetchable: !snapshot.Unreachable && !snapshot.Stalled,
+		limit: scaled(decodePerSlot*float64(s.Slots), share), throughput: share, fetchable: !snapshot.Unreachable && !snapshot.Stalled, throttled: snapshot.Throttled,
 		engine: assign.Engine{
 			Key: key, Hash: xxhash.Sum64String(s.ID),
 			Backlog:  max(snapshot.PrefillTokens+peerLoad.PrefillTokens+granted.Tokens, 0),
@@ -154,7 +157,7 @@
 	engines := b.engineBuffer[:0]
 	for _, s := range states {
 		e := s.engine
-		e.Full, e.Excluded, e.Cached = s.running >= s.limit, n.excluded[s.server.ID], lookup.Tokens(e.Key)
+		e.Full, e.Excluded, e.Cached = s.running >= s.limit || s.throttled, n.excluded[s.server.ID], lookup.Tokens(e.Key)
 		e.Progress = now.Sub(s.began)
 		v.usable++
 		v.ejected = v.ejected && (e.Ejected || e.Excluded)
--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -334,6 +334,7 @@
 func (noPeers) Silent(string, string) int       { return 0 }
 func (noPeers) Server(uint64) peers.Load        { return peers.Load{} }
 func (noPeers) Queue(uint64) peers.Load         { return peers.Load{} }
+func (p noPeers) Rank(uint64) (int, int)        { return 0, p.Members() }
 func (noPeers) Coordinator(uint64, bool) string { return "" }
 
 const routes = `{"Version":3,"Routes":[
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -113,10 +113,10 @@
 }
 
 // accept registers a permit that the coordinator granted, or releases it if the
-// engine is not in the roster of this process or wants no request from it.
+// engine is not in the roster of this process or wants no request from it now.
 func (b *Broker) accept(start time.Time, coordinator string, g PermitGrant, n, alternative need) (*permit, error) {
 	server, ok := b.Roster.Find(g.ID, g.Born)
-	if !ok || b.Usage.Get(time.Now(), server).Paused {
+	if snapshot := b.Usage.Get(time.Now(), server); !ok || snapshot.Paused || snapshot.Throttled {
 		b.Coordination.Release(coordinator, PermitRelease{Number: g.Number})
 		return nil, errNoDecision
 	}
@@ -211,12 +211,12 @@
 }
 
 // unusable lists the engines that must not be granted for a request: those
-// where it has failed, and those that are ejected for this process.
+// where it has failed, and those that get no request of this process now.
 func (b *Broker) unusable(now time.Time, n need) []string {
 	var list []string
 	for _, s := range b.Roster.Service(n.key.service) {
 		snapshot := b.Usage.Get(now, s)
-		if n.excluded[s.ID] || snapshot.Ejected || snapshot.Paused {
+		if n.excluded[s.ID] || snapshot.Ejected || snapshot.Paused || snapshot.Throttled {
 			list = append(list, s.ID)
 		}
 	}
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -89,6 +89,7 @@
 			Line: hash, Running: uint32(load.Running), Waiting: uint32(load.Waiting), Granted: uint32(load.Granted),
 		})
 	})
+	message.Limits = n.limitsTold(time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	message.Departures = n.departureBatch(time.Now())
@@ -109,8 +110,23 @@
 	// the newest, the other half cycles through the older ones, so that each is
 	// sent a few times before it expires.
 	maxDepartures = 16
+	// maxLimits bounds the rate limits in a status message. If there are more, some
+	// are sent at random.
+	maxLimits = 8
 )
 
+// limitsTold returns the rate limits of which the peers are told.
+func (n *Node) limitsTold(now time.Time) []*wire.ServerLimit {
+	var list []*wire.ServerLimit
+	for _, l := range n.usage.LimitsTold(now) {
+		if len(list) == maxLimits {
+			break
+		}
+		list = append(list, &wire.ServerLimit{Server: l.ID, Born: l.Born, PerSecond: l.PerSecond})
+	}
+	return list
+}
+
 // busiest returns the maxLoads loads with the most running requests. It reorders
 // loads if there are more.
 func busiest(loads []*wire.ServerLoad) []*wire.ServerLoad {
@@ -169,6 +185,11 @@
 	if n.peers.Live() > live {
 		n.Log.Info("process is live", zap.String("Peer", message.From), zap.Uint64("Incarnation", message.Incarnation), zap.Uint64("Version", message.TableVersion))
 	}
+	for _, l := range message.Limits {
+		if l.PerSecond >= 0 {
+			n.Broker.HearLimit(l.Server, l.Born, l.PerSecond)
+		}
+	}
 	for _, d := range message.Departures {
 		for _, c := range n.markLeaving(now, d) {
 			n.Log.Info("backend server is leaving, reported by another process", zap.String("Server", d.Server), zap.Int64("Born", d.Born),
--- a/internal/node/core/status_test.go
+++ b/internal/node/core/status_test.go
@@ -26,6 +26,7 @@
 			n.usage.Start(time.Now(), s, usage.LocalPrefill)
 			n.usage.StartPrefill(s, 40_000)
 		}
+		n.usage.SetLimit(time.Now(), s, 7.5, 1)
 	}
 	sent := map[string]bool{}
 	newest := fmt.Sprintf("i-%010x", count-1)
@@ -39,6 +40,7 @@
 			inMessage[d.Server], sent[d.Server] = true, true
 		}
 		assert.Len(t, inMessage, maxDepartures)
+		assert.Len(t, message.Limits, maxLimits)
 		assert.True(t, inMessage[newest])
 	}
 	assert.Len(t, sent, count)
@@ -61,3 +63,21 @@
 	b.handleStatus(message)
 	assert.Empty(t, b.roster.Service("s"))
 }
+
+// The rate limit that a backend server has named to one process is kept by the others
+// too, and they do not pass on what they have not been told themselves.
+func TestLimitIsTold(t *testing.T) {
+	a, b := newNode(t), newNode(t)
+	a.Name, b.Name = "a", "b"
+	a.peers.Self, b.peers.Self = "a", "b"
+	for _, n := range []*Node{a, b} {
+		(&serversView{n}).Replace(page(serverEntry("i-1", "")), false)
+	}
+	server, _ := a.roster.Find("i-1", 1)
+	a.Broker.Notice(server, broker.Notice{Limited: true, Limit: 7.5})
+	message, _ := a.composeStatus()
+	b.handleStatus(message)
+	assert.True(t, b.usage.Get(time.Now(), server).Throttled)
+	message, _ = b.composeStatus()
+	assert.Empty(t, message.Limits)
+}
