--- a/internal/fleet/crash/evidence.go
+++ b/internal/fleet/crash/evidence.go
@@ -19,7 +19,7 @@
 	// part before that becomes a cause.
 	settleTime = 300 * time.Millisecond
 	// crashSpacing is the time within which crashes count once.
-	crashSpacing = 50 * time.Millisecond
+	crashSpacing = 30 * time.Millisecond
 	// askFrom is the number of crashes from which it is worth asking who has served a
 	// part. askWithin is how long after the last report something is asked or found; it
 	// is longer than settleTime.
