--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -19,10 +19,12 @@
 package peers
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -332,24 +334,42 @@
 // process is stopping. Processes with the same live peers get the same result.
 // Without a candidate it is this process.
 func (t *Table) Coordinator(key uint64, stopping bool) string {
+	if names := t.Coordinators(key, stopping, 1); len(names) > 0 {
+		return names[0]
+	}
+	return t.Self
+}
+
+// Coordinators returns up to count candidates for the coordinator, in the order in
+// which they would replace each other.
+func (t *Table) Coordinators(key uint64, stopping bool, count int) []string {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	best, cores, lowest := t.Self, -1.0, uint64(0)
-	consider := func(m Member) {
-		score := rendezvous(m.Name, key)
-		if m.Cores > cores || m.Cores == cores && score < lowest {
-			best, cores, lowest = m.Name, m.Cores, score
+	type candidate struct {
+		name  string
+		cores float64
+		score uint64
+	}
+	candidates := make([]candidate, 0, len(t.peers)+1)
+	consider := func(name string) {
+		if m, ok := t.members[name]; ok {
+			candidates = append(candidates, candidate{name, m.Cores, rendezvous(name, key)})
 		}
 	}
-	if m, ok := t.members[t.Self]; ok && !stopping {
-		consider(m)
+	if !stopping {
+		consider(t.Self)
 	}
 	for name, p := range t.peers {
-		if m, ok := t.members[name]; ok && !p.stopping {
-			consider(m)
+		if !p.stopping {
+			consider(name)
 		}
 	}
-	return best
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.score, b.score)) })
+	names := make([]string, 0, count)
+	for _, c := range candidates[:min(count, len(candidates))] {
+		names = append(names, c.name)
+	}
+	return names
 }
 
 // Rank returns the position of this process, from 0, in the rendezvous order of all
--- a/internal/node/core/coordinate.go
+++ b/internal/node/core/coordinate.go
@@ -34,9 +34,12 @@
 	return &coordination{n, ring.New[envelope]("Coordinate", outboxSize)}
 }
 
-// push queues a message without blocking. It counts a message that is dropped.
+// push queues a message without blocking. It counts a message that is dropped. A message
+// may be queued for several peers, and must not be changed after the first time.
 func (c *coordination) push(to string, message *wire.News) {
-	message.From = c.node.Name
+	if message.From == "" {
+		message.From = c.node.Name
+	}
 	if !c.outbox.Push(envelope{to, message}) {
 		c.node.Meters.Add("CoordinationNotSent", 1)
 	}
--- a/internal/node/core/quarantine.go
+++ b/internal/node/core/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 
 	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/fleet/crash"
+	"ebonyscale.example/ebonyscale/internal/fleet/peers"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/node/ring"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
@@ -23,12 +25,12 @@
 // quarantine keeps prompts that crash backend servers away from them, in all processes
 // together. It implements broker.Quarantine and is safe for concurrent use.
 //
-// Each process reports the requests that a backend server ended under to one of them,
-// the collector, and to itself. Whoever has evidence asks the others which of the
+// Each process reports the requests that a backend server ended under to a few of them,
+// the collectors, and to itself. Whoever has evidence asks the others which of the
 // suspect parts they have served. A part that is found to be the cause is told to all
 // and written to the store, from which processes learn it that start later or were
-// cut off. Nothing depends on there being one collector: a finding is the same from
-// whoever makes it.
+// cut off. Nothing depends on the processes agreeing on the collectors: a finding is
+// the same from whoever makes it, and made by several it has the same effect.
 type quarantine struct {
 	node      *Node
 	parts     crash.Quarantine
@@ -57,6 +59,8 @@
 type ownReport struct {
 	crash.Report
 	sent time.Time
+	// pause is the time from sent to when it is sent again.
+	pause time.Duration
 }
 
 // question is that of a peer about a part. It is responded to until it expires.
@@ -68,10 +72,15 @@
 const (
 	// quarantineInterval is the period of the task.
 	quarantineInterval = 50 * time.Millisecond
-	// resendInterval is the pause after which a message is sent again, resendFor how
-	// long reports, questions and findings are sent.
+	// resendInterval is the pause after which a message is sent again, askPerPeer that
+	// of questions per process that is asked, if that is longer. resendFor is how long
+	// reports, questions and findings are sent.
 	resendInterval = 200 * time.Millisecond
+	askPerPeer     = 2 * time.Millisecond
 	resendFor      = 3 * time.Second
+	// collectors is how many processes collect reports in a large system. Up to
+	// peers.MaxFresh processes all do.
+	collectors = 3
 	// quarantineWriteRetry is the pause after which an entry that the store still
 	// lacks is written again.
 	quarantineWriteRetry = time.Second
@@ -130,19 +139,24 @@
 	}
 }
 
-// collector returns the process that collects the reports, "" if it is this one.
-func (q *quarantine) collector() string {
-	name := q.node.peers.Coordinator(collectorKey, q.node.stopping.Load())
-	if name == q.node.Name {
-		return ""
+// collectors returns the processes that collect reports.
+func (q *quarantine) collectors() []string {
+	count := collectors
+	if q.node.peers.Live() <= peers.MaxFresh {
+		count = peers.MaxFresh
 	}
-	return name
+	return q.node.peers.Coordinators(collectorKey, q.node.stopping.Load(), count)
 }
 
-// collectorKey is the key by which the collector is chosen.
+// collectorKey is the key by which the collectors are chosen.
 var collectorKey = xxhash.Sum64String("quarantine")
 
-// sendReports sends the reports that are due to the collector. q.mu must be held.
+// writesToStore reports whether this process writes the entries in the store.
+func (q *quarantine) writesToStore() bool {
+	return q.node.peers.Coordinator(collectorKey, q.node.stopping.Load()) == q.node.Name
+}
+
+// sendReports sends the reports that are due to the collectors. q.mu must be held.
 func (q *quarantine) sendReports(now time.Time) {
 	kept := q.reports[:0]
 	for _, r := range q.reports {
@@ -152,24 +166,24 @@
 	}
 	clear(q.reports[len(kept):])
 	q.reports = kept
-	collector := q.collector()
-	if collector == "" {
-		return
-	}
 	var due []*wire.CrashReport
 	for _, r := range q.reports {
-		if now.Sub(r.sent) < resendInterval {
+		if now.Sub(r.sent) < r.pause {
 			continue
 		}
-		r.sent = now
+		r.sent, r.pause = now, max(2*r.pause, resendInterval)
 		due = append(due, encodeReport(now, r.Report))
-		if len(due) == maxReportsPerMessage {
-			q.node.coordination.push(collector, &wire.News{Crashes: due})
-			due = nil
-		}
 	}
-	if len(due) > 0 {
-		q.node.coordination.push(collector, &wire.News{Crashes: due})
+	if len(due) == 0 {
+		return
+	}
+	names := q.collectors()
+	for batch := range slices.Chunk(due, maxReportsPerMessage) {
+		for _, name := range names {
+			if name != q.node.Name {
+				q.node.coordination.push(name, &wire.News{Crashes: batch})
+			}
+		}
 	}
 }
 
@@ -251,8 +265,11 @@
 			delete(q.questions, part)
 		}
 	}
+	if len(q.parts.Parts()) == 0 {
+		return
+	}
 	q.forgetEnded(now)
-	if q.collector() == "" {
+	if q.writesToStore() {
 		q.keepStored(now)
 	}
 }
@@ -272,12 +289,13 @@
 			delete(q.asked, part)
 		}
 	}
+	interval := max(resendInterval, askPerPeer*time.Duration(q.node.peers.Live()))
 	var due []string
 	for _, part := range q.evidence.Suspects(now, q.known(now)) {
 		if last := q.successes.Last(part); !last.IsZero() {
 			q.evidence.Succeeded(part, last)
 		}
-		if now.Sub(q.asked[part]) >= resendInterval {
+		if now.Sub(q.asked[part]) >= interval {
 			q.asked[part] = now
 			due = append(due, part)
 		}
