core: the search for causes of crashes sleeps while there are no reports

Cause, found on reading: the task woke 20 times a second in each process, also if no engine ever ends; hundreds of processes pay for that.

Change: it wakes once a second, or with a report, and every 50 ms for six seconds after one.

--- a/internal/node/core/quarantine.go
+++ b/internal/node/core/quarantine.go
@@ -36,12 +36,16 @@
 	parts     crash.Quarantine
 	successes crash.Successes
 	writes    *ring.Ring[store.Object]
+	// wake interrupts the pause of the task after a report.
+	wake chan struct{}
 
 	// mu guards the fields below.
 	mu       sync.Mutex
 	evidence crash.Evidence
-	// reports are this process's own recent ones.
-	reports []*ownReport
+	// reports are this process's own recent ones, reported is when the last report
+	// came, also from a peer.
+	reports  []*ownReport
+	reported time.Time
 	// asked has when the peers were last asked about a part, questions the parts
 	// that peers have asked about.
 	asked     map[string]time.Time
@@ -70,8 +74,10 @@
 }
 
 const (
-	// quarantineInterval is the period of the task.
+	// quarantineInterval is the period of the task while there are recent reports or
+	// findings, idleInterval that at rest.
 	quarantineInterval = 50 * time.Millisecond
+	idleInterval       = time.Second
 	// resendInterval is the pause after which a message is sent again, askPerPeer that
 	// of questions per process that is asked, if that is longer. resendFor is how long
 	// reports, questions and findings are sent.
@@ -97,7 +103,7 @@
 
 func newQuarantine(n *Node) *quarantine {
 	return &quarantine{
-		node: n, writes: ring.New[store.Object]("Quarantine", maxQuarantineWrites), asked: map[string]time.Time{},
+		node: n, writes: ring.New[store.Object]("Quarantine", maxQuarantineWrites), wake: make(chan struct{}, 1), asked: map[string]time.Time{},
 		questions: map[string]question{}, found: map[string]time.Time{}, stored: map[string]uint64{}, written: map[string]time.Time{},
 	}
 }
@@ -117,6 +123,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.evidence.Add(now, r.Report)
+	q.active(now)
 	if len(q.reports) < maxReports {
 		q.reports = append(q.reports, r)
 	}
@@ -196,6 +203,7 @@
 	defer q.mu.Unlock()
 	for _, r := range message.Crashes {
 		q.evidence.Add(now, decodeReport(now, r))
+		q.active(now)
 	}
 	for _, p := range message.Served {
 		if p.Ms > 0 {
@@ -229,14 +237,42 @@
 	}
 }
 
+// active wakes the task after a report. q.mu must be held.
+func (q *quarantine) active(now time.Time) {
+	q.reported = now
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run looks for the causes of crashes until ctx ends and returns its error.
 func (q *quarantine) Run(ctx context.Context) error {
-	for timer.Wait(ctx, quarantineInterval) {
+	for ctx.Err() == nil {
+		q.wait(ctx)
 		q.tick(time.Now())
 	}
 	return ctx.Err()
 }
 
+// wait waits for the next tick.
+func (q *quarantine) wait(ctx context.Context) {
+	q.mu.Lock()
+	busy := time.Since(q.reported) < 2*resendFor || len(q.found) > 0
+	q.mu.Unlock()
+	if busy {
+		timer.Wait(ctx, quarantineInterval)
+		return
+	}
+	pause := time.NewTimer(idleInterval)
+	defer pause.Stop()
+	select {
+	case <-q.wake:
+	case <-pause.C:
+	case <-ctx.Done():
+	}
+}
+
 // tick sends what is due, and puts the parts that are the cause of crashes into
 // quarantine.
 func (q *quarantine) tick(now time.Time) {
