fleet/crash: the search looks only at parts that were there twice

Cause, measured with a new benchmark: a search among 64 crashes with 100 parts each took 9.2 ms of a core, and runs up to 20 times a second twice over while engines end, on machines with 0.144 to 0.8 of a core.

Change: the number of crashes of each part is kept up to date, and parts with less than two are left out of the sums; the parts in quarantine are read once a search.

BenchmarkCauses on the machine while other work ran: 9.2 ms before, 1.2 and 2.3 ms after. Tests of the package and of core unchanged and passed.

--- a/internal/fleet/crash/evidence.go
+++ b/internal/fleet/crash/evidence.go
@@ -39,6 +39,8 @@
 type Evidence struct {
 	// crashes are in the order of their times.
 	crashes []*crash
+	// counts is the number of crashes at which a part was there.
+	counts map[string]int
 	// succeeded is when a part was last served, for parts that are suspect.
 	succeeded map[string]time.Time
 	// changed is when the last report came that says something new. Nothing is found
@@ -69,9 +71,6 @@
 		if s.Part == "" || len(s.Part) > MaxPartBytes {
 			continue
 		}
-		if !s.Succeeded.IsZero() {
-			e.setSucceeded(s.Part, s.Succeeded)
-		}
 		v, known := c.involved[s.Part]
 		if !known {
 			if len(c.involved) >= maxSuspects {
@@ -79,9 +78,13 @@
 			}
 			v = &involvement{position: i, requests: map[uint64]bool{}}
 			c.involved[s.Part] = v
+			e.count(s.Part, 1)
 			c.known, e.changed = now, now
 		}
 		v.requests[r.Request] = true
+		if !s.Succeeded.IsZero() {
+			e.setSucceeded(s.Part, s.Succeeded)
+		}
 	}
 }
 
@@ -96,35 +99,43 @@
 	i, _ := slices.BinarySearchFunc(e.crashes, r.At, func(c *crash, at time.Time) int { return c.at.Compare(at) })
 	e.crashes = slices.Insert(e.crashes, i, c)
 	if len(e.crashes) > maxCrashes {
+		e.drop(e.crashes[0])
 		e.crashes = slices.Delete(e.crashes, 0, 1)
 	}
 	return c
 }
 
-// expire drops the crashes that are too old, and what is known about parts that are
-// not suspect any more.
-func (e *Evidence) expire(now time.Time) {
-	before := len(e.crashes)
-	e.crashes = slices.DeleteFunc(e.crashes, func(c *crash) bool { return now.Sub(c.at) > retention })
-	if len(e.crashes) == before && len(e.succeeded) <= maxCrashes*maxSuspects {
-		return
+// count adds to the number of crashes at which a part was there.
+func (e *Evidence) count(part string, added int) {
+	if e.counts == nil {
+		e.counts = map[string]int{}
 	}
-	for part := range e.succeeded {
-		if !e.suspect(part) {
-			delete(e.succeeded, part)
-		}
+	e.counts[part] += added
+	if e.counts[part] == 0 {
+		delete(e.counts, part)
+		delete(e.succeeded, part)
 	}
 }
 
-// suspect reports whether the part was there at a crash.
-func (e *Evidence) suspect(part string) bool {
-	return slices.ContainsFunc(e.crashes, func(c *crash) bool { return c.involved[part] != nil })
+// drop forgets the parts of a crash that is not evidence any more.
+func (e *Evidence) drop(c *crash) {
+	for part := range c.involved {
+		e.count(part, -1)
+	}
+}
+
+// expire drops the crashes that are too old.
+func (e *Evidence) expire(now time.Time) {
+	for len(e.crashes) > 0 && now.Sub(e.crashes[0].at) > retention {
+		e.drop(e.crashes[0])
+		e.crashes = slices.Delete(e.crashes, 0, 1)
+	}
 }
 
 // Succeeded records that a request with the part was served completely. It is ignored
 // for a part that is not suspect.
 func (e *Evidence) Succeeded(part string, at time.Time) {
-	if e.suspect(part) {
+	if e.counts[part] > 0 {
 		e.setSucceeded(part, at)
 	}
 }
@@ -143,6 +154,8 @@
 	for _, c := range e.crashes {
 		delete(c.involved, part)
 	}
+	delete(e.counts, part)
+	delete(e.succeeded, part)
 }
 
 // Causes returns the parts that are the cause of crashes, without those that known
@@ -197,7 +210,8 @@
 	// crashes counts those at which the part was there and after which it was not
 	// served; several within crashSpacing count once.
 	crashes, position int
-	requests          map[uint64]bool
+	// requests has up to requiredRequests of the requests with the part.
+	requests map[uint64]bool
 	// servedBefore is set if the part was served before the first of them.
 	servedBefore bool
 	// last is when the last of them was, known when the last report of them came.
@@ -217,13 +231,16 @@
 	return t.crashes >= t.required() && len(t.requests) >= requiredRequests && now.Sub(t.known) >= settleTime
 }
 
-// tally returns the sums of all parts that were there at the crashes, the most likely
-// cause first: the one with most crashes over what is required, and of equals the one
+// tally returns the sums of the parts that were there at askFrom crashes or more, the
+// most likely cause first: the one with most crashes over what is required, and of equals the one
 // that is later in its prompt, which fewer requests share.
 func (e *Evidence) tally(crashes []*crash) []*tally {
 	byPart := map[string]*tally{}
 	for _, c := range crashes {
 		for part, v := range c.involved {
+			if e.counts[part] < askFrom {
+				continue
+			}
 			succeeded := e.succeeded[part]
 			if !succeeded.Before(c.at) {
 				continue
@@ -249,6 +266,9 @@
 // add adds a crash, which is not older than those before.
 func (t *tally) add(c *crash, v *involvement) {
 	for request := range v.requests {
+		if len(t.requests) >= requiredRequests {
+			break
+		}
 		t.requests[request] = true
 	}
 	t.position = max(t.position, v.position)
--- a/internal/fleet/crash/evidence_test.go
+++ b/internal/fleet/crash/evidence_test.go
@@ -260,3 +260,17 @@
 	assert.Equal(t, at(0), s.Last("x"))
 	assert.Zero(t, s.Last("y"))
 }
+
+// BenchmarkCauses measures a search among as many crashes as are kept, with 100 parts
+// each.
+func BenchmarkCauses(b *testing.B) {
+	var e Evidence
+	for i := range maxCrashes {
+		for k := range 50 {
+			e.add(at(100*i), i, k, "a", fmt.Sprint("b", i, "-", k), fmt.Sprint("c", k))
+		}
+	}
+	for b.Loop() {
+		e.Causes(e.changed, never)
+	}
+}
--- a/internal/node/core/quarantine.go
+++ b/internal/node/core/quarantine.go
@@ -312,10 +312,8 @@
 
 // known returns a function that reports whether a part is in quarantine.
 func (q *quarantine) known(now time.Time) func(part string) bool {
-	return func(part string) bool {
-		_, found := q.parts.Until(now, []string{part})
-		return found
-	}
+	parts := q.parts.Parts()
+	return func(part string) bool { return parts[part].After(now) }
 }
 
 // ask asks the peers which of the suspect parts they have served. q.mu must be held.
