--- /dev/null
+++ b/internal/node/broker/quarantine.go
@@ -0,0 +1,48 @@
+package broker
+
+import (
+	"errors"
+	"time"
+)
+
+// errQuarantined means that the prompt has a part that crashes backend servers.
+var errQuarantined = errors.New("a part of the prompt crashes backend servers")
+
+// quarantined reports whether the request must not be sent, as its prompt has a part
+// that crashes backend servers.
+func (j *job) quarantined() bool {
+	q := j.broker.Quarantine
+	if q == nil || len(j.request.Parts) < 2 {
+		return false
+	}
+	until, found := q.Until(time.Now(), j.request.sharedParts())
+	j.quarantinedUntil = until
+	return found
+}
+
+// recordServed records that the request was served completely, so that no part of its
+// prompt crashes backend servers.
+func (j *job) recordServed() {
+	if q := j.broker.Quarantine; q != nil && len(j.request.Parts) > 1 {
+		q.Succeeded(j.request.sharedParts())
+	}
+}
+
+// maxChain bounds the parts of a prompt that count as shared.
+const maxChain = 16
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may
+// share: all but the last, and at most maxChain.
+func (r *Request) sharedParts() []string {
+	shared := r.shared()
+	ids := make([]string, 0, len(shared))
+	for _, p := range shared {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
+// shared returns the parts that other requests may share.
+func (r *Request) shared() []Part {
+	return r.Parts[:min(max(len(r.Parts)-1, 0), maxChain)]
+}
--- /dev/null
+++ b/internal/node/core/quarantined.go
@@ -0,0 +1,150 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/crash"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// keepStored gives the writer the entries that the store lacks, and those to be
+// removed as their quarantine has ended. q.mu must be held.
+func (q *quarantine) keepStored(now time.Time) {
+	for part, until := range q.parts.Parts() {
+		version, stored := q.stored[part]
+		if until.After(now) == stored || now.Sub(q.written[part]) < quarantineWriteRetry {
+			continue
+		}
+		object := store.Object{Key: q.key(part), Version: version}
+		if !stored {
+			object.Value = encodeQuarantined(now, part, until)
+		}
+		if q.writes.Push(object) {
+			q.written[part] = now
+		}
+	}
+}
+
+// forgetEnded forgets the parts whose quarantine has ended and that are not in the
+// store any more. q.mu must be held.
+func (q *quarantine) forgetEnded(now time.Time) {
+	for part, until := range q.parts.Parts() {
+		if _, stored := q.stored[part]; !stored && !until.After(now) {
+			q.parts.Remove(part)
+			delete(q.written, part)
+		}
+	}
+}
+
+// key returns the store key of a part's entry. IDs of parts may hold any character.
+func (q *quarantine) key(part string) string {
+	return q.node.Keys.QuarantineKind + "/" + strconv.FormatUint(xxhash.Sum64String(part), 16)
+}
+
+// Write writes entries to the store until ctx ends and returns its error.
+func (q *quarantine) Write(ctx context.Context) error {
+	for {
+		object, err := q.writes.Pop(ctx)
+		if err != nil {
+			return err
+		}
+		if _, err := q.node.Store.Put(ctx, object); err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrAbsent) {
+			q.node.Log.Info("quarantine could not be written", zap.String("Key", object.Key), zap.Error(err))
+		}
+	}
+}
+
+// quarantined is the entry of a part in the store.
+type quarantined struct {
+	Part string
+	// UntilMs is the end of the quarantine in milliseconds since 1970.
+	UntilMs int64
+}
+
+// encodeQuarantined returns the entry of a part.
+func encodeQuarantined(now time.Time, part string, until time.Time) []byte {
+	// A struct of a string and an integer can always be encoded.
+	data, _ := json.Marshal(quarantined{part, time.Now().Add(until.Sub(now)).UnixMilli()})
+	return data
+}
+
+// errInvalidQuarantine means that an entry names no part.
+var errInvalidQuarantine = errors.New("entry names no part of a prompt")
+
+// parseQuarantined decodes an entry of the store.
+func parseQuarantined(data []byte) (quarantined, error) {
+	var entry quarantined
+	if err := json.Unmarshal(data, &entry); err != nil {
+		return entry, fmt.Errorf("%w: %w", errInvalidQuarantine, err)
+	}
+	if entry.Part == "" || len(entry.Part) > crash.MaxPartBytes {
+		return entry, errInvalidQuarantine
+	}
+	return entry, nil
+}
+
+// quarantineView applies the entries of the store. It implements follow.View.
+type quarantineView struct{ *quarantine }
+
+// Replace implements follow.View. Parts that the store lacks stay in quarantine: it may
+// have come back from an older copy.
+func (v quarantineView) Replace(page store.Page, _ bool) {
+	v.mu.Lock()
+	clear(v.stored)
+	v.mu.Unlock()
+	v.Change(page)
+	v.node.quarantineListed.Store(true)
+}
+
+// Change implements follow.View.
+func (v quarantineView) Change(page store.Page) {
+	for _, o := range page.Objects {
+		if o.Removed {
+			v.removed(o.Key)
+			continue
+		}
+		entry, err := parseQuarantined(o.Value)
+		if err != nil || v.key(entry.Part) != o.Key {
+			v.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", o.Version), zap.Error(err))
+			continue
+		}
+		v.added(entry, o.Version)
+	}
+}
+
+// added puts the part of an entry into quarantine.
+func (v quarantineView) added(entry quarantined, version uint64) {
+	now := time.Now()
+	left := min(time.Until(time.UnixMilli(entry.UntilMs)), crash.QuarantineTime)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.stored[entry.Part] = version
+	if v.parts.Add(entry.Part, now.Add(left)) {
+		v.node.Log.Info("prompt part is in quarantine", zap.String("Part", entry.Part), zap.Duration("Left", left), zap.String("Source", "store"))
+	}
+}
+
+// removed ends the quarantine of the part whose entry was removed.
+func (v quarantineView) removed(key string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for part := range v.stored {
+		if v.key(part) != key {
+			continue
+		}
+		delete(v.stored, part)
+		delete(v.found, part)
+		v.evidence.Forget(part)
+		if v.parts.Remove(part) {
+			v.node.Log.Info("quarantine of a prompt part has ended", zap.String("Part", part))
+		}
+	}
+}
