--- a/internal/node/core/quarantine_test.go
+++ b/internal/node/core/quarantine_test.go
@@ -98,13 +98,17 @@
 }
 
 // TestCrashesOfAllProcessesCount checks that processes that each saw too few crashes
-// find the cause together, also if every second datagram is lost.
+// find the cause together, also if half of the datagrams are lost, in a small system
+// and in one in which only some collect.
 func TestCrashesOfAllProcessesCount(t *testing.T) {
-	for _, loss := range []bool{false, true} {
+	for _, v := range []struct {
+		size int
+		loss bool
+	}{{6, false}, {6, true}, {20, false}, {20, true}} {
 		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, 6)
+			c := newCluster(t, v.size)
 			random := rand.New(rand.NewPCG(1, 2))
-			drop := func(string, string) bool { return loss && random.IntN(2) == 0 }
+			drop := func(string, string) bool { return v.loss && random.IntN(2) == 0 }
 			c[3].quarantine.Succeeded([]string{"a"})
 			c.crashAll(5, drop, "a", "bad")
 			c[3].quarantine.Succeeded([]string{"a"})
