--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -25,6 +25,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -243,6 +244,10 @@
 // mismatched and interim (1xx) ones and the request's own.
 const maxMismatched = 3
 
+// maxDropped is the size up to which a response to another request is read and dropped,
+// in bytes. The connection is closed if there is more.
+const maxDropped = 1 << 20
+
 // errMismatched means that no response within maxMismatched, or before the
 // server closed the connection, belonged to the request.
 var errMismatched = errors.New("answers to other requests")
@@ -265,8 +270,8 @@
 			x.complete = x.body.empty()
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, &x.body); err != nil {
-			return fmt.Errorf("drop an answer to another request: %w", err)
+		if n, err := io.CopyN(io.Discard, &x.body, maxDropped+1); err != io.EOF {
+			return fmt.Errorf("drop an answer to another request after %d bytes: %w", n, cmp.Or(err, ErrTooLarge))
 		}
 		if x.Header.ConnectionClose() {
 			break
