broker: responses share a bound on the memory that they take

Change: buffers of responses are reserved from a fifth of the VM's memory, as those of requests are. A response for which there is no space fails as possibly run.

--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -110,9 +110,10 @@
 	maxIdlePerServer = 4
 	// memoryShare is the share of the process's memory that is set as the Go
 	// runtime's memory limit, bufferShare the share that the bodies of clients'
-	// requests may use.
-	memoryShare = 0.7
-	bufferShare = 0.2
+	// requests may use, and responseShare that of responses.
+	memoryShare   = 0.7
+	bufferShare   = 0.2
+	responseShare = 0.2
 )
 
 // run creates the parts of the process and serves until a planned stop has ended.
@@ -135,6 +136,7 @@
 	}
 	p.node.StatusConn = statusConn
 	p.node.Prepare()
+	p.node.Broker.MaxBuffered = int64(memory * responseShare)
 	servers.Notify = p.node.Broker.Notice
 	p.peers.Meters = p.node.Meters
 	p.node.Meters.Gauge("StoreCalls", store.Calls)
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -233,6 +233,9 @@
 	// if it is nil, this process uses no coordinator.
 	Name         string
 	Coordination Coordination
+	// MaxBuffered bounds the bytes of the responses of backend servers that are kept in
+	// memory, of all requests together; 0 means no bound.
+	MaxBuffered int64
 	// RetryLimit limits the retries of each service, for all processes
 	// together.
 	RetryLimit quota.Limit
@@ -242,6 +245,7 @@
 	Seed uint64
 
 	shutdown atomic.Pointer[shutdown]
+	buffered atomic.Int64
 
 	// mu guards the fields below.
 	mu            sync.Mutex
@@ -332,6 +336,7 @@
 func (b *Broker) Serve(ctx context.Context, r *Request, out Output) {
 	t := b.Table()
 	j := &job{broker: b, request: r, out: out, table: t}
+	defer j.freeBuffers()
 	if t == nil {
 		j.reject(noConfiguration)
 		return
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"time"
 
 	"go.uber.org/zap"
 
 	"ebonyscale.example/ebonyscale/internal/config/table"
-	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/retry"
@@ -77,6 +74,8 @@
 	// longest time between two events so far.
 	lastEvent  time.Time
 	longestGap time.Duration
+	// reserved is how many bytes of Broker.MaxBuffered the responses have.
+	reserved int
 	// quarantinedUntil is when the quarantine of the request ends, zero if it is in
 	// none.
 	quarantinedUntil time.Time
@@ -88,9 +87,6 @@
 // route's attempts.
 const maxDialFailures = 3
 
-// maxResponseBytes is the maximum size of a response that is not a stream.
-const maxResponseBytes = 16 << 20
-
 // servePlain serves a request without a prefill stage.
 func (j *job) servePlain() {
 	for {
@@ -212,12 +208,9 @@
 
 // relayWhole reads a response completely and sends it to the client.
 func (j *job) relayWhole(response *Response) *failure {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = call.ErrTooLarge
-	}
+	body, err := j.readBody(response.Body)
 	if err != nil {
-		return &failure{outcome: retry.Unknown, reason: serverLost, err: fmt.Errorf("read response: %w", err)}
+		return &failure{outcome: retry.Unknown, reason: serverLost, err: err}
 	}
 	reply := Reply{Status: response.Status, Fields: response.Fields, Body: body}
 	if response.Status >= 500 {
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -142,7 +142,7 @@
 // another engine if its route allows that. It returns a failure only if the
 // client has received nothing yet.
 func (j *job) relayStream(p *permit, response *Response, c Call) *failure {
-	r := &event.Reader{Source: response.Body}
+	r := &event.Reader{Source: response.Body, Reserve: j.reserve}
 	if after, err := strconv.ParseUint(c.After, 10, 64); err == nil {
 		r.LastID, r.HasLastID = after, true
 	}
--- a/internal/route/event/event.go
+++ b/internal/route/event/event.go
@@ -63,6 +63,9 @@
 	LastID uint64
 	// HasLastID is set if LastID is valid.
 	HasLastID bool
+	// Reserve, if set, is called with the bytes by which the buffer is to grow. The
+	// buffer doesn't shrink. Its error ends the stream.
+	Reserve func(bytes int) error
 
 	// buffer[start:end] has been read from Source and not returned.
 	buffer     []byte
@@ -95,7 +98,13 @@
 		r.start = 0
 	}
 	if r.end == len(r.buffer) {
-		larger := make([]byte, max(initialBuffer, 2*len(r.buffer)))
+		size := max(initialBuffer, 2*len(r.buffer))
+		if r.Reserve != nil {
+			if err := r.Reserve(size - len(r.buffer)); err != nil {
+				return fmt.Errorf("event of over %d bytes: %w", len(r.buffer), err)
+			}
+		}
+		larger := make([]byte, size)
 		copy(larger, r.buffer[:r.end])
 		r.buffer = larger
 	}
