--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -156,11 +156,18 @@
 	silent map[string]time.Time
 }
 
-// Replace replaces all members.
+// Replace replaces all members. Those that are live stay, as the store may have lost
+// their entries.
 func (t *Table) Replace(members []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.members
 	t.members = make(map[string]Member, len(members))
+	for name := range t.peers {
+		if m, ok := before[name]; ok {
+			t.members[name] = m
+		}
+	}
 	for _, m := range members {
 		t.members[m.Name] = m
 	}
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -206,3 +206,19 @@
 	}
 	assert.Len(t, first, len(names))
 }
+
+// TestLiveMembersStay checks that processes whose entries the store has lost keep their
+// shares, and that silent ones don't.
+func TestLiveMembersStay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := Table{Self: "a"}
+	table.Replace([]Member{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+	table.Apply(now, &wire.News{From: "b", Incarnation: 1, Sequence: 1})
+	table.Replace(nil)
+	assert.Equal(t, 2, table.Members())
+	_, known := table.Member("b")
+	assert.True(t, known)
+	table.Expire(now.Add(time.Minute))
+	table.Replace(nil)
+	assert.Equal(t, 1, table.Members())
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -32,6 +32,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 // OutageGrace is how long after a store outage removed entries are kept, for
@@ -97,6 +99,8 @@
 	// announced has the incarnations that have said themselves that they leave, by
 	// ID, also those whose entry is gone.
 	announced map[string]announcement
+	// dropped has the last state of backend servers that were dropped, by ID.
+	dropped map[string]entry
 }
 
 // announcement is that of an incarnation that leaves.
@@ -105,6 +109,9 @@
 	at   time.Time
 }
 
+// maxDropped bounds the backend servers that are remembered after they were dropped.
+const maxDropped = 4096
+
 const (
 	// announcedRetention is how long announcements are kept if there are more than
 	// maxAnnounced. No incarnation takes longer to leave.
@@ -190,14 +197,15 @@
 }
 
 // MarkLeaving marks an incarnation as leaving, as reported by another process: its
-// entry was removed at the revision or, if that is 0, has the state Leaving. The
-// report is ignored if it is about another incarnation than the known one, or if
-// the known entry was written after the removal.
-func (r *Roster) MarkLeaving(id string, born int64, removed uint64) []Change {
+// entry was removed at the revision or, if that is 0, has the state Leaving. sequence
+// is that of its last entry, 0 if not known. The report is ignored if it is about
+// another incarnation than the known one, or if the known entry was written after the
+// removal.
+func (r *Roster) MarkLeaving(id string, born int64, removed, sequence uint64) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, known := r.entries[id]
-	if !known || e.server.Born != born || e.server.State == Leaving || removed > 0 && e.server.Revision > removed {
+	if !known || e.server.Born != born || e.server.State == Leaving || e.writtenAfter(removed, sequence) {
 		return nil
 	}
 	e.server.State, e.removed = Leaving, removed
@@ -218,7 +226,17 @@
 	}
 	r.announced[id] = announcement{born, now}
 	r.mu.Unlock()
-	return r.MarkLeaving(id, born, 0)
+	return r.MarkLeaving(id, born, 0, 0)
+}
+
+// writtenAfter reports whether the entry was written after it was removed at the
+// revision; 0 is none. In a later era of the store it may be a copy of one that was
+// written before.
+func (e entry) writtenAfter(removed, sequence uint64) bool {
+	if removed == 0 || e.server.Revision <= removed {
+		return false
+	}
+	return store.Era(e.server.Revision) == store.Era(removed) || e.server.Sequence > sequence
 }
 
 // Expire drops the missing entries that were not written again in time.
@@ -257,9 +275,10 @@
 		r.entries = map[string]entry{}
 	}
 	before, known := r.entries[server.ID]
-	if known && !server.newer(before.server) {
+	if known && !server.newer(before.server) || !known && r.dropped[server.ID].isCopyOf(server) {
 		return changes
 	}
+	delete(r.dropped, server.ID)
 	after := entry{server: server}
 	if known && before.staysLeaving(server) {
 		after.server.State, after.removed = Leaving, before.removed
@@ -283,6 +302,14 @@
 	return append(changes, Change{after.server, kind, after.removed})
 }
 
+// isCopyOf reports whether an entry is what the store had of a backend server before it
+// was dropped: the store came back from an older copy since, and the backend server has
+// not written its entry again.
+func (e entry) isCopyOf(listed Server) bool {
+	return e.server.ID == listed.ID && e.server.Born == listed.Born && listed.Sequence <= e.server.Sequence &&
+		store.Era(listed.Revision) > store.Era(e.removed)
+}
+
 // staysLeaving reports whether the backend server is leaving whatever the state
 // of its newer entry.
 func (e entry) staysLeaving(newer Server) bool {
@@ -304,7 +331,13 @@
 
 // drop deletes an entry and appends a change of the kind.
 func (r *Roster) drop(changes []Change, id string, kind ChangeKind, removed uint64) []Change {
-	server := r.entries[id].server
+	e := r.entries[id]
+	server := e.server
+	e.removed = removed
+	if r.dropped == nil || len(r.dropped) >= maxDropped {
+		r.dropped = map[string]entry{}
+	}
+	r.dropped[id] = e
 	delete(r.entries, id)
 	r.ready = nil
 	return append(changes, Change{server, kind, removed})
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 func entryWith(fields string) []byte {
@@ -118,8 +120,8 @@
 			change(r, server("a", 2, 0, Ready))
 			change(r, server("a", 1, 9, Leaving))
 		}, []string{"a", "b"}},
-		{"another process reports it leaving", func(r *Roster) { r.MarkLeaving("a", 1, 0) }, []string{"b"}},
-		{"another process reports another incarnation leaving", func(r *Roster) { r.MarkLeaving("a", 2, 0) }, []string{"a", "b"}},
+		{"another process reports it leaving", func(r *Roster) { r.MarkLeaving("a", 1, 0, 0) }, []string{"b"}},
+		{"another process reports another incarnation leaving", func(r *Roster) { r.MarkLeaving("a", 2, 0, 0) }, []string{"a", "b"}},
 	} {
 		var r Roster
 		r.Replace(now, 9, []Server{a, b}, Grace{})
@@ -220,30 +222,30 @@
 			r.Update(now, 9, []Event{removed("a"), {Server: at(8, server("a", 1, 2, Ready))}}, Grace{StoreOutage: true})
 			r.Expire(now.Add(OutageGrace))
 		}, []string{"a", "b"}},
-		{"another process reports the removal", func(r *Roster) { r.MarkLeaving("a", 1, 7) }, []string{"b"}},
+		{"another process reports the removal", func(r *Roster) { r.MarkLeaving("a", 1, 7, 0) }, []string{"b"}},
 		{"another process reports the removal, then written again", func(r *Roster) {
-			r.MarkLeaving("a", 1, 7)
+			r.MarkLeaving("a", 1, 7, 0)
 			change(r, at(8, server("a", 1, 2, Ready)))
 		}, []string{"a", "b"}},
 		{"another process reports the removal, then an older entry", func(r *Roster) {
-			r.MarkLeaving("a", 1, 7)
+			r.MarkLeaving("a", 1, 7, 0)
 			change(r, at(6, server("a", 1, 2, Ready)))
 		}, []string{"b"}},
 		{"written again, and only then another process reports the removal", func(r *Roster) {
 			change(r, at(8, server("a", 1, 2, Ready)))
-			r.MarkLeaving("a", 1, 7)
+			r.MarkLeaving("a", 1, 7, 0)
 		}, []string{"a", "b"}},
 		{"another process reports it leaving, then written again", func(r *Roster) {
-			r.MarkLeaving("a", 1, 0)
+			r.MarkLeaving("a", 1, 0, 0)
 			change(r, at(8, server("a", 1, 2, Ready)))
 		}, []string{"b"}},
 		{"missing, then another process reports the removal", func(r *Roster) {
 			r.Update(now, 9, []Event{removed("a")}, Grace{StoreOutage: true})
-			r.MarkLeaving("a", 1, 9)
+			r.MarkLeaving("a", 1, 9, 0)
 		}, []string{"b"}},
 		{"missing, then another process reports the removal, then written again", func(r *Roster) {
 			r.Update(now, 9, []Event{removed("a")}, Grace{StoreOutage: true})
-			r.MarkLeaving("a", 1, 9)
+			r.MarkLeaving("a", 1, 9, 0)
 			change(r, at(10, server("a", 1, 2, Ready)))
 			r.Expire(now.Add(OutageGrace))
 		}, []string{"a", "b"}},
@@ -286,3 +288,46 @@
 	r.Replace(now.Add(time.Minute), 14, []Server{listed}, Grace{})
 	assert.Len(t, r.Service("s"), 1, "started again")
 }
+
+// TestCopiesOfOldEntries checks a store that comes back from an older copy: what it had
+// of backend servers that have left since is no news of them.
+func TestCopiesOfOldEntries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := func(era, revision, sequence uint64) Server {
+		return Server{ID: "a", Born: 1, Service: "s", State: Ready, Sequence: sequence, Revision: store.Version(era, revision)}
+	}
+	for _, c := range []struct {
+		name   string
+		listed Server
+		want   int
+	}{
+		{"the copy", at(2, 40, 3), 0},
+		{"an older copy", at(2, 30, 2), 0},
+		{"written again", at(2, 41, 4), 1},
+		{"another incarnation", Server{ID: "a", Born: 2, Service: "s", State: Ready, Sequence: 1, Revision: store.Version(2, 41)}, 1},
+		{"written again in the same era", at(1, 60, 3), 1},
+	} {
+		var r Roster
+		r.Replace(now, store.Version(1, 45), []Server{at(1, 40, 3)}, Grace{})
+		r.Update(now, store.Version(1, 50), []Event{{Server: Server{ID: "a"}, Removed: true}}, Grace{})
+		assert.Empty(t, r.Service("s"), c.name)
+		r.Replace(now, c.listed.Revision+1, []Server{c.listed}, Grace{})
+		assert.Len(t, r.Service("s"), c.want, c.name)
+	}
+}
+
+// TestDepartureOfAnEarlierEra checks what a peer says of a removal before the store came
+// back, at a process that has the entry from the copy.
+func TestDepartureOfAnEarlierEra(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		sequence uint64
+		want     int
+	}{{3, 0}, {4, 1}} {
+		var r Roster
+		listed := Server{ID: "a", Born: 1, Service: "s", State: Ready, Sequence: c.sequence, Revision: store.Version(2, 41)}
+		r.Replace(now, store.Version(2, 45), []Server{listed}, Grace{})
+		r.MarkLeaving("a", 1, store.Version(1, 50), 3)
+		assert.Len(t, r.Service("s"), c.want, "sequence %d", c.sequence)
+	}
+}
--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -389,7 +389,7 @@
 	}
 }
 
-func (f *fixture) leave(id string) { f.roster.MarkLeaving(id, 1, 0) }
+func (f *fixture) leave(id string) { f.roster.MarkLeaving(id, 1, 0, 0) }
 
 // newRequest returns a request that arrives now.
 func newRequest(path string) *Request {
--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,7 +29,10 @@
 		}
 	}
 	v.node.peers.Replace(members)
-	v.node.Log.Info("processes listed", zap.Int("Members", len(members)), zap.Uint64("Revision", page.Revision))
+	if v.node.announced.Load() && !slices.ContainsFunc(members, func(m peers.Member) bool { return m.Name == v.node.Name }) {
+		v.node.announceAgain()
+	}
+	v.node.Log.Info("processes listed", zap.Int("Members", len(members)), zap.Uint64("Revision", store.Revision(page.Revision)))
 }
 
 // Change implements follow.View.
@@ -35,13 +40,13 @@
 	for _, o := range page.Objects {
 		if o.Removed {
 			v.node.peers.Remove(objectName(o))
-			v.node.Log.Info("process removed", zap.String("Peer", objectName(o)), zap.Uint64("Revision", o.Version))
+			v.node.Log.Info("process removed", zap.String("Peer", objectName(o)), zap.Uint64("Revision", store.Revision(o.Version)))
 			continue
 		}
 		if m, ok := v.node.parseMember(o); ok {
 			v.node.peers.Set(m)
 			v.node.Log.Info("process announced", zap.String("Peer", m.Name), zap.Stringer("Address", m.Address),
-				zap.Uint64("Incarnation", m.Incarnation), zap.Uint64("Revision", o.Version))
+				zap.Uint64("Incarnation", m.Incarnation), zap.Uint64("Revision", store.Revision(o.Version)))
 		}
 	}
 }
@@ -53,7 +58,7 @@
 		err = peers.ErrInvalidEntry
 	}
 	if err != nil {
-		n.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", o.Version), zap.Error(err))
+		n.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
 	}
 	return m, err == nil
 }
@@ -76,12 +81,36 @@
 			wait = announceRetry
 		} else {
 			n.health.RecordSuccess(time.Now(), "Announce")
+			n.announced.Store(true)
 		}
-		timer.Wait(ctx, wait)
+		n.awaitAnnounce(ctx, wait)
 	}
 	return ctx.Err()
 }
 
+// announceAgain makes the task announce this process, whose entry the store has lost.
+func (n *Node) announceAgain() {
+	select {
+	case n.announceNow <- struct{}{}:
+	default:
+	}
+}
+
+// maxAnnounceDelay spreads the calls of processes whose entries were lost together.
+const maxAnnounceDelay = 200 * time.Millisecond
+
+// awaitAnnounce waits for a time, or less if this process has to be announced again.
+func (n *Node) awaitAnnounce(ctx context.Context, wait time.Duration) {
+	pause := time.NewTimer(wait)
+	defer pause.Stop()
+	select {
+	case <-n.announceNow:
+		timer.Wait(ctx, rand.N(maxAnnounceDelay))
+	case <-pause.C:
+	case <-ctx.Done():
+	}
+}
+
 // announceOnce writes this process's entry unless the store already has an equal
 // one.
 func (n *Node) announceOnce(ctx context.Context) error {
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -108,7 +108,11 @@
 	table            atomic.Pointer[table.Table]
 	serversListed    atomic.Bool
 	quarantineListed atomic.Bool
-	stopping         atomic.Bool
+	// announced is set once this process has an entry in the store, announceNow makes
+	// it check that.
+	announced   atomic.Bool
+	announceNow chan struct{}
+	stopping    atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -135,6 +139,7 @@
 func (n *Node) Prepare() {
 	n.Meters = &meter.Set{}
 	n.incarnation = uint64(time.Now().UnixMilli())
+	n.announceNow = make(chan struct{}, 1)
 	n.peers.Self = n.Name
 	n.coordination = newCoordination(n)
 	n.quarantine = newQuarantine(n)
--- a/internal/node/core/quarantined.go
+++ b/internal/node/core/quarantined.go
@@ -113,7 +113,7 @@
 		}
 		entry, err := parseQuarantined(o.Value)
 		if err != nil || v.key(entry.Part) != o.Key {
-			v.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", o.Version), zap.Error(err))
+			v.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
 			continue
 		}
 		v.added(entry, o.Version)
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -16,6 +16,7 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/peer/mesh"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 // departure is a report to the peers that a backend server is leaving or has left.
@@ -25,7 +26,9 @@
 	// removedRevision is the store revision at which the backend server's entry
 	// was found removed; 0 if the backend server itself announced that it leaves.
 	removedRevision uint64
-	expires         time.Time
+	// sequence is that of its last entry.
+	sequence uint64
+	expires  time.Time
 }
 
 // departureTTL is how long a departure is sent to the peers. It is longer than a
@@ -49,7 +52,7 @@
 	}
 	n.departures = kept
 	if leaving {
-		n.departures = append(kept, departure{c.Server.ID, c.Server.Born, c.Removed, now.Add(departureTTL)})
+		n.departures = append(kept, departure{c.Server.ID, c.Server.Born, c.Removed, c.Server.Sequence, now.Add(departureTTL)})
 	}
 }
 
@@ -59,7 +62,7 @@
 	if d.Removed == 0 {
 		return n.roster.Announce(now, d.Server, d.Born)
 	}
-	return n.roster.MarkLeaving(d.Server, d.Born, d.Removed)
+	return n.roster.MarkLeaving(d.Server, d.Born, d.Removed, d.Sequence)
 }
 
 // mesh returns the datagram transport for messages to and from the peers.
@@ -143,7 +146,7 @@
 	var list []*wire.Departure
 	for _, d := range n.departures {
 		if now.Before(d.expires) {
-			list = append(list, &wire.Departure{Server: d.id, Born: d.born, Removed: d.removedRevision})
+			list = append(list, &wire.Departure{Server: d.id, Born: d.born, Removed: d.removedRevision, Sequence: d.sequence})
 		}
 	}
 	if len(list) <= maxDepartures {
@@ -193,7 +196,7 @@
 	for _, d := range message.Departures {
 		for _, c := range n.markLeaving(now, d) {
 			n.Log.Info("backend server is leaving, reported by another process", zap.String("Server", d.Server), zap.Int64("Born", d.Born),
-				zap.Uint64("Removed", d.Removed), zap.String("Peer", message.From))
+				zap.Uint64("Removed", store.Revision(d.Removed)), zap.String("Peer", message.From))
 			n.handleChanges([]roster.Change{c})
 		}
 	}
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -110,7 +110,7 @@
 	s, err := roster.Parse(objectName(o), o.Value)
 	s.Revision = o.Version
 	if err != nil && !o.Removed {
-		n.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", o.Version), zap.Error(err))
+		n.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
 	}
 	return s, !errors.Is(err, roster.ErrInvalidEntry)
 }
@@ -129,7 +129,7 @@
 		n.Log.Info("backend server changed", zap.String("What", string(c.Kind)), zap.String("Server", c.Server.ID), zap.Int64("Born", c.Server.Born),
 			zap.String("Service", c.Server.Service), zap.Stringer("Address", c.Server.Address), zap.String("State", string(c.Server.State)),
 			zap.String("Role", string(c.Server.Role)), zap.Uint64("Sequence", c.Server.Sequence),
-			zap.Uint64("Revision", c.Server.Revision), zap.Uint64("Removed", c.Removed))
+			zap.Uint64("Revision", store.Revision(c.Server.Revision)), zap.Uint64("Removed", store.Revision(c.Removed)))
 	}
 	if len(changes) > 0 {
 		n.Broker.Dispatch(time.Now())
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -66,6 +66,9 @@
 	// within its deadline.
 	failingSince time.Time
 	timedOut     bool
+	// listed is set after the first complete list, era is that of the last one.
+	listed bool
+	era    uint64
 
 	mu         sync.Mutex
 	cancelWait context.CancelCauseFunc
@@ -146,7 +149,7 @@
 		relist := errors.Is(context.Cause(waitCtx), errRelist)
 		done()
 		if errors.Is(err, store.ErrForgotten) || err != nil && relist {
-			f.Log.Info("listing objects again", zap.String("Kind", f.Kind), zap.Uint64("After", after), zap.Error(err))
+			f.Log.Info("listing objects again", zap.String("Kind", f.Kind), zap.Uint64("After", store.Revision(after)), zap.Error(err))
 			if after, err = f.list(ctx); err != nil {
 				return err
 			}
@@ -164,9 +167,10 @@
 }
 
 // outage reports whether the failures since the last complete list count as an
-// outage, in which entries may have expired although their owners are alive.
-func (f *Follower) outage() bool {
-	return f.timedOut || !f.failingSince.IsZero() && time.Since(f.failingSince) > outageAfter
+// outage, in which entries may have expired although their owners are alive, or the
+// store came back from an older copy, which lacks the entries that are newer.
+func (f *Follower) outage(revision uint64) bool {
+	return f.timedOut || f.listed && store.Era(revision) > f.era || !f.failingSince.IsZero() && time.Since(f.failingSince) > outageAfter
 }
 
 // recordFailure records a failed call.
@@ -183,8 +187,15 @@
 func (f *Follower) recordSuccess(page store.Page) {
 	f.Health.RecordSuccess(time.Now(), f.Kind)
 	if !f.failingSince.IsZero() {
-		f.Log.Info("store calls succeed again", zap.String("Kind", f.Kind), zap.Uint64("Revision", page.Revision),
-			zap.Int("Objects", len(page.Objects)), zap.Duration("Lost", time.Since(f.failingSince)), zap.Bool("Away", f.outage()))
+		f.Log.Info("store calls succeed again", zap.String("Kind", f.Kind), zap.Uint64("Revision", store.Revision(page.Revision)),
+			zap.Int("Objects", len(page.Objects)), zap.Duration("Lost", time.Since(f.failingSince)), zap.Bool("Away", f.outage(page.Revision)))
 	}
+	if era := store.Era(page.Revision); era > f.era {
+		if f.listed {
+			f.Log.Warn("the store came back from an older copy", zap.String("Kind", f.Kind), zap.Uint64("Era", era), zap.Uint64("Revision", store.Revision(page.Revision)))
+		}
+		f.era = era
+	}
+	f.listed = true
 	f.failingSince, f.timedOut = time.Time{}, false
 }
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -95,6 +95,15 @@
 			[]string{"list", "after 5", "list", "after 9", "after 10"},
 			[]string{"all at 5 outage false", "all at 9 outage false", "changes to 10"},
 		},
+		{
+			"back from an older copy",
+			[]any{store.Version(1, 5), store.ErrForgotten, store.Version(2, 3), store.Version(2, 4)},
+			[]string{"list", fmt.Sprint("after ", store.Version(1, 5)), "list", fmt.Sprint("after ", store.Version(2, 3)), fmt.Sprint("after ", store.Version(2, 4))},
+			[]string{
+				fmt.Sprintf("all at %d outage false", store.Version(1, 5)), fmt.Sprintf("all at %d outage true", store.Version(2, 3)),
+				fmt.Sprintf("changes to %d", store.Version(2, 4)),
+			},
+		},
 		{
 			"down at first",
 			[]any{down, down, down, down, down, down, uint64(5)},
--- a/internal/state/follow/list.go
+++ b/internal/state/follow/list.go
@@ -32,7 +32,7 @@
 		pause = backoff{}
 		all.Objects, all.Next = append(all.Objects, page.Objects...), page.Next
 	}
-	f.View.Replace(all, f.outage())
+	f.View.Replace(all, f.outage(all.Revision))
 	f.recordSuccess(all)
 	return all.Revision, nil
 }
