crash, core: room for late reports, one record for what is told to peers

A finding heard from a peer wakes the task, so that the writer to the store doesn't wait for up to a second.

--- a/internal/fleet/crash/evidence.go
+++ b/internal/fleet/crash/evidence.go
@@ -95,13 +95,13 @@
 			return c
 		}
 	}
-	c := &crash{server: r.Server, at: r.At, involved: map[string]*involvement{}}
-	i, _ := slices.BinarySearchFunc(e.crashes, r.At, func(c *crash, at time.Time) int { return c.at.Compare(at) })
-	e.crashes = slices.Insert(e.crashes, i, c)
-	if len(e.crashes) > maxCrashes {
+	if len(e.crashes) >= maxCrashes {
 		e.drop(e.crashes[0])
 		e.crashes = slices.Delete(e.crashes, 0, 1)
 	}
+	c := &crash{server: r.Server, at: r.At, involved: map[string]*involvement{}}
+	i, _ := slices.BinarySearchFunc(e.crashes, r.At, func(c *crash, at time.Time) int { return c.at.Compare(at) })
+	e.crashes = slices.Insert(e.crashes, i, c)
 	return c
 }
 
@@ -232,8 +232,8 @@
 }
 
 // tally returns the sums of the parts that were there at askFrom crashes or more, the
-// most likely cause first: the one with most crashes over what is required, and of equals the one
-// that is later in its prompt, which fewer requests share.
+// most likely cause first: the one with most crashes over what is required, and of
+// equals the one that is later in its prompt, which fewer requests share.
 func (e *Evidence) tally(crashes []*crash) []*tally {
 	byPart := map[string]*tally{}
 	for _, c := range crashes {
--- a/internal/fleet/crash/evidence_test.go
+++ b/internal/fleet/crash/evidence_test.go
@@ -230,8 +230,11 @@
 			e.add(at(i), i, k, fmt.Sprint("p", k), "", string(make([]byte, MaxPartBytes+1)))
 		}
 	}
+	e.add(at(-1000), 9999, 1, "late")
 	assert.Len(t, e.crashes, maxCrashes)
-	assert.Len(t, e.crashes[0].involved, 50, "parts without a usable ID are left out")
+	assert.Equal(t, 1, e.counts["late"])
+	assert.Equal(t, maxCrashes-1, e.counts["p0"], "one made room")
+	assert.Len(t, e.crashes[1].involved, 50, "parts without a usable ID are left out")
 	assert.LessOrEqual(t, len(e.Suspects(at(2*maxCrashes), never)), maxAsked)
 }
 
--- a/internal/node/core/quarantine.go
+++ b/internal/node/core/quarantine.go
@@ -38,16 +38,16 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	evidence crash.Evidence
-	// reports are this process's own recent ones, reported is when the last report
-	// came, also from a peer.
+	// reports are this process's own recent ones, reported is when the last report or
+	// finding came, also from a peer.
 	reports  []*ownReport
 	reported time.Time
 	// asked has when the peers were last asked about a part, questions the parts
 	// that peers have asked about.
 	asked     map[string]time.Time
 	questions map[string]question
-	// found has the parts that are told to the peers, and until when.
-	found map[string]time.Time
+	// found has the parts that this process has found and tells the peers.
+	found map[string]finding
 	// stored has the versions of the entries in the store, by part. written is when
 	// an entry was last given to the writer.
 	stored  map[string]uint64
@@ -63,6 +63,9 @@
 	pause time.Duration
 }
 
+// finding is a part that this process has found to crash backend servers.
+type finding struct{ at, told time.Time }
+
 // question is that of a peer about a part. It is responded to until it expires.
 type question struct {
 	from             string
@@ -100,7 +103,7 @@
 func newQuarantine(n *Node) *quarantine {
 	return &quarantine{
 		node: n, writes: ring.New[store.Object]("Quarantine", maxQuarantineWrites), wake: make(chan struct{}, 1), asked: map[string]time.Time{},
-		questions: map[string]question{}, found: map[string]time.Time{}, stored: map[string]uint64{}, written: map[string]time.Time{},
+		questions: map[string]question{}, found: map[string]finding{}, stored: map[string]uint64{}, written: map[string]time.Time{},
 	}
 }
 
@@ -210,6 +213,7 @@
 	for _, p := range message.Quarantined {
 		left := min(time.Duration(p.Ms)*time.Millisecond, crash.QuarantineTime)
 		if p.Part != "" && len(p.Part) <= crash.MaxPartBytes && q.parts.Add(p.Part, now.Add(left)) {
+			q.active(now)
 			q.node.Log.Info("prompt part is in quarantine", zap.String("Part", p.Part), zap.Duration("Left", left), zap.String("Source", message.From))
 		}
 	}
@@ -233,7 +237,7 @@
 	}
 }
 
-// active wakes the task after a report. q.mu must be held.
+// active wakes the task after a report or a finding. q.mu must be held.
 func (q *quarantine) active(now time.Time) {
 	q.reported = now
 	select {
@@ -278,20 +282,11 @@
 	q.ask(now)
 	for _, part := range q.evidence.Causes(now, q.known(now)) {
 		q.parts.Add(part, now.Add(crash.QuarantineTime))
-		q.found[part] = now
+		q.found[part] = finding{at: now}
 		q.node.Meters.Add("PartsFound", 1)
 		q.node.Log.Warn("prompt part crashes backend servers and is in quarantine", zap.String("Part", part), zap.Duration("For", crash.QuarantineTime))
-		q.tell(now, part)
-	}
-	for part, at := range q.found {
-		if now.Sub(at) > resendFor {
-			delete(q.found, part)
-			continue
-		}
-		if now.Sub(q.asked[part]) >= resendInterval {
-			q.tell(now, part)
-		}
 	}
+	q.tell(now)
 	for part, asked := range q.questions {
 		if now.After(asked.expires) {
 			delete(q.questions, part)
@@ -335,14 +330,23 @@
 	}
 }
 
-// tell tells the peers that a part is in quarantine. q.mu must be held.
-func (q *quarantine) tell(now time.Time, part string) {
-	q.asked[part] = now
-	until, found := q.parts.Until(now, []string{part})
-	if !found {
-		return
+// tell tells the peers which parts this process has found. q.mu must be held.
+func (q *quarantine) tell(now time.Time) {
+	var due []*wire.PartTime
+	for part, f := range q.found {
+		until, found := q.parts.Until(now, []string{part})
+		if !found || now.Sub(f.at) > resendFor {
+			delete(q.found, part)
+			continue
+		}
+		if now.Sub(f.told) >= resendInterval {
+			q.found[part] = finding{f.at, now}
+			due = append(due, &wire.PartTime{Part: part, Ms: uint32(until.Sub(now).Milliseconds())})
+		}
+	}
+	if len(due) > 0 {
+		q.sendAll(&wire.News{Quarantined: due})
 	}
-	q.sendAll(&wire.News{Quarantined: []*wire.PartTime{{Part: part, Ms: uint32(until.Sub(now).Milliseconds())}}})
 }
 
 // sendAll sends a message to all peers.
