--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -80,8 +80,10 @@
 	// quarantinedUntil is when the quarantine of the request ends, zero if it is in
 	// none.
 	quarantinedUntil time.Time
-	// software is bound once the stream has begun.
-	software software
+	// software is bound once the stream has begun. originFrom is set if the client resumes
+	// a stream.
+	software   software
+	originFrom originSource
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
 }
@@ -341,6 +343,10 @@
 		fields = append(fields, zap.String("Route", j.route.Name), zap.String("Service", j.service.Name), zap.Uint64("Version", j.table.Version))
 		j.broker.Meters.Observe("Took."+string(j.route.Kind), took)
 	}
+	if j.originFrom != "" {
+		fields = append(fields, zap.String("Origin", j.request.Origin), zap.String("OriginFrom", string(j.originFrom)), zap.String("Software", j.software.version))
+		j.broker.Meters.Add("Resumed."+string(reason), 1)
+	}
 	fields = append(fields, j.stages...)
 	if j.longestGap > 0 {
 		fields = append(fields, zap.Duration("MaxGap", j.longestGap))
--- a/internal/node/broker/origin.go
+++ b/internal/node/broker/origin.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/origin"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
@@ -31,15 +33,34 @@
 // it. It returns false if they are not known, or the route leads to that service no more.
 // An unknown stream began at the only version that there is, if there is just one.
 func (j *job) findOrigin() bool {
-	if o, known := j.askOrigin(); known {
+	start := time.Now()
+	o, known := j.askOrigin()
+	defer func() { j.stages = append(j.stages, zap.Duration("OriginTook", time.Since(start))) }()
+	if known {
+		j.originFrom = remembered
 		allowed := slices.ContainsFunc(j.route.Targets, func(t table.Target) bool { return t.Service == o.Service })
 		j.service = j.table.Services[o.Service]
 		j.software = software{true, o.Version}
 		return allowed
 	}
-	return j.broker.Roster.OnlyVersion(time.Now(), j.service.Name, origin.Retention)
+	if j.broker.Roster.OnlyVersion(time.Now(), j.service.Name, origin.Retention) {
+		j.originFrom = onlyVersion
+		return true
+	}
+	j.originFrom = nobody
+	return false
 }
 
+// originSource is how the origin of a resumed stream was found. It is written to the log.
+type originSource string
+
+// The sources of an origin.
+const (
+	remembered  originSource = "Remembered"  // by this process or a peer
+	onlyVersion originSource = "OnlyVersion" // there is no other
+	nobody      originSource = "Nobody"      // it was not found
+)
+
 // askOrigin returns the origin of the stream that the client resumes.
 func (j *job) askOrigin() (origin.Origin, bool) {
 	if j.broker.Origins == nil || j.request.Origin == "" {
