broker: resumed streams have the permits of their own version's servers (LOST)

What callers saw: streams that they resumed mostly did not go on, while new ones began.

Cause: a resumed stream may use only the servers of the version that began it, but whether it gets a permit was decided with figures of the whole queue: mayAcquire took the capacity of those servers less the permits held at all, admit and rejectLate set all waiters against the throughput of those servers, and new streams that could still meet their target went first. With two of five engines a resumed stream got no permit as soon as more streams ran than these two can hold.

Change: a bound need gets a permit whenever one of its servers has one free, without the queue's share; resumed streams precede others and wait behind resumed ones only; the longer wait holds for their prefills too.

--- a/internal/node/broker/origin.go
+++ b/internal/node/broker/origin.go
@@ -9,7 +9,6 @@
 	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/origin"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
-	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 )
 
 // resumeMaxWaitShare is the share of the time to the deadline that a resumed stream may
@@ -84,7 +83,7 @@
 // bind restricts a need to the backend servers that can go on with the stream.
 func (j *job) bind(n need) need {
 	n.software = j.software
-	if n.software.bound && n.key.role == roster.Decode && n.key.work != usage.LocalPrefill {
+	if n.software.bound {
 		n.maxWait = max(n.maxWait, time.Duration(resumeMaxWaitShare*float64(time.Until(j.deadline))))
 	}
 	return n
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -56,6 +56,9 @@
 	// late as well.
 	target, start := j.route.LatencyTarget, j.broker.expectedStart(j.service.Name)
 	prefill.startBy = prefill.startBy.Add(-start)
+	if j.software.bound {
+		return prefill, localPrefill
+	}
 	longest := max(target-start, time.Duration(minPrefillWaitShare*float64(target)))
 	prefill.maxWait = min(longest, time.Duration(maxPrefillWaitShare*float64(target)), time.Until(j.deadline))
 	localPrefill.maxWait = prefill.maxWait
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -165,7 +165,11 @@
 			return
 		}
 	}
-	if expectedWait(q.ahead(w.need)+w.need.size()+v.first.peerLoad.Waiting, v.throughput(w.need)) > w.need.maxWait {
+	ahead := q.ahead(w.need) + w.need.size()
+	if !w.need.software.bound {
+		ahead += v.first.peerLoad.Waiting
+	}
+	if expectedWait(ahead, v.throughput(w.need)) > w.need.maxWait {
 		w.deliver(nil, errOverloaded)
 		return
 	}
@@ -215,8 +219,9 @@
 	if v.server.ID == "" {
 		return nil
 	}
-	// A coordinator decides for all, so that there is nothing to share.
-	if !b.coordinates(n.key) && !q.mayAcquire(now, v, n.size(), b.Seed) {
+	// A coordinator decides for all, so that there is nothing to share. The queue's load is
+	// that of all versions, which says nothing of the servers of a single one.
+	if !n.software.bound && !b.coordinates(n.key) && !q.mayAcquire(now, v, n.size(), b.Seed) {
 		return nil
 	}
 	p := &permit{broker: b, need: n, server: v.server, since: now, units: n.size(), ahead: v.ahead}
@@ -319,17 +324,27 @@
 // maxExpectedWait bounds the expected wait. It is longer than any timeout.
 const maxExpectedWait = time.Hour
 
-// ahead counts the units of the waiters of the same or a higher priority.
+// ahead counts the units of the waiters that n does not precede.
 func (q *queue) ahead(n need) int {
 	sum := 0
 	for _, other := range q.waiting {
-		if other.need.priority <= n.priority {
+		if !n.precedes(other.need) {
 			sum += other.need.size()
 		}
 	}
 	return sum
 }
 
+// precedes reports whether n is served before o although it has come later: resumed
+// streams come first, since new ones can begin at the servers of any version, and then
+// those of a higher priority.
+func (n need) precedes(o need) bool {
+	if n.software.bound != o.software.bound {
+		return n.software.bound
+	}
+	return n.priority < o.priority
+}
+
 // rejectLate rejects the waiters whose total wait is now expected to exceed
 // maxWait, so that their clients can retry early. b.mu must be held.
 func (b *Broker) rejectLate(now time.Time, key queueKey) {
@@ -339,7 +354,8 @@
 	}
 	kept := q.waiting[:0]
 	// The waiters are behind each other at all backend servers of the queue, not just at
-	// the few that can go on with a stream.
+	// the few that can go on with a stream. Resumed streams come first, and nothing that
+	// waits is ahead of them.
 	typical := q.waiting[max(slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.bound }), 0)]
 	v := b.views(now, typical)
 	rate, ahead := v.throughput(typical.need), v.first.peerLoad.Waiting
@@ -347,6 +363,9 @@
 		waited := now.Sub(w.since)
 		ahead += w.need.size()
 		expected := expectedWait(ahead, rate)
+		if w.need.software.bound {
+			expected = 0
+		}
 		if waited+expected > w.need.maxWait+waitSlack {
 			w.deliver(nil, errOverloaded)
 			continue
@@ -380,9 +399,12 @@
 	q.waiting = kept
 }
 
-// before reports whether w is served before o: first those that can still meet
-// their latency target, then by priority, then by arrival.
+// before reports whether w is served before o: first resumed streams, then those that can
+// still meet their latency target, then by priority, then by arrival.
 func (w *waiter) before(o *waiter, now time.Time) bool {
+	if w.need.software.bound != o.need.software.bound {
+		return w.need.software.bound
+	}
 	late, otherLate := now.After(w.need.startBy), now.After(o.need.startBy)
 	if late != otherLate {
 		return otherLate
