--- a/internal/config/setup/entry.go
+++ b/internal/config/setup/entry.go
@@ -48,6 +48,9 @@
 	// WatchFor is the long-poll timeout of one watch in a small system. With more
 	// processes each watch waits longer.
 	WatchFor time.Duration `validate:"gt=0"`
+	// WritesPerSecond is the number of writing calls per second that the store takes from
+	// all processes together.
+	WritesPerSecond float64 `validate:"gt=0"`
 }
 
 // Machine is the share of the VM that the process may use.
@@ -77,7 +80,7 @@
 // DefaultEntry returns the settings with the defaults of absent keys.
 func DefaultEntry() Entry {
 	return Entry{
-		Store:   EntryStore{Timeout: time.Second, WatchFor: 2 * time.Second},
+		Store:   EntryStore{Timeout: time.Second, WatchFor: 2 * time.Second, WritesPerSecond: 200},
 		Machine: Machine{MemoryMB: 256, Descriptors: 4096, Cores: 1},
 		Bounds:  Bounds{StopGrace: 8 * time.Second, RetryShare: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10, LeaveWithin: 2 * time.Second},
 		Log:     Log{Level: "Info"},
--- /dev/null
+++ b/internal/fleet/origin/defaults.go
@@ -0,0 +1,196 @@
+package origin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Defaults says for each route where its streams begin if the store has no record of
+// them. Streams that begin elsewhere are recorded before their clients get an event.
+type Defaults struct {
+	// Era is the era of the store in which the entry was written. Records may have been
+	// lost since if it is not the current one.
+	Era    uint64
+	Routes []Default
+}
+
+// Default is where the streams of a route begin without a record.
+type Default struct {
+	// Route is a RouteKey.
+	Route string
+	Origin
+	// Suspended is set after a change for as long as streams may go on that began at the
+	// default before. All streams are recorded then, and nothing is assumed of others.
+	Suspended bool `json:",omitempty"`
+}
+
+// ErrInvalid means that an entry of the store can't be read.
+var ErrInvalid = errors.New("entry says nothing of streams")
+
+const (
+	// maxRoutes bounds the routes of an entry, maxNameBytes the names in it.
+	maxRoutes    = 1 << 14
+	maxNameBytes = 1 << 10
+)
+
+// RouteKey returns the key of the route with a host and a path prefix.
+func RouteKey(host, prefix string) string {
+	return strconv.FormatUint(xxhash.Sum64String(host+"\x00"+prefix), 36)
+}
+
+// ParseDefaults decodes an entry of the store. Its errors wrap ErrInvalid.
+func ParseDefaults(data []byte) (Defaults, error) {
+	var d Defaults
+	if err := json.Unmarshal(data, &d); err != nil {
+		return Defaults{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	if len(d.Routes) > maxRoutes {
+		return Defaults{}, fmt.Errorf("%w: %d routes", ErrInvalid, len(d.Routes))
+	}
+	for _, r := range d.Routes {
+		if r.Route == "" || !r.valid() {
+			return Defaults{}, fmt.Errorf("%w: a route or a name in it", ErrInvalid)
+		}
+	}
+	return d, nil
+}
+
+// valid reports whether the names can be those of a service and a version.
+func (o Origin) valid() bool { return len(o.Service) <= maxNameBytes && len(o.Version) <= maxNameBytes }
+
+// Find returns where the streams of a route begin without a record, false if that is not
+// known in an era of the store.
+func (d Defaults) Find(era uint64, route string) (Origin, bool) {
+	found, ok := d.entry(route)
+	return found.Origin, ok && d.Era == era && !found.Suspended
+}
+
+func (d Defaults) entry(route string) (Default, bool) {
+	i := slices.IndexFunc(d.Routes, func(r Default) bool { return r.Route == route })
+	if i < 0 {
+		return Default{}, false
+	}
+	return d.Routes[i], true
+}
+
+// Route is a route whose streams can be resumed.
+type Route struct {
+	// Key is the RouteKey.
+	Key string
+	// Service is empty if the route leads to several.
+	Service string
+	// Versions has the number of the service's backend servers by version.
+	Versions map[string]int
+}
+
+// usual returns the version that most backend servers have; false if there is none.
+func (r Route) usual() (string, bool) {
+	best, found := "", false
+	for _, version := range slices.Sorted(maps.Keys(r.Versions)) {
+		if !found || r.Versions[version] > r.Versions[best] {
+			best, found = version, true
+		}
+	}
+	return best, found && r.Service != ""
+}
+
+// Keeper decides how the defaults change. The zero value has seen nothing. A Keeper is
+// used by one goroutine.
+type Keeper struct {
+	// suspended has since when the defaults of routes have been seen suspended, unusual
+	// since when most servers have had another version.
+	suspended, unusual map[string]time.Time
+}
+
+// Next returns the defaults that follow the current ones, and whether they differ. hold is
+// how long a stream may be resumed after it has begun, or after it has been resumed.
+//
+// A default whose servers have gone, or to which the route leads no more, is suspended for
+// hold before another one takes its place: until then streams may be resumed that have
+// begun at it and have no record.
+func (k *Keeper) Next(now time.Time, era uint64, current Defaults, routes []Route, hold time.Duration) (Defaults, bool) {
+	if k.suspended == nil {
+		k.suspended, k.unusual = map[string]time.Time{}, map[string]time.Time{}
+	}
+	next := Defaults{Era: era}
+	configured := make(map[string]bool, len(routes))
+	for _, r := range routes {
+		configured[r.Key] = true
+		if d, ok := k.next(now, current, current.Era == era, r, hold); ok {
+			next.Routes = append(next.Routes, d)
+		}
+	}
+	for _, d := range current.Routes {
+		if configured[d.Route] {
+			continue
+		}
+		d.Suspended = true
+		if !k.suspendedFor(now, d.Route, hold) {
+			next.Routes = append(next.Routes, d)
+		}
+	}
+	k.forget(next)
+	return next, era != current.Era || !slices.Equal(next.Routes, current.Routes)
+}
+
+// next returns the next default of a route; false if there is none yet.
+func (k *Keeper) next(now time.Time, current Defaults, sameEra bool, r Route, hold time.Duration) (Default, bool) {
+	d, known := current.entry(r.Key)
+	usual, ok := r.usual()
+	fresh := Default{Route: r.Key, Origin: Origin{Service: r.Service, Version: usual}}
+	switch {
+	case !known && (sameEra || len(current.Routes) == 0):
+		return fresh, ok
+	case !known:
+		return Default{Route: r.Key, Suspended: true}, true
+	case d.Suspended:
+		if k.suspendedFor(now, r.Key, hold) && ok && sameEra {
+			return fresh, true
+		}
+		return d, true
+	case !sameEra, d.Service != r.Service, r.Versions[d.Version] == 0, d.Version != usual && k.unusualFor(now, r.Key, hold):
+		d.Suspended = true
+		k.suspended[r.Key] = now
+	case d.Version == usual:
+		delete(k.unusual, r.Key)
+	}
+	return d, true
+}
+
+func (k *Keeper) suspendedFor(now time.Time, route string, hold time.Duration) bool {
+	return seenFor(k.suspended, now, route, hold)
+}
+
+func (k *Keeper) unusualFor(now time.Time, route string, hold time.Duration) bool {
+	return seenFor(k.unusual, now, route, hold)
+}
+
+// seenFor reports whether something has been seen of a route for a time, and records
+// when it was first seen.
+func seenFor(since map[string]time.Time, now time.Time, route string, hold time.Duration) bool {
+	first, seen := since[route]
+	if !seen {
+		since[route] = now
+	}
+	return seen && now.Sub(first) >= hold
+}
+
+// forget forgets what was seen of the routes that are not so any more.
+func (k *Keeper) forget(next Defaults) {
+	state := make(map[string]bool, len(next.Routes))
+	for _, d := range next.Routes {
+		state[d.Route] = d.Suspended
+	}
+	maps.DeleteFunc(k.suspended, func(route string, _ time.Time) bool { return !state[route] })
+	maps.DeleteFunc(k.unusual, func(route string, _ time.Time) bool {
+		suspended, known := state[route]
+		return !known || suspended
+	})
+}
--- a/internal/fleet/origin/origin_test.go
+++ b/internal/fleet/origin/origin_test.go
@@ -31,7 +31,20 @@
 	for i := range uint64(3 * maxStreams) {
 		table.Record(now, i, Origin{})
 	}
-	assert.LessOrEqual(t, len(table.current)+len(table.previous), maxStreams)
+	assert.LessOrEqual(t, len(table.current.streams)+len(table.previous.streams), maxStreams)
 	_, known := table.Find(now, 3*maxStreams-1)
 	assert.True(t, known, "the latest ones are kept")
 }
+
+func TestOnly(t *testing.T) {
+	var table Table
+	now := time.Unix(1000, 0)
+	v1 := Origin{"chat", "v1"}
+	assert.True(t, table.Only(now, v1), "nothing is known")
+	table.Record(now, 1, v1)
+	table.Record(now, 2, Origin{"other", "v2"})
+	assert.True(t, table.Only(now, v1))
+	table.Record(now, 3, Origin{"chat", "v2"})
+	assert.False(t, table.Only(now, v1))
+	assert.True(t, table.Only(now.Add(2*Retention), v1))
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -377,33 +377,18 @@
 	return s, s.State == Ready && s.Born == born
 }
 
-// OnlyVersion reports whether all backend servers of a service have had the same software
-// version for a time, as far as the roster has seen.
-func (r *Roster) OnlyVersion(now time.Time, service string, since time.Duration) bool {
+// Versions returns the number of a service's backend servers by software version, those
+// that are leaving included.
+func (r *Roster) Versions(service string) map[string]int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	version, found := "", false
-	same := func(s Server) bool {
-		if s.Service != service {
-			return true
-		}
-		first := !found
-		if first {
-			version, found = s.Version, true
-		}
-		return first || s.Version == version
-	}
+	count := map[string]int{}
 	for _, e := range r.entries {
-		if !same(e.server) {
-			return false
-		}
-	}
-	for _, e := range r.dropped {
-		if now.Sub(e.dropped) < since && !same(e.server) {
-			return false
+		if e.server.Service == service {
+			count[e.server.Version]++
 		}
 	}
-	return true
+	return count
 }
 
 // Superseded reports whether an incarnation has ended, as a later one has its ID or its
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -356,18 +356,17 @@
 	}
 }
 
-func TestOnlyVersion(t *testing.T) {
+func TestVersions(t *testing.T) {
 	now := time.Now()
 	server := func(id, service, version string) Event {
 		return Event{Server: Server{ID: id, Born: 1, Service: service, State: Ready, Version: version}}
 	}
 	var r Roster
-	assert.True(t, r.OnlyVersion(now, "s", time.Minute), "nothing is known")
-	r.Update(now, 1, []Event{server("a", "s", "v1"), server("b", "s", "v1"), server("c", "other", "v2")}, Grace{})
-	assert.True(t, r.OnlyVersion(now, "s", time.Minute))
-	r.Update(now, 2, []Event{server("d", "s", "v2")}, Grace{})
-	assert.False(t, r.OnlyVersion(now, "s", time.Minute))
-	r.Update(now, 3, []Event{{Server: Server{ID: "a"}, Removed: true}, {Server: Server{ID: "b"}, Removed: true}}, Grace{})
-	assert.False(t, r.OnlyVersion(now, "s", time.Minute), "v1 has just left")
-	assert.True(t, r.OnlyVersion(now.Add(time.Minute), "s", time.Minute))
+	assert.Empty(t, r.Versions("s"))
+	r.Update(now, 1, []Event{server("a", "s", "v1"), server("b", "s", "v1"), server("c", "other", "v2"), server("d", "s", "v2")}, Grace{})
+	assert.Equal(t, map[string]int{"v1": 2, "v2": 1}, r.Versions("s"))
+	r.Announce(now, "d", 1)
+	assert.Equal(t, map[string]int{"v1": 2, "v2": 1}, r.Versions("s"), "streams may go on at a server that leaves")
+	r.Update(now, 2, []Event{{Server: Server{ID: "a"}, Removed: true}, {Server: Server{ID: "b"}, Removed: true}}, Grace{})
+	assert.Equal(t, map[string]int{"v2": 1}, r.Versions("s"))
 }
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -218,14 +218,23 @@
 	Succeeded(content uint64, parts []string)
 }
 
-// Origins knows where streams began. It must be safe for concurrent use.
+// Origins knows where streams began. It must be safe for concurrent use. host and prefix
+// are those of the stream's route.
 type Origins interface {
-	// Begin is called with the ID of a request before the first event of its stream is
-	// sent to the client. It does not block.
-	Begin(request string, o origin.Origin)
-	// Find returns the origin of the stream that the request with the ID began, false if
-	// no process that can be asked in a moment knows it.
-	Find(ctx context.Context, request string) (origin.Origin, bool)
+	// Restrict returns where new streams should begin, if they can; false if they may begin
+	// anywhere. It does not block.
+	Restrict(host, prefix string) (origin.Origin, bool)
+	// Place is called before a request that begins a stream is sent to a backend server.
+	// again is set if it was sent before. The result is nil if nothing has to be recorded,
+	// else it is closed once that is done. It does not block.
+	Place(request, host, prefix string, o origin.Origin, again bool) <-chan struct{}
+	// Begin is called before the first event of the stream is sent to the client, with the
+	// result of Place. It waits for a moment until the record has been made.
+	Begin(ctx context.Context, request string, o origin.Origin, recorded <-chan struct{})
+	// Find returns the origin of the stream that the request with the ID began. The ID is
+	// empty if the client does not name the request. The source is origin.Unknown if the
+	// origin can't be found in a moment.
+	Find(ctx context.Context, request, host, prefix string) (origin.Origin, origin.Source)
 }
 
 // Broker serves requests. The exported fields are set before the first call of a
@@ -398,6 +407,7 @@
 		j.reject(originUnknown)
 		return
 	}
+	j.restrict()
 	if route.Kind == table.Stream && route.Prompted && j.service.Engine != nil {
 		j.servePrompt()
 		return
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -154,7 +154,7 @@
 	set := b.engineSet(now, n.key.service)
 	v := view{peerLoad: b.withoutGrants(n.key.service, b.Peers.Queue(n.key.hash())), ejected: true}
 	states := set.byRole[n.key.role]
-	if n.software.bound && n.key.role == roster.Decode {
+	if n.software.limited() && n.key.role == roster.Decode {
 		states = slices.DeleteFunc(slices.Clone(states), func(s *engineState) bool { return !n.software.accepts(s.server) })
 	}
 	lookup := b.kept.Lookup(n.chain)
--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -365,6 +365,7 @@
 		Zone: "calicut", Table: func() *table.Table { return tab }, Roster: f.roster, Usage: &usage.Table{}, Servers: servers, Peers: noPeers{},
 		RetryLimit: quota.Limit{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}, Meters: &meter.Set{}, Log: zap.NewNop(),
 	}
+	f.Origins = originList{byDefault: {Service: "model"}}
 	f.addServer("a", "plain", "")
 	f.addServer("b", "plain", "")
 	return f
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ebonyscale.example/ebonyscale/internal/config/table"
+	"ebonyscale.example/ebonyscale/internal/fleet/origin"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/retry"
@@ -83,7 +84,11 @@
 	// software is bound once the stream has begun. originFrom is set if the client resumes
 	// a stream.
 	software   software
-	originFrom originSource
+	originFrom origin.Source
+	// placed is set once the request has been sent to a backend server that may begin its
+	// stream, recorded is the result of Origins.Place.
+	placed   bool
+	recorded <-chan struct{}
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
 }
@@ -172,6 +177,7 @@
 		zap.Uint64("Version", j.table.Version), zap.String("Server", p.server.ID), zap.Int64("Born", p.server.Born), zap.String("Software", p.server.Version),
 		zap.Int("Send", j.attempts), zap.Duration("Waited", p.waited), zap.String("Coordinator", p.coordinator),
 		zap.String("After", c.After), zap.String("Origin", j.request.Origin))
+	j.placeStream(p.server)
 	response, err := j.broker.Servers.Send(ctx, p.server, c)
 	if err != nil {
 		f := j.sendFailure(ctx, err)
--- a/internal/node/broker/origin.go
+++ b/internal/node/broker/origin.go
@@ -16,68 +16,78 @@
 // already got would be lost.
 const resumeMaxWaitShare = 0.5
 
-// software binds a stream to the version of the software that began it. The zero value
-// binds to none.
+// software restricts a stream to a version of the software. The zero value allows any.
 type software struct {
-	bound   bool
-	version string
+	// bound is set if the stream has begun at the version, restricted if it has not begun
+	// and should begin there.
+	bound, restricted bool
+	version           string
 }
 
-// accepts reports whether a stream may go on at the backend server.
+// accepts reports whether a stream may begin or go on at the backend server.
 func (s software) accepts(server roster.Server) bool {
-	return !s.bound || s.version == server.Version
+	return !s.limited() || s.version == server.Version
 }
 
+// limited reports whether only servers of the version are allowed.
+func (s software) limited() bool { return s.bound || s.restricted }
+
 // findOrigin binds a stream that the client resumes to the service and version that began
 // it. It returns false if they are not known, or the route leads to that service no more.
-// An unknown stream began at the only version that there is, if there is just one.
 func (j *job) findOrigin() bool {
-	start := time.Now()
-	o, known := j.askOrigin()
-	defer func() { j.stages = append(j.stages, zap.Duration("OriginTook", time.Since(start))) }()
-	if known {
-		j.originFrom = remembered
-		allowed := slices.ContainsFunc(j.route.Targets, func(t table.Target) bool { return t.Service == o.Service })
-		j.service = j.table.Services[o.Service]
-		j.software = software{true, o.Version}
-		return allowed
+	j.originFrom = origin.Unknown
+	if j.broker.Origins == nil {
+		return false
 	}
-	if j.broker.Roster.OnlyVersion(time.Now(), j.service.Name, origin.Retention) {
-		j.originFrom = onlyVersion
-		return true
+	start := time.Now()
+	o, source := j.broker.Origins.Find(j.ctx, j.request.Origin, j.route.Host, j.route.Prefix)
+	j.originFrom = source
+	j.stages = append(j.stages, zap.Duration("OriginTook", time.Since(start)))
+	if source == origin.Unknown {
+		return false
 	}
-	j.originFrom = nobody
-	return false
+	j.service = j.table.Services[o.Service]
+	j.software = software{bound: true, version: o.Version}
+	return slices.ContainsFunc(j.route.Targets, func(t table.Target) bool { return t.Service == o.Service })
 }
 
-// originSource is how the origin of a resumed stream was found. It is written to the log.
-type originSource string
+// beginsStream reports whether the request begins a stream that clients may resume.
+func (j *job) beginsStream() bool {
+	return j.broker.Origins != nil && j.route.Kind == table.Stream && j.route.Repeatable() && j.request.After == "" && !j.software.bound
+}
 
-// The sources of an origin.
-const (
-	remembered  originSource = "Remembered"  // by this process or a peer
-	onlyVersion originSource = "OnlyVersion" // there is no other
-	nobody      originSource = "Nobody"      // it was not found
-)
+// restrict restricts a new stream to a version, if it has backend servers.
+func (j *job) restrict() {
+	if !j.beginsStream() {
+		return
+	}
+	o, ok := j.broker.Origins.Restrict(j.route.Host, j.route.Prefix)
+	if !ok || o.Service != j.service.Name {
+		return
+	}
+	version := software{restricted: true, version: o.Version}
+	if slices.ContainsFunc(j.broker.Roster.Service(o.Service), func(s roster.Server) bool { return s.Role != roster.Prefill && version.accepts(s) }) {
+		j.software = version
+	}
+}
 
-// askOrigin returns the origin of the stream that the client resumes.
-func (j *job) askOrigin() (origin.Origin, bool) {
-	if j.broker.Origins == nil || j.request.Origin == "" {
-		return origin.Origin{}, false
+// placeStream has it recorded where a new stream may begin, before the request is sent.
+func (j *job) placeStream(server roster.Server) {
+	if !j.beginsStream() {
+		return
 	}
-	return j.broker.Origins.Find(j.ctx, j.request.Origin)
+	o := origin.Origin{Service: j.service.Name, Version: server.Version}
+	j.recorded = j.broker.Origins.Place(j.request.ID, j.route.Host, j.route.Prefix, o, j.placed)
+	j.placed = true
 }
 
 // beginStream binds the stream to the version of the backend server that has sent its
 // first event, before the client gets that.
 func (j *job) beginStream(server roster.Server) {
-	if j.software.bound {
-		return
-	}
-	j.software = software{true, server.Version}
-	if j.broker.Origins != nil && j.route.Repeatable() && j.request.After == "" {
-		j.broker.Origins.Begin(j.request.ID, origin.Origin{Service: j.service.Name, Version: server.Version})
+	if j.beginsStream() {
+		j.broker.Origins.Begin(j.ctx, j.request.ID, origin.Origin{Service: j.service.Name, Version: server.Version}, j.recorded)
 	}
+	j.software = software{bound: true, version: server.Version}
 }
 
 // bind restricts a need to the backend servers that can go on with the stream.
--- a/internal/node/broker/origin_test.go
+++ b/internal/node/broker/origin_test.go
@@ -12,14 +12,27 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 )
 
-// originList is a fake Origins.
+// originList is a fake Origins. byDefault has where streams begin that it doesn't list.
 type originList map[string]origin.Origin
 
-func (l originList) Begin(request string, o origin.Origin) { l[request] = o }
+const byDefault = "default"
 
-func (l originList) Find(_ context.Context, request string) (origin.Origin, bool) {
-	o, known := l[request]
-	return o, known
+func (originList) Restrict(string, string) (origin.Origin, bool) { return origin.Origin{}, false }
+
+func (originList) Place(string, string, string, origin.Origin, bool) <-chan struct{} { return nil }
+
+func (l originList) Begin(_ context.Context, request string, o origin.Origin, _ <-chan struct{}) {
+	l[request] = o
+}
+
+func (l originList) Find(_ context.Context, request, _, _ string) (origin.Origin, origin.Source) {
+	if o, known := l[request]; known && request != "" {
+		return o, origin.Remembered
+	}
+	if o, known := l[byDefault]; known {
+		return o, origin.ByDefault
+	}
+	return origin.Origin{}, origin.Unknown
 }
 
 // addVersion adds a decode engine with a software version.
@@ -138,7 +151,7 @@
 }
 
 // TestUnknownStreamIsRefused checks that a stream of which nobody knows the version is
-// refused as not run, unless there is just one version, and is never guessed.
+// refused as not run, unless it is known to have begun at the default, and is never guessed.
 func TestUnknownStreamIsRefused(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -153,16 +166,17 @@
 		{"the route leads elsewhere", func(_ *fixture, origins originList, r *Request) {
 			origins[r.Origin] = origin.Origin{Service: "plain", Version: ""}
 		}, 503},
-		{"one version", func(f *fixture, _ originList, _ *Request) {
-			for _, id := range []string{"a2", "b2", "c2"} {
-				f.roster.Update(time.Now(), 2, []roster.Event{{Server: roster.Server{ID: id}, Removed: true}}, roster.Grace{})
-			}
-			time.Sleep(origin.Retention)
+		{"it began at the default", func(f *fixture, origins originList, _ *Request) {
+			origins[byDefault] = origin.Origin{Service: "model", Version: "v1"}
 		}, 200},
-		{"a version that left a moment ago", func(f *fixture, _ originList, _ *Request) {
+		{"the default has left", func(_ *fixture, origins originList, _ *Request) {
+			origins[byDefault] = origin.Origin{Service: "model", Version: "v0"}
+		}, 503},
+		{"the other versions have left", func(f *fixture, _ originList, _ *Request) {
 			for _, id := range []string{"a2", "b2", "c2"} {
 				f.roster.Update(time.Now(), 2, []roster.Event{{Server: roster.Server{ID: id}, Removed: true}}, roster.Grace{})
 			}
+			time.Sleep(origin.Retention)
 		}, 503},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -175,6 +189,7 @@
 			got := f.serve(t.Context(), r)
 			if c.status == 200 {
 				assert.True(t, got.ended, c.name)
+				assert.Equal(t, "v1", version(f.fleet.sent[0].server), c.name)
 				return
 			}
 			assert.Empty(t, f.fleet.sent, c.name)
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -166,7 +166,7 @@
 		}
 	}
 	ahead := q.ahead(w.need) + w.need.size()
-	if !w.need.software.bound {
+	if !w.need.software.limited() {
 		ahead += v.first.peerLoad.Waiting
 	}
 	if expectedWait(ahead, v.throughput(w.need)) > w.need.maxWait {
@@ -221,7 +221,7 @@
 	}
 	// A coordinator decides for all, so that there is nothing to share. The queue's load is
 	// that of all versions, which says nothing of the servers of a single one.
-	if !n.software.bound && !b.coordinates(n.key) && !q.mayAcquire(now, v, n.size(), b.Seed) {
+	if !n.software.limited() && !b.coordinates(n.key) && !q.mayAcquire(now, v, n.size(), b.Seed) {
 		return nil
 	}
 	p := &permit{broker: b, need: n, server: v.server, since: now, units: n.size(), ahead: v.ahead}
@@ -356,7 +356,7 @@
 	// The waiters are behind each other at all backend servers of the queue, not just at
 	// the few that can go on with a stream. Resumed streams come first, and nothing that
 	// waits is ahead of them.
-	typical := q.waiting[max(slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.bound }), 0)]
+	typical := q.waiting[max(slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.limited() }), 0)]
 	v := b.views(now, typical)
 	rate, ahead := v.throughput(typical.need), v.first.peerLoad.Waiting
 	for _, w := range q.waiting {
@@ -383,7 +383,7 @@
 	kept := q.waiting[:0]
 	for i, w := range q.waiting {
 		p := b.tryAcquire(now, w, b.views(now, w))
-		if p == nil && (len(w.need.excluded) > 0 || w.need.software.bound) {
+		if p == nil && (len(w.need.excluded) > 0 || w.need.software.limited()) {
 			// This waiter can't use backend servers that may have permits for
 			// those behind it.
 			kept = append(kept, w)
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -46,7 +46,7 @@
 // at some engines only.
 func (j *job) acquirePrefill() (*permit, error) {
 	n, alternative := j.prefillNeeds()
-	if j.software.bound {
+	if j.software.limited() {
 		return j.broker.acquire(j.ctx, n, &alternative)
 	}
 	if coordinator := j.broker.coordinatorOf(j.service.Name); coordinator != "" {
--- a/internal/node/broker/share_test.go
+++ b/internal/node/broker/share_test.go
@@ -27,11 +27,16 @@
 func (coordinatedPeers) Coordinator(uint64, bool) string { return "peer" }
 
 // beganAt is a fake Origins in which each stream began at one origin.
-type beganAt origin.Origin
+type beganAt struct {
+	originList
+	origin origin.Origin
+}
 
-func (beganAt) Begin(string, origin.Origin) {}
+func (beganAt) Begin(context.Context, string, origin.Origin, <-chan struct{}) {}
 
-func (b beganAt) Find(context.Context, string) (origin.Origin, bool) { return origin.Origin(b), true }
+func (b beganAt) Find(context.Context, string, string, string) (origin.Origin, origin.Source) {
+	return b.origin, origin.Remembered
+}
 
 // share is how many of some streams have begun, or gone on.
 type share struct{ begun, all int }
@@ -78,7 +83,7 @@
 
 func testSmallVersion(t *testing.T, tokens int, prefill, coordinated bool, perSecond int) {
 	f, _ := newVersions(t, prefill)
-	f.Origins = beganAt{Service: "model", Version: "v1"}
+	f.Origins = beganAt{origin: origin.Origin{Service: "model", Version: "v1"}}
 	if coordinated {
 		f.Name, f.Coordination, f.Peers = "self", noCoordination{}, coordinatedPeers{}
 	}
--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -46,7 +46,7 @@
 	t.Helper()
 	n := &Node{
 		Name: "a", Zone: "calicut", Log: zap.NewNop(), Peers: peerTables{}, Address: netip.MustParseAddrPort("10.0.0.1:7660"),
-		Keys: Keys{TableKind: "config", TableName: "main", ServersKind: "servers", MembersKind: "members", QuarantineKind: "quarantine"},
+		Keys: Keys{TableKind: "config", TableName: "main", ServersKind: "servers", MembersKind: "members", QuarantineKind: "quarantine", OriginsKind: "origins", StreamsKind: "streams"},
 	}
 	n.Prepare()
 	return n
@@ -88,6 +88,12 @@
 	(&serversView{n}).Replace(page(serverEntry("i-1", "")), false)
 	assert.False(t, n.Ready(), "the prompt parts in quarantine are not listed yet")
 	quarantineView{n.quarantine}.Replace(page(), false)
+	assert.False(t, n.Ready(), "the defaults of streams are not listed yet")
+	n.origins.defaults.Replace(page(), false)
+	assert.False(t, n.Ready(), "the records of streams are not listed yet")
+	n.Feed = &memoryStore{}
+	assert.NoError(t, n.origins.recall.list(t.Context()))
+	n.streamsListed.Store(true)
 	assert.True(t, n.Ready())
 	n.stopping.Store(true)
 	assert.False(t, n.Ready())
--- /dev/null
+++ b/internal/node/core/defaults.go
@@ -0,0 +1,202 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"ebonyscale.example/ebonyscale/internal/base/timer"
+	"ebonyscale.example/ebonyscale/internal/config/table"
+	"ebonyscale.example/ebonyscale/internal/fleet/origin"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// defaults has where the streams of each route begin without a record. It implements
+// follow.View and is safe for concurrent use.
+type defaults struct {
+	node *Node
+	// keeper is used by the task only.
+	keeper origin.Keeper
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	current origin.Defaults
+	// version is that of the entry, 0 if the store has none. era is the highest one of the
+	// store, heard is when it was last heard of.
+	version, era uint64
+	heard        time.Time
+}
+
+const (
+	// defaultsName is the name of the entry.
+	defaultsName = "defaults"
+	// defaultsInterval is the period at which the entry is compared with the backend
+	// servers.
+	defaultsInterval = 500 * time.Millisecond
+	// defaultsTrust is for how long the entry is taken to be current if the store is not
+	// heard of. It is longer than a long poll and shorter than minStreamLife.
+	defaultsTrust = 40 * time.Second
+	// minStreamLife is the least time for which the origin of a stream is needed.
+	minStreamLife = time.Minute
+	// streamLifePerTimeout is the ratio of that time to the longest timeout of a route.
+	streamLifePerTimeout = 2
+)
+
+// originsKey is the key by which the process is chosen that keeps the entry.
+var originsKey = xxhash.Sum64String("origins")
+
+// keepsOrigins reports whether this process keeps the entries about streams for all.
+func (n *Node) keepsOrigins() bool {
+	return n.peers.Coordinator(originsKey, n.stopping.Load()) == n.Name
+}
+
+// streamLife returns how long after its beginning a stream may be resumed.
+func (n *Node) streamLife() time.Duration {
+	life := minStreamLife
+	if t := n.table.Load(); t != nil {
+		for i := range t.Routes {
+			if resumable(&t.Routes[i]) {
+				life = max(life, streamLifePerTimeout*t.Routes[i].Timeout)
+			}
+		}
+	}
+	return min(life, origin.Retention)
+}
+
+// resumable reports whether clients may resume streams of the route.
+func resumable(r *table.Route) bool { return r.Kind == table.Stream && r.Resumable }
+
+// find returns where the streams of a route begin without a record, false if that is not
+// known.
+func (d *defaults) find(now time.Time, route string) (origin.Origin, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.heard) > defaultsTrust {
+		return origin.Origin{}, false
+	}
+	return d.current.Find(d.era, route)
+}
+
+// Replace implements follow.View.
+func (d *defaults) Replace(page store.Page, _ bool) {
+	d.mu.Lock()
+	d.version = 0
+	d.mu.Unlock()
+	d.Change(page)
+	d.node.defaultsListed.Store(true)
+}
+
+// Change implements follow.View.
+func (d *defaults) Change(page store.Page) {
+	d.mu.Lock()
+	before := d.era
+	d.heard, d.era = time.Now(), max(d.era, store.Era(page.Revision))
+	lost := before != 0 && d.era > before
+	for _, o := range page.Objects {
+		if objectName(o) == defaultsName {
+			d.apply(o)
+		}
+	}
+	d.mu.Unlock()
+	if lost {
+		d.node.origins.recorder.rewrite(time.Now())
+	}
+}
+
+// apply takes over the entry. An invalid one, or none, leaves nothing assumed. d.mu must
+// be held.
+func (d *defaults) apply(o store.Object) {
+	d.version = o.Version
+	if o.Removed {
+		d.version = 0
+		return
+	}
+	current, err := origin.ParseDefaults(o.Value)
+	if err != nil {
+		d.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
+		current = suspended(d.current)
+	}
+	d.current = current
+}
+
+// suspended returns the defaults with none in force.
+func suspended(d origin.Defaults) origin.Defaults {
+	next := origin.Defaults{Era: d.Era, Routes: make([]origin.Default, len(d.Routes))}
+	for i, r := range d.Routes {
+		r.Suspended = true
+		next.Routes[i] = r
+	}
+	return next
+}
+
+// Run keeps the entry in the store until ctx ends and returns its error.
+func (d *defaults) Run(ctx context.Context) error {
+	for timer.Wait(ctx, defaultsInterval) {
+		if d.node.Ready() && d.node.keepsOrigins() {
+			d.keep(ctx, time.Now())
+		}
+	}
+	return ctx.Err()
+}
+
+// keep writes the entry if it has to change.
+func (d *defaults) keep(ctx context.Context, now time.Time) {
+	d.mu.Lock()
+	current, version, era, heard := d.current, d.version, d.era, d.heard
+	d.mu.Unlock()
+	if now.Sub(heard) > defaultsTrust {
+		return
+	}
+	next, changed := d.keeper.Next(now, era, current, d.routes(), d.node.streamLife())
+	if !changed && version != 0 || len(next.Routes) == 0 {
+		return
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		d.node.Log.Error("defaults of streams can't be encoded", zap.Error(err))
+		return
+	}
+	object := store.Object{Key: d.node.Keys.OriginsKind + "/" + defaultsName, Value: value, Version: version}
+	if _, err := d.node.Store.Put(ctx, object); err != nil {
+		d.node.Log.Info("defaults of streams can't be written", zap.Error(err))
+		return
+	}
+	for _, r := range next.Routes {
+		if !slices.Contains(current.Routes, r) {
+			d.node.Log.Info("default of streams changed", zap.String("Route", r.Route), zap.String("Service", r.Service), zap.String("Software", r.Version), zap.Bool("Suspended", r.Suspended))
+		}
+	}
+	// The watch brings the entry with its version; until then nothing is written.
+	timer.Wait(ctx, defaultsInterval)
+}
+
+// routes returns the routes whose streams can be resumed.
+func (d *defaults) routes() []origin.Route {
+	t := d.node.table.Load()
+	if t == nil {
+		return nil
+	}
+	versions := map[string]map[string]int{}
+	var routes []origin.Route
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if !resumable(r) {
+			continue
+		}
+		route := origin.Route{Key: origin.RouteKey(r.Host, r.Prefix)}
+		if len(r.Targets) == 1 {
+			route.Service = r.Targets[0].Service
+			if versions[route.Service] == nil {
+				versions[route.Service] = d.node.roster.Versions(route.Service)
+			}
+			route.Versions = versions[route.Service]
+		}
+		routes = append(routes, route)
+	}
+	return routes
+}
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -19,6 +19,10 @@
 //	Quarantine watches the requests and prompt parts in quarantine in the store
 //	Causes     finds the requests and prompt parts that crash backend servers
 //	Write      writes those in quarantine to the store
+//	Defaults   watches in the store where streams begin by default
+//	Keep       keeps that entry up to date
+//	Record     writes the origins of other streams to the store
+//	Recall     reads them when the process starts and when nobody remembers a stream
 //	Send       sends status messages to the peers
 //	Receive    handles messages from the peers
 //	Coordinate sends permit requests, grants and releases to peers
@@ -59,7 +63,8 @@
 	// ServersKind is the kind of the backend servers' entries, MembersKind that
 	// of the entry processes' own entries.
 	// QuarantineKind is the kind of the prompt parts that crash backend servers.
-	TableKind, TableName, ServersKind, MembersKind, QuarantineKind string
+	// OriginsKind is that of the defaults of streams, StreamsKind that of their records.
+	TableKind, TableName, ServersKind, MembersKind, QuarantineKind, OriginsKind, StreamsKind string
 }
 
 // Node is one entry process. The exported fields above Broker are set before
@@ -87,6 +92,9 @@
 	// WatchFor is the timeout of one long poll of the store while the system
 	// has at most smallSystem processes.
 	WatchFor time.Duration
+	// StoreWrites is the number of writing calls per second that the store takes from all
+	// processes together.
+	StoreWrites float64
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration
@@ -109,6 +117,8 @@
 	table            atomic.Pointer[table.Table]
 	serversListed    atomic.Bool
 	quarantineListed atomic.Bool
+	defaultsListed   atomic.Bool
+	streamsListed    atomic.Bool
 	// announced is set once this process has an entry in the store, announceNow makes
 	// it check that.
 	announced   atomic.Bool
@@ -164,10 +174,11 @@
 }
 
 // Ready reports whether the process should get clients' requests: it has a
-// configuration and the lists of backend servers and of prompt parts in quarantine, and
-// is not stopping.
+// configuration and the lists of backend servers, of prompt parts in quarantine and of
+// streams, and is not stopping.
 func (n *Node) Ready() bool {
-	return n.table.Load() != nil && n.serversListed.Load() && n.quarantineListed.Load() && !n.stopping.Load()
+	listed := n.serversListed.Load() && n.quarantineListed.Load() && n.defaultsListed.Load() && n.streamsListed.Load()
+	return n.table.Load() != nil && listed && !n.stopping.Load()
 }
 
 // defaultLimits apply without a configuration, and for each limit that the
@@ -209,6 +220,10 @@
 		{Name: "Quarantine", Do: n.follower(n.Keys.QuarantineKind, quarantineView{n.quarantine}, n.membersPollTimeout, nil).Run},
 		{Name: "Causes", Do: n.quarantine.Run},
 		{Name: "Write", Do: n.quarantine.Write},
+		{Name: "Defaults", Do: n.follower(n.Keys.OriginsKind, n.origins.defaults, n.membersPollTimeout, nil).Run},
+		{Name: "Keep", Do: n.origins.defaults.Run},
+		{Name: "Record", Do: n.origins.recorder.Run},
+		{Name: "Recall", Do: n.origins.recall.Run},
 		{Name: "Send", Do: n.mesh().Send},
 		{Name: "Receive", Do: n.mesh().Receive},
 		{Name: "Coordinate", Do: n.coordination.Send},
--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -15,9 +15,17 @@
 // A process tells a few others where a stream began before its client gets the first
 // event, so that the client can resume it elsewhere also if the process is gone. A process
 // that does not know a stream asks those that come first in the same order now.
+//
+// All of them may be gone. What outlives them is in the store: where the streams of a
+// route begin by default, and a record of each stream that begins elsewhere, written
+// before its client gets the first event. Thus a stream that nobody remembers and that is
+// not recorded has begun at the default.
 type origins struct {
-	node  *Node
-	table origin.Table
+	node     *Node
+	table    origin.Table
+	recorder *recorder
+	recall   *recall
+	defaults *defaults
 
 	// mu guards queries, by stream.
 	mu      sync.Mutex
@@ -45,31 +53,100 @@
 	originTimeout = 150 * time.Millisecond
 )
 
-func newOrigins(n *Node) *origins { return &origins{node: n, queries: map[uint64]*query{}} }
+func newOrigins(n *Node) *origins {
+	return &origins{node: n, recorder: newRecorder(n), recall: newRecall(n), defaults: &defaults{node: n}, queries: map[uint64]*query{}}
+}
+
+// Restrict implements broker.Origins.
+func (s *origins) Restrict(host, prefix string) (origin.Origin, bool) {
+	now := time.Now()
+	if s.recorder.works(now) {
+		return origin.Origin{}, false
+	}
+	return s.defaults.find(now, origin.RouteKey(host, prefix))
+}
+
+// Place implements broker.Origins.
+func (s *origins) Place(request, host, prefix string, o origin.Origin, again bool) <-chan struct{} {
+	now := time.Now()
+	if byDefault, known := s.defaults.find(now, origin.RouteKey(host, prefix)); known && byDefault == o && !again {
+		return nil
+	}
+	return s.recorder.add(now, origin.Record{Stream: origin.Key(request), Origin: o})
+}
 
 // Begin implements broker.Origins.
-func (s *origins) Begin(request string, o origin.Origin) {
+func (s *origins) Begin(ctx context.Context, request string, o origin.Origin, recorded <-chan struct{}) {
 	key := origin.Key(request)
 	s.table.Record(time.Now(), key, o)
 	message := &wire.News{Streams: []*wire.StreamOrigin{{Stream: key, Service: o.Service, Version: o.Version}}}
 	for _, name := range s.node.peers.Nearest(key, originHolders) {
 		s.node.coordination.push(name, message)
 	}
+	if recorded == nil {
+		return
+	}
+	timeout := time.NewTimer(recordTimeout)
+	defer timeout.Stop()
+	select {
+	case <-recorded:
+	case <-ctx.Done():
+	case <-timeout.C:
+		s.node.Meters.Add("StreamsBegunUnrecorded", 1)
+	}
 }
 
 // Find implements broker.Origins.
-func (s *origins) Find(ctx context.Context, request string) (origin.Origin, bool) {
+func (s *origins) Find(ctx context.Context, request, host, prefix string) (origin.Origin, origin.Source) {
+	if request == "" {
+		return s.findUnnamed(ctx, host, prefix)
+	}
 	key := origin.Key(request)
 	if o, known := s.table.Find(time.Now(), key); known {
-		return o, true
+		return o, origin.Remembered
+	}
+	s.askPeers(ctx, key)
+	if o, known := s.table.Find(time.Now(), key); known {
+		return o, origin.Remembered
 	}
+	if err := s.recall.await(ctx); err != nil {
+		return origin.Origin{}, origin.Unknown
+	}
+	if o, known := s.table.Find(time.Now(), key); known {
+		return o, origin.Recorded
+	}
+	return s.byDefault(host, prefix)
+}
+
+// findUnnamed returns the default of the route if no stream has begun elsewhere: the client
+// does not say which one it resumes.
+func (s *origins) findUnnamed(ctx context.Context, host, prefix string) (origin.Origin, origin.Source) {
+	if err := s.recall.await(ctx); err != nil {
+		return origin.Origin{}, origin.Unknown
+	}
+	o, source := s.byDefault(host, prefix)
+	if source == origin.ByDefault && !s.table.Only(time.Now(), o) {
+		return origin.Origin{}, origin.Unknown
+	}
+	return o, source
+}
+
+// byDefault returns where the streams of a route begin without a record.
+func (s *origins) byDefault(host, prefix string) (origin.Origin, origin.Source) {
+	o, known := s.defaults.find(time.Now(), origin.RouteKey(host, prefix))
+	if !known {
+		return origin.Origin{}, origin.Unknown
+	}
+	return o, origin.ByDefault
+}
+
+// askPeers asks those peers that may know the stream.
+func (s *origins) askPeers(ctx context.Context, key uint64) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	asked := s.node.peers.Nearest(key, originAsked)
-	if len(asked) > 0 {
+	if asked := s.node.peers.Nearest(key, originAsked); len(asked) > 0 {
 		s.ask(ctx, key, asked)
 	}
-	return s.table.Find(time.Now(), key)
 }
 
 // ask asks peers until the origin of a stream is known, all have responded or ctx ends.
--- a/internal/node/core/origins_test.go
+++ b/internal/node/core/origins_test.go
@@ -16,7 +16,7 @@
 func (c cluster) find(n *Node, request string, drop func(from, to string) bool) (o origin.Origin, known bool, took time.Duration) {
 	began, done := time.Now(), make(chan struct{})
 	go func() {
-		o, known = n.origins.Find(context.Background(), request)
+		o, known = n.findRemembered(request)
 		took = time.Since(began)
 		close(done)
 	}()
@@ -31,6 +31,16 @@
 	}
 }
 
+// findRemembered returns the origin of a stream that this process or a peer remembers.
+func (n *Node) findRemembered(request string) (origin.Origin, bool) {
+	key := origin.Key(request)
+	if o, known := n.origins.table.Find(time.Now(), key); known {
+		return o, true
+	}
+	n.origins.askPeers(context.Background(), key)
+	return n.origins.table.Find(time.Now(), key)
+}
+
 // TestOriginOutlivesTheProcessThatBeganTheStream checks that any process finds the origin of
 // a stream after the one that served it is gone, in small systems and in large ones, also
 // if others are new or the first datagrams are lost.
@@ -40,7 +50,7 @@
 		for _, lossy := range []bool{false, true} {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, size)
-				c[0].origins.Begin("r1", began)
+				c[0].origins.Begin(t.Context(), "r1", began, nil)
 				c.deliver(nil)
 				lost := 0
 				drop := func(from, to string) bool {
--- /dev/null
+++ b/internal/node/core/recall.go
@@ -0,0 +1,207 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonyscale.example/ebonyscale/internal/base/timer"
+	"ebonyscale.example/ebonyscale/internal/fleet/origin"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// recall reads the recorded origins of streams from the store: all of them when the process
+// starts, and again when a client resumes a stream that no process remembers. One list
+// serves all requests that wait for it. It is safe for concurrent use.
+type recall struct {
+	node *Node
+	wake chan struct{}
+
+	// mu guards waiting, the requests that wait for the next list.
+	mu      sync.Mutex
+	waiting []chan error
+	// seen has the entries by key and since when each has had its version. Only the task
+	// uses it.
+	seen map[string]sighting
+}
+
+// sighting is an entry's version and when it was first seen.
+type sighting struct {
+	version uint64
+	at      time.Time
+}
+
+const (
+	// recallTimeout bounds the wait of a request for the records in the store.
+	recallTimeout = time.Second
+	// recallPause is the least pause between two lists.
+	recallPause = 100 * time.Millisecond
+	// recallRetry is the mean pause after a list that failed before the first succeeded.
+	recallRetry = 150 * time.Millisecond
+	// sweepPerLife is how many times within the life of a stream one process looks for
+	// entries that are too old.
+	sweepPerLife = 2
+)
+
+func newRecall(n *Node) *recall {
+	return &recall{node: n, wake: make(chan struct{}, 1), seen: map[string]sighting{}}
+}
+
+// await waits for a list that begins after the call. An error means that there is none.
+func (r *recall) await(ctx context.Context) error {
+	done := make(chan error, 1)
+	r.mu.Lock()
+	r.waiting = append(r.waiting, done)
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("wait for the records of streams: %w", ctx.Err())
+	}
+}
+
+// Run lists the records until ctx ends and returns its error.
+func (r *recall) Run(ctx context.Context) error {
+	for !r.node.streamsListed.Load() {
+		if err := r.list(ctx); err == nil {
+			r.node.streamsListed.Store(true)
+			break
+		}
+		if !timer.Wait(ctx, recallRetry/2+rand.N(recallRetry)) {
+			return ctx.Err()
+		}
+	}
+	for ctx.Err() == nil {
+		sweep := time.NewTimer(r.node.streamLife() / sweepPerLife)
+		select {
+		case <-r.wake:
+			r.serve(ctx)
+			timer.Wait(ctx, recallPause)
+		case <-sweep.C:
+			r.sweep(ctx)
+		case <-ctx.Done():
+		}
+		sweep.Stop()
+	}
+	return ctx.Err()
+}
+
+// serve lists the records for the requests that wait.
+func (r *recall) serve(ctx context.Context) {
+	r.mu.Lock()
+	waiting := r.waiting
+	r.waiting = nil
+	r.mu.Unlock()
+	if len(waiting) == 0 {
+		return
+	}
+	err := r.list(ctx)
+	for _, done := range waiting {
+		done <- err
+	}
+}
+
+// list reads all records into the table of the streams.
+func (r *recall) list(ctx context.Context) error {
+	chunks, err := r.read(ctx)
+	if err != nil {
+		r.node.Log.Info("records of streams can't be read", zap.Error(err))
+		return err
+	}
+	latest, order := map[uint64]origin.Origin{}, []uint64(nil)
+	for _, o := range chunks {
+		records, err := origin.ParseRecords(o.Value)
+		if err != nil {
+			r.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
+			continue
+		}
+		for _, record := range records {
+			if _, known := latest[record.Stream]; !known {
+				order = append(order, record.Stream)
+			}
+			latest[record.Stream] = record.Origin
+		}
+	}
+	now := time.Now()
+	for _, key := range order {
+		r.node.origins.table.Record(now, key, latest[key])
+	}
+	r.node.Meters.Add("StreamsRecalled", int64(len(order)))
+	return nil
+}
+
+// read returns all entries with records, those written last at the end.
+func (r *recall) read(ctx context.Context) ([]store.Object, error) {
+	var all []store.Object
+	for after := ""; ; {
+		page, err := r.node.Feed.List(ctx, r.node.Keys.StreamsKind, after)
+		if err != nil {
+			return nil, fmt.Errorf("list records of streams: %w", err)
+		}
+		all = append(all, page.Objects...)
+		if after = page.Next; after == "" {
+			break
+		}
+	}
+	slices.SortFunc(all, func(a, b store.Object) int { return compareChunks(a.Key, b.Key) })
+	return all, nil
+}
+
+// compareChunks orders the keys of chunks by the time at which they were begun, as each
+// process counts it: a stream is recorded by one process only.
+func compareChunks(a, b string) int {
+	return int(min(max(chunkNumber(a)-chunkNumber(b), -1), 1))
+}
+
+// chunkNumber returns the number at the end of a chunk's key, 0 if there is none.
+func chunkNumber(key string) int64 {
+	number, err := strconv.ParseInt(key[strings.LastIndexByte(key, '.')+1:], 16, 64)
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
+// sweep removes the entries to which nothing has been added for the life of a stream. One
+// process does so for all.
+func (r *recall) sweep(ctx context.Context) {
+	if !r.node.keepsOrigins() {
+		clear(r.seen)
+		return
+	}
+	chunks, err := r.read(ctx)
+	if err != nil {
+		return
+	}
+	now, present := time.Now(), map[string]sighting{}
+	for _, o := range chunks {
+		s, known := r.seen[o.Key]
+		if !known || s.version != o.Version {
+			s = sighting{o.Version, now}
+		}
+		if now.Sub(s.at) < r.node.streamLife() {
+			present[o.Key] = s
+			continue
+		}
+		if _, err := r.node.Store.Put(ctx, store.Object{Key: o.Key, Version: o.Version}); err != nil && !errors.Is(err, store.ErrConflict) {
+			present[o.Key] = s
+			r.node.Log.Info("old records of streams can't be removed", zap.String("Key", o.Key), zap.Error(err))
+		}
+	}
+	r.seen = present
+}
