--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -324,11 +324,12 @@
 // maxExpectedWait bounds the expected wait. It is longer than any timeout.
 const maxExpectedWait = time.Hour
 
-// ahead counts the units of the waiters that n does not precede.
+// ahead counts the units of the waiters that n does not precede, but for those that wait
+// for the servers of another version.
 func (q *queue) ahead(n need) int {
 	sum := 0
 	for _, other := range q.waiting {
-		if !n.precedes(other.need) {
+		if !n.precedes(other.need) && n.software.competes(other.need.software) {
 			sum += other.need.size()
 		}
 	}
--- a/internal/node/broker/share_test.go
+++ b/internal/node/broker/share_test.go
@@ -115,3 +115,29 @@
 	assert.Greater(t, resumed.all, 12)
 	assert.GreaterOrEqual(t, resumed.ratio(), began.ratio()/2)
 }
+
+// TestResumedStreamsDoNotWaitForThoseOfAnotherVersion checks that a resumed stream begins at
+// once at an idle engine of its version, while many wait for the engines of another one.
+func TestResumedStreamsDoNotWaitForThoseOfAnotherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, origins := newVersions(t, false)
+		origins["r1"], origins["r2"] = origin.Origin{Service: "model", Version: "v1"}, origin.Origin{Service: "model", Version: "v2"}
+		f.fleet.fallback = paced(20, 50*time.Millisecond)
+		go f.tick(t.Context())
+		resumed := func(first string) *Request {
+			r := newPromptRequest("/talk/", 100, 80)
+			r.After, r.Origin = "0", first
+			return r
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for range 60 {
+			go f.serve(ctx, resumed("r2"))
+		}
+		time.Sleep(30 * time.Millisecond)
+		began := time.Now()
+		c := f.serve(t.Context(), resumed("r1"))
+		assert.True(t, c.ended)
+		assert.Equal(t, 20*50*time.Millisecond, c.endedAt.Sub(began))
+	})
+}
