--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -329,3 +329,21 @@
 		s.end()
 	})
 }
+
+// TestLaterRecordCountsAfterAClockStep checks that the later of two records of a stream is
+// the one that counts if the time of day went back between them.
+func TestLaterRecordCountsAfterAClockStep(t *testing.T) {
+	n := newNode(t)
+	var r recorder
+	now := time.Unix(1000, 0)
+	first, second := r.nextChunk(now), r.nextChunk(now.Add(-time.Hour))
+	n.Feed = &memoryStore{objects: map[string]store.Object{}}
+	for number, version := range map[int64]string{first: "v1", second: "v2"} {
+		key := fmt.Sprintf("streams/a.%x", number)
+		value := origin.EncodeRecords([]origin.Record{{Stream: 7, Origin: origin.Origin{Service: "s", Version: version}}})
+		n.Feed.(*memoryStore).objects[key] = store.Object{Key: key, Value: value, Version: 1}
+	}
+	assert.NoError(t, n.origins.recall.list(t.Context()))
+	o, _ := n.origins.table.Find(time.Now(), 7)
+	assert.Equal(t, "v2", o.Version)
+}
--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -29,6 +29,9 @@
 	written []written
 	// failed is when the last write failed, zero if it did not.
 	failed time.Time
+
+	// lastChunk is the number of the latest chunk. Only the task uses it.
+	lastChunk int64
 }
 
 // recording is a record that waits to be written.
@@ -210,7 +213,7 @@
 // later.
 func (r *recorder) write(ctx context.Context, c *chunk, batch []*recording) (*chunk, error) {
 	if c.version == 0 || len(c.records) >= chunkRecords {
-		c = &chunk{key: fmt.Sprintf("%s/%s.%x", r.node.Keys.StreamsKind, r.node.Name, time.Now().UnixNano())}
+		c = &chunk{key: fmt.Sprintf("%s/%s.%x", r.node.Keys.StreamsKind, r.node.Name, r.nextChunk(time.Now()))}
 	}
 	for _, p := range batch {
 		c.records = append(c.records, p.Record)
@@ -223,6 +226,13 @@
 	return c, nil
 }
 
+// nextChunk returns the number of the next chunk. It grows also if the time of day goes
+// back, since the later record of a stream counts.
+func (r *recorder) nextChunk(now time.Time) int64 {
+	r.lastChunk = max(r.lastChunk+1, now.UnixNano())
+	return r.lastChunk
+}
+
 // settle ends the wait for records that are written, and queues them again if they are not.
 func (r *recorder) settle(now time.Time, batch []*recording, err error) {
 	r.mu.Lock()
