core: one process writes the records of streams for many

Cause: each process wrote the records of its own streams.

Change: one process for each 64 writes the records of all, asked and confirmed by datagram; without a confirmation within 60 ms a process writes by itself. Records carry the number of the attempt, the highest counts, so that neither the order of writes nor two writers matter.

--- a/internal/fleet/origin/defaults.go
+++ b/internal/fleet/origin/defaults.go
@@ -55,15 +55,15 @@
 		return Defaults{}, fmt.Errorf("%w: %d routes", ErrInvalid, len(d.Routes))
 	}
 	for _, r := range d.Routes {
-		if r.Route == "" || !r.valid() {
+		if r.Route == "" || !r.Valid() {
 			return Defaults{}, fmt.Errorf("%w: a route or a name in it", ErrInvalid)
 		}
 	}
 	return d, nil
 }
 
-// valid reports whether the names can be those of a service and a version.
-func (o Origin) valid() bool { return len(o.Service) <= maxNameBytes && len(o.Version) <= maxNameBytes }
+// Valid reports whether the names can be those of a service and a version.
+func (o Origin) Valid() bool { return len(o.Service) <= maxNameBytes && len(o.Version) <= maxNameBytes }
 
 // Find returns where the streams of a route begin without a record, false if that is not
 // known in an era of the store.
--- a/internal/fleet/origin/defaults_test.go
+++ b/internal/fleet/origin/defaults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -105,14 +106,18 @@
 	assert.Empty(t, keeper.suspended)
 }
 
-func TestRecordsAreDecodedInOrder(t *testing.T) {
-	records := []Record{{1, Origin{"a", "v1"}}, {2, Origin{"a", "v1"}}, {1, Origin{"a", "v2"}}, {1 << 63, Origin{"b", ""}}}
+func TestRecords(t *testing.T) {
+	records := []Record{{1, Origin{"a", "v1"}, 0}, {2, Origin{"a", "v1"}, 0}, {1, Origin{"a", "v2"}, 1}, {1 << 63, Origin{"b", ""}, 1}}
 	decoded, err := ParseRecords(EncodeRecords(records))
 	assert.NoError(t, err)
 	assert.Equal(t, records, decoded)
 	decoded, err = ParseRecords(EncodeRecords(nil))
 	assert.NoError(t, err)
 	assert.Empty(t, decoded)
+	slices.Reverse(records)
+	latest := Latest(records)
+	assert.Len(t, latest, 3)
+	assert.Equal(t, "v2", latest[1].Version, "the latest attempt counts, in any order")
 }
 
 // invalidEntries are entries of another writer.
@@ -125,7 +130,7 @@
 	for _, text := range invalidEntries {
 		f.Add([]byte(text))
 	}
-	f.Add(EncodeRecords([]Record{{7, Origin{"a", "v"}}}))
+	f.Add(EncodeRecords([]Record{{7, Origin{"a", "v"}, 0}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		records, err := ParseRecords(data)
 		if err != nil {
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -225,9 +225,9 @@
 	// anywhere. It does not block.
 	Restrict(host, prefix string) (origin.Origin, bool)
 	// Place is called before a request that begins a stream is sent to a backend server.
-	// again is set if it was sent before. The result is nil if nothing has to be recorded,
+	// attempt counts the backend servers to which it was sent before. The result is nil if nothing has to be recorded,
 	// else it is closed once that is done. It does not block.
-	Place(request, host, prefix string, o origin.Origin, again bool) <-chan struct{}
+	Place(request, host, prefix string, o origin.Origin, attempt int) <-chan struct{}
 	// Begin is called before the first event of the stream is sent to the client, with the
 	// result of Place. It waits for a moment until the record has been made.
 	Begin(ctx context.Context, request string, o origin.Origin, recorded <-chan struct{})
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -85,9 +85,9 @@
 	// a stream.
 	software   software
 	originFrom origin.Source
-	// placed is set once the request has been sent to a backend server that may begin its
-	// stream, recorded is the result of Origins.Place.
-	placed   bool
+	// placed counts the backend servers to which the request was sent to begin its stream,
+	// recorded is the result of Origins.Place.
+	placed   int
 	recorded <-chan struct{}
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
--- a/internal/node/broker/origin.go
+++ b/internal/node/broker/origin.go
@@ -83,7 +83,7 @@
 	}
 	o := origin.Origin{Service: j.service.Name, Version: server.Version}
 	j.recorded = j.broker.Origins.Place(j.request.ID, j.route.Host, j.route.Prefix, o, j.placed)
-	j.placed = true
+	j.placed++
 }
 
 // beginStream binds the stream to the version of the backend server that has sent its
--- a/internal/node/broker/origin_test.go
+++ b/internal/node/broker/origin_test.go
@@ -19,7 +19,7 @@
 
 func (originList) Restrict(string, string) (origin.Origin, bool) { return origin.Origin{}, false }
 
-func (originList) Place(string, string, string, origin.Origin, bool) <-chan struct{} { return nil }
+func (originList) Place(string, string, string, origin.Origin, int) <-chan struct{} { return nil }
 
 func (l originList) Begin(_ context.Context, request string, o origin.Origin, _ <-chan struct{}) {
 	l[request] = o
--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,6 +100,20 @@
 	return o.Version, nil
 }
 
+// count returns the number of writes.
+func (m *memoryStore) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
+
+// keys returns the keys of all objects.
+func (m *memoryStore) keys() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.objects))
+}
+
 func (m *memoryStore) set(down bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -129,8 +144,12 @@
 	cluster
 	store *memoryStore
 	stop  context.CancelFunc
+	// drop, if set, says which datagrams are lost.
+	drop atomic.Pointer[func(from, to string) bool]
 }
 
+func (s *system) lose(drop func(from, to string) bool) { s.drop.Store(&drop) }
+
 // start starts processes, as many as before if there were some.
 func (s *system) start(t *testing.T, size int, versions ...string) {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -145,6 +164,7 @@
 		go func() { _ = n.origins.defaults.Run(ctx) }()
 		go func() { _ = n.origins.recorder.Run(ctx) }()
 		go func() { _ = n.origins.recall.Run(ctx) }()
+		go s.deliver(ctx, s.cluster, n)
 	}
 	time.Sleep(3 * time.Second)
 	for _, n := range s.cluster {
@@ -152,6 +172,25 @@
 	}
 }
 
+// deliver delivers the datagrams of a process, but for those that drop accepts.
+func (s *system) deliver(ctx context.Context, all cluster, n *Node) {
+	for {
+		e, err := n.coordination.outbox.Pop(ctx)
+		if err != nil {
+			return
+		}
+		if drop := s.drop.Load(); drop != nil && (*drop)(n.Name, e.to) {
+			continue
+		}
+		time.Sleep(time.Millisecond)
+		for _, to := range all {
+			if to.Name == e.to {
+				to.handleStatus(e.message)
+			}
+		}
+	}
+}
+
 func (*system) poll() time.Duration { return time.Second }
 
 // setVersions gives a process servers of the versions.
@@ -180,7 +219,7 @@
 // begin begins a stream at a process.
 func (s *system) begin(n *Node, request, version string) {
 	o := origin.Origin{Service: "s", Version: version}
-	recorded := n.origins.Place(request, "h", "/talk/", o, false)
+	recorded := n.origins.Place(request, "h", "/talk/", o, 0)
 	n.origins.Begin(context.Background(), request, o, recorded)
 }
 
@@ -200,11 +239,11 @@
 			for _, n := range s.cluster {
 				s.setVersions(n, []string{"v1", "v1", "v2"})
 			}
-			writes := s.store.writes
+			writes := s.store.count()
 			for i := range 10 {
 				s.begin(s.cluster[i%size], fmt.Sprint("old", i), "v1")
 			}
-			assert.Equal(t, writes, s.store.writes, "streams that begin at the default are not recorded")
+			assert.Equal(t, writes, s.store.count(), "streams that begin at the default are not recorded")
 			for i := range 10 {
 				s.begin(s.cluster[i%size], fmt.Sprint("new", i), "v2")
 			}
@@ -310,7 +349,7 @@
 		const size, perSecond, seconds = 6, 500, 10
 		s := &system{store: &memoryStore{}}
 		s.start(t, size, "v1", "v1", "v2")
-		writes := s.store.writes
+		writes := s.store.count()
 		var group sync.WaitGroup
 		for i := range perSecond * seconds {
 			group.Go(func() {
@@ -321,29 +360,64 @@
 			time.Sleep(time.Second / perSecond)
 		}
 		group.Wait()
-		assert.LessOrEqual(t, float64(s.store.writes-writes), seconds*400*recordWriteShare+size*recordBurst)
+		assert.LessOrEqual(t, float64(s.store.count()-writes), seconds*400*recordWriteShare+size*recordBurst)
 		time.Sleep(3 * minStreamLife)
-		for key := range s.store.objects {
+		for _, key := range s.store.keys() {
 			assert.False(t, strings.HasPrefix(key, "streams/"), key)
 		}
 		s.end()
 	})
 }
 
-// TestLaterRecordCountsAfterAClockStep checks that the later of two records of a stream is
-// the one that counts if the time of day went back between them.
-func TestLaterRecordCountsAfterAClockStep(t *testing.T) {
-	n := newNode(t)
+// TestStreamsAreRecordedWithoutTheWriter checks that streams are recorded in time while the
+// process that writes for all can't be reached.
+func TestStreamsAreRecordedWithoutTheWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{store: &memoryStore{}}
+		s.lose(func(from, to string) bool { return from == "a" || to == "a" })
+		s.start(t, 6, "v1", "v1", "v2")
+		assert.Equal(t, []string{"a"}, s.cluster[1].origins.recorder.writers())
+		for i := range 30 {
+			began := time.Now()
+			s.begin(s.cluster[1+i%5], fmt.Sprint("r", i), "v2")
+			assert.Less(t, time.Since(began), 2*writerTimeout)
+		}
+		s.restart(t, "v1", "v1", "v2")
+		for i := range 30 {
+			version, _ := s.found(s.cluster[1+(i+1)%5], fmt.Sprint("r", i))
+			assert.Equal(t, "v2", version)
+		}
+		s.end()
+	})
+}
+
+// TestStreamThatWasPlacedTwiceGoesOnAtTheSecondVersion checks that a record of an attempt
+// that failed does not count, also if it reaches the store later than that of the next one.
+func TestStreamThatWasPlacedTwiceGoesOnAtTheSecondVersion(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &system{store: &memoryStore{}}
+			s.start(t, 3, "v1", "v1", "v2")
+			n := s.cluster[1]
+			s.lose(func(string, string) bool { return lost })
+			n.origins.Place("r", "h", "/talk/", origin.Origin{Service: "s", Version: "v2"}, 0)
+			time.Sleep(5 * time.Millisecond)
+			s.lose(func(string, string) bool { return false })
+			byDefault := origin.Origin{Service: "s", Version: "v1"}
+			recorded := n.origins.Place("r", "h", "/talk/", byDefault, 1)
+			n.origins.Begin(t.Context(), "r", byDefault, recorded)
+			time.Sleep(time.Second)
+			s.restart(t, "v1", "v1", "v2")
+			version, _ := s.found(s.cluster[2], "r")
+			assert.Equal(t, "v1", version)
+			s.end()
+		})
+	}
+}
+
+// TestNumbersOfChunksGrow checks that no number comes twice if the time of day goes back.
+func TestNumbersOfChunksGrow(t *testing.T) {
 	var r recorder
 	now := time.Unix(1000, 0)
-	first, second := r.nextChunk(now), r.nextChunk(now.Add(-time.Hour))
-	n.Feed = &memoryStore{objects: map[string]store.Object{}}
-	for number, version := range map[int64]string{first: "v1", second: "v2"} {
-		key := fmt.Sprintf("streams/a.%x", number)
-		value := origin.EncodeRecords([]origin.Record{{Stream: 7, Origin: origin.Origin{Service: "s", Version: version}}})
-		n.Feed.(*memoryStore).objects[key] = store.Object{Key: key, Value: value, Version: 1}
-	}
-	assert.NoError(t, n.origins.recall.list(t.Context()))
-	o, _ := n.origins.table.Find(time.Now(), 7)
-	assert.Equal(t, "v2", o.Version)
+	assert.Less(t, r.nextChunk(now), r.nextChunk(now.Add(-time.Hour)))
 }
--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -67,12 +68,13 @@
 }
 
 // Place implements broker.Origins.
-func (s *origins) Place(request, host, prefix string, o origin.Origin, again bool) <-chan struct{} {
+func (s *origins) Place(request, host, prefix string, o origin.Origin, attempt int) <-chan struct{} {
 	now := time.Now()
-	if byDefault, known := s.defaults.find(now, origin.RouteKey(host, prefix)); known && byDefault == o && !again {
+	if byDefault, known := s.defaults.find(now, origin.RouteKey(host, prefix)); known && byDefault == o && attempt == 0 {
 		return nil
 	}
-	return s.recorder.add(now, origin.Record{Stream: origin.Key(request), Origin: o})
+	record := origin.Record{Stream: origin.Key(request), Origin: o, Attempt: uint8(min(attempt, math.MaxUint8))}
+	return s.recorder.record(now, record)
 }
 
 // Begin implements broker.Origins.
@@ -213,6 +215,7 @@
 		}
 		s.responded(m, message.From)
 	}
+	s.recorder.handle(now, message)
 	if len(message.StreamsAsked) == 0 {
 		return
 	}
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -5,9 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -123,29 +120,24 @@
 		r.node.Log.Info("records of streams can't be read", zap.Error(err))
 		return err
 	}
-	latest, order := map[uint64]origin.Origin{}, []uint64(nil)
+	var all []origin.Record
 	for _, o := range chunks {
 		records, err := origin.ParseRecords(o.Value)
 		if err != nil {
 			r.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
 			continue
 		}
-		for _, record := range records {
-			if _, known := latest[record.Stream]; !known {
-				order = append(order, record.Stream)
-			}
-			latest[record.Stream] = record.Origin
-		}
+		all = append(all, records...)
 	}
-	now := time.Now()
-	for _, key := range order {
-		r.node.origins.table.Record(now, key, latest[key])
+	now, latest := time.Now(), origin.Latest(all)
+	for key, record := range latest {
+		r.node.origins.table.Record(now, key, record.Origin)
 	}
-	r.node.Meters.Add("StreamsRecalled", int64(len(order)))
+	r.node.Meters.Add("StreamsRecalled", int64(len(latest)))
 	return nil
 }
 
-// read returns all entries with records, those written last at the end.
+// read returns all entries with records.
 func (r *recall) read(ctx context.Context) ([]store.Object, error) {
 	var all []store.Object
 	for after := ""; ; {
@@ -158,25 +150,9 @@
 			break
 		}
 	}
-	slices.SortFunc(all, func(a, b store.Object) int { return compareChunks(a.Key, b.Key) })
 	return all, nil
 }
 
-// compareChunks orders the keys of chunks by the time at which they were begun, as each
-// process counts it: a stream is recorded by one process only.
-func compareChunks(a, b string) int {
-	return int(min(max(chunkNumber(a)-chunkNumber(b), -1), 1))
-}
-
-// chunkNumber returns the number at the end of a chunk's key, 0 if there is none.
-func chunkNumber(key string) int64 {
-	number, err := strconv.ParseInt(key[strings.LastIndexByte(key, '.')+1:], 16, 64)
-	if err != nil {
-		return 0
-	}
-	return number
-}
-
 // sweep removes the entries to which nothing has been added for the life of a stream. One
 // process does so for all.
 func (r *recall) sweep(ctx context.Context) {
--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -4,19 +4,25 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/fleet/origin"
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 // recorder writes the origins of streams to the store, so that they outlive all
-// processes. One call writes all records that wait. It is safe for concurrent use.
+// processes. One call writes all records that wait, and a few processes, the writers, write
+// those of all. A process that gets no response from its writer writes by itself, which
+// does no harm if both do. It is safe for concurrent use.
 type recorder struct {
 	node *Node
 	wake chan struct{}
@@ -24,6 +30,8 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	pending []*recording
+	// delegated are the records that the writer has been asked to write.
+	delegated map[recordKey]*recording
 	// written are the records of the last recordLife, oldest first; they are written again
 	// if the store has lost them.
 	written []written
@@ -38,10 +46,20 @@
 type recording struct {
 	origin.Record
 	added time.Time
-	// done is closed once the record is in the store.
+	// done is closed once the record is in the store. It is nil if the record is that of a
+	// peer, which is told.
 	done chan struct{}
+	peer string
 }
 
+// recordKey identifies a record.
+type recordKey struct {
+	stream  uint64
+	attempt uint8
+}
+
+func (r *recording) key() recordKey { return recordKey{r.Stream, r.Attempt} }
+
 // written is a record in the store.
 type written struct {
 	origin.Record
@@ -61,7 +79,7 @@
 	maxPending = 4096
 	maxWritten = 1 << 14
 	// chunkRecords is the number of records from which on the next entry is begun.
-	chunkRecords = 256
+	chunkRecords = 512
 	// recordPatience is how long a record waits to be written. Its client has its events
 	// by then.
 	recordPatience = 2 * time.Second
@@ -71,8 +89,15 @@
 	recordWriteShare = 0.5
 	recordBurst      = 4
 	// recordSpacing is the least mean time between two calls of one process. Calls are
-	// paid for, and an engine needs about as long until the first event.
-	recordSpacing = 50 * time.Millisecond
+	// paid for, and an engine needs longer until the first event.
+	recordSpacing = 15 * time.Millisecond
+	// processesPerWriter is the number of processes for which one writes records.
+	processesPerWriter = 64
+	// writerTimeout is how long a process waits for its writer before it writes a record by
+	// itself.
+	writerTimeout = 60 * time.Millisecond
+	// maxRecordsTold bounds the records in one message, so that it fits one packet.
+	maxRecordsTold = 40
 	// minRecordRate is the least number of calls per second of one process.
 	minRecordRate = 0.5
 	// recordBackoff is the mean pause after a failed write. For recordPause after it no
@@ -84,21 +109,91 @@
 	recordTimeout = 400 * time.Millisecond
 )
 
-func newRecorder(n *Node) *recorder { return &recorder{node: n, wake: make(chan struct{}, 1)} }
+func newRecorder(n *Node) *recorder {
+	return &recorder{node: n, wake: make(chan struct{}, 1), delegated: map[recordKey]*recording{}}
+}
+
+// writers returns the processes that write the records of all.
+func (r *recorder) writers() []string {
+	return r.node.peers.Coordinators(originsKey, r.node.stopping.Load(), 1+r.node.peers.Live()/processesPerWriter)
+}
+
+// writer returns the process that writes the records of this one.
+func (r *recorder) writer() string {
+	writers := r.writers()
+	if len(writers) == 0 || slices.Contains(writers, r.node.Name) {
+		return r.node.Name
+	}
+	return writers[xxhash.Sum64String(r.node.Name)%uint64(len(writers))]
+}
+
+// record has a record written and returns a channel that is closed once it is in the store.
+// If too many wait, it is not written, and the channel is never closed.
+func (r *recorder) record(now time.Time, record origin.Record) <-chan struct{} {
+	own := &recording{Record: record, added: now, done: make(chan struct{})}
+	writer := r.writer()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if writer == r.node.Name || len(r.delegated) >= maxPending {
+		r.add(own)
+		return own.done
+	}
+	r.delegated[own.key()] = own
+	time.AfterFunc(writerTimeout, func() { r.takeBack(own) })
+	r.node.coordination.push(writer, &wire.News{Records: []*wire.StreamRecord{{
+		Stream: record.Stream, Service: record.Service, Version: record.Version, Attempt: uint32(record.Attempt),
+	}}})
+	return own.done
+}
 
-// add queues a record and returns a channel that is closed once it is in the store. If too
-// many wait, it is not written, and the channel is never closed.
-func (r *recorder) add(now time.Time, record origin.Record) <-chan struct{} {
-	done := make(chan struct{})
+// takeBack queues a record that the writer has not written in time.
+func (r *recorder) takeBack(own *recording) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.delegated[own.key()] == own {
+		delete(r.delegated, own.key())
+		r.add(own)
+	}
+}
+
+// handle handles the records of a peer, and what it says of those that it has written.
+func (r *recorder) handle(now time.Time, message *wire.News) {
+	if len(message.Records)+len(message.Recorded) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range message.Records {
+		o := origin.Origin{Service: m.Service, Version: m.Version}
+		if o.Valid() && m.Attempt <= math.MaxUint8 {
+			r.add(&recording{Record: origin.Record{Stream: m.Stream, Origin: o, Attempt: uint8(m.Attempt)}, added: now, peer: message.From})
+		}
+	}
+	for _, m := range message.Recorded {
+		key := recordKey{m.Stream, uint8(m.Attempt)}
+		if own, waits := r.delegated[key]; waits {
+			delete(r.delegated, key)
+			r.finish(now, own)
+		}
+	}
+}
+
+// add queues a record. r.mu must be held.
+func (r *recorder) add(record *recording) {
 	if len(r.pending) >= maxPending {
 		r.node.Meters.Add("StreamsNotRecorded", 1)
-		return done
+		return
 	}
-	r.pending = append(r.pending, &recording{record, now, done})
+	r.pending = append(r.pending, record)
 	r.wakeUp()
-	return done
+}
+
+// finish ends the wait for a record that is in the store. r.mu must be held.
+func (r *recorder) finish(now time.Time, record *recording) {
+	if record.done != nil {
+		close(record.done)
+	}
+	r.written = append(r.written, written{record.Record, now})
 }
 
 func (r *recorder) wakeUp() {
@@ -132,7 +227,7 @@
 	r.written = nil
 	for _, w := range again {
 		if now.Sub(w.at) < r.node.streamLife() && len(r.pending) < maxPending {
-			r.pending = append(r.pending, &recording{w.Record, now, make(chan struct{})})
+			r.pending = append(r.pending, &recording{Record: w.Record, added: now})
 		}
 	}
 	r.wakeUp()
@@ -168,9 +263,13 @@
 	return next
 }
 
-// interval returns the mean time between two calls of this process.
+// interval returns the mean time between two calls of this process. Those that are not
+// writers have their share as well, for the case that they get no response from one.
 func (r *recorder) interval() time.Duration {
 	share := recordWriteShare * r.node.StoreWrites / float64(r.node.peers.Members())
+	if writers := r.writers(); slices.Contains(writers, r.node.Name) {
+		share = recordWriteShare * r.node.StoreWrites / float64(len(writers))
+	}
 	return max(time.Duration(float64(time.Second)/max(share, minRecordRate)), recordSpacing)
 }
 
@@ -227,7 +326,7 @@
 }
 
 // nextChunk returns the number of the next chunk. It grows also if the time of day goes
-// back, since the later record of a stream counts.
+// back, so that no number comes twice.
 func (r *recorder) nextChunk(now time.Time) int64 {
 	r.lastChunk = max(r.lastChunk+1, now.UnixNano())
 	return r.lastChunk
@@ -247,9 +346,17 @@
 	}
 	r.failed = time.Time{}
 	r.node.Meters.Add("StreamsRecorded", int64(len(batch)))
+	told := map[string][]*wire.StreamRecord{}
 	for _, p := range batch {
-		close(p.done)
-		r.written = append(r.written, written{p.Record, now})
+		r.finish(now, p)
+		if p.peer != "" {
+			told[p.peer] = append(told[p.peer], &wire.StreamRecord{Stream: p.Stream, Attempt: uint32(p.Attempt)})
+		}
+	}
+	for peer, list := range told {
+		for part := range slices.Chunk(list, maxRecordsTold) {
+			r.node.coordination.push(peer, &wire.News{Recorded: part})
+		}
 	}
 	expired := max(len(r.written)-maxWritten, 0)
 	for expired < len(r.written) && now.Sub(r.written[expired].at) > r.node.streamLife() {
