--- a/internal/node/broker/origin.go
+++ b/internal/node/broker/origin.go
@@ -32,6 +32,11 @@
 // limited reports whether only servers of the version are allowed.
 func (s software) limited() bool { return s.bound || s.restricted }
 
+// sameVersion reports whether both are restricted to the same version.
+func (s software) sameVersion(o software) bool {
+	return s.limited() && o.limited() && s.version == o.version
+}
+
 // findOrigin binds a stream that the client resumes to the service and version that began
 // it. It returns false if they are not known, or the route leads to that service no more.
 func (j *job) findOrigin() bool {
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -324,17 +324,23 @@
 // maxExpectedWait bounds the expected wait. It is longer than any timeout.
 const maxExpectedWait = time.Hour
 
-// ahead counts the units of the waiters that n does not precede.
+// ahead counts the units of the waiters that n does not precede and that compete with it.
 func (q *queue) ahead(n need) int {
 	sum := 0
 	for _, other := range q.waiting {
-		if !n.precedes(other.need) {
+		if !n.precedes(other.need) && n.competes(other.need) {
 			sum += other.need.size()
 		}
 	}
 	return sum
 }
 
+// competes reports whether o, in the same queue, may take what n waits for. Those that wait
+// for the backend servers of a single version leave the others free.
+func (n need) competes(o need) bool {
+	return n.key.role == roster.Prefill || !o.software.limited() || n.software.sameVersion(o.software)
+}
+
 // precedes reports whether n is served before o although it has come later: resumed
 // streams come first, since new ones can begin at the servers of any version, and then
 // those of a higher priority.
@@ -361,7 +367,9 @@
 	rate, ahead := v.throughput(typical.need), v.first.peerLoad.Waiting
 	for _, w := range q.waiting {
 		waited := now.Sub(w.since)
-		ahead += w.need.size()
+		if typical.need.competes(w.need) {
+			ahead += w.need.size()
+		}
 		expected := expectedWait(ahead, rate)
 		if w.need.software.bound {
 			expected = 0
