core: the test of a late process ends its follower

The review's test TestStreamsBegunByProcessThatWasToldLateAreNotGuessed assigned a function that it never called before assigning another one, which staticcheck reports (SA4006). The context is made once now and always cancelled.

--- a/internal/node/core/review_test.go
+++ b/internal/node/core/review_test.go
@@ -156,9 +156,10 @@
 		const timeout = 30 * time.Second
 		s := &system{store: &memoryStore{}}
 		s.start(t, 3, "v1", "v1", "v1")
-		late, ctx, cut := newNode(t), t.Context(), func() {}
+		late := newNode(t)
 		late.Feed, late.Name = s.store, "late"
-		ctx, cut = context.WithCancel(ctx)
+		ctx, cut := context.WithCancel(t.Context())
+		defer cut()
 		go func() { _ = late.follower(late.Keys.OriginsKind, late.origins.defaults, s.poll, nil).Run(ctx) }()
 		for _, n := range s.cluster {
 			n.activate([]byte(strings.NewReplacer(`"Version":1`, `"Version":2`, "5000", fmt.Sprint(timeout.Milliseconds())).Replace(talk)), "test")
