core: records of streams are removed also while some are asked for (LOST)

What callers saw: nothing yet; the records in the store would have grown until their list takes longer than a resumed stream may wait for it, and then each one that nobody remembers is refused.

Result: TestSweepGoesOnWhileStreamsAreAskedFor green (red before: 1 entry after 5 minutes with a question each 15 s). TestSlowSweepDoesNotHoldUpResumedStreams, green so far only because nothing was swept, is red now and listed: 2 of 300 refused while 1,000 entries are removed at 4 ms each.

--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -86,17 +86,18 @@
 			return ctx.Err()
 		}
 	}
+	sweep := time.NewTimer(r.node.streamLife() / sweepPerLife)
+	defer sweep.Stop()
 	for ctx.Err() == nil {
-		sweep := time.NewTimer(r.node.streamLife() / sweepPerLife)
 		select {
 		case <-r.wake:
 			r.serve(ctx)
 			timer.Wait(ctx, recallPause)
 		case <-sweep.C:
 			r.sweep(ctx)
+			sweep.Reset(r.node.streamLife() / sweepPerLife)
 		case <-ctx.Done():
 		}
-		sweep.Stop()
 	}
 	return ctx.Err()
 }
