core: resumed streams are served while old records are removed (LOST)

What callers saw: resumed streams that nobody remembers are refused while one process removes old records.

Cause: the task that reads the records for them also removes the old ones, one call after the other; with 1,000 entries at 4 ms, or 17 at 240 ms in a slow store, that takes longer than the second that a request waits.

Change: the requests that wait are served between two removals, at most once in recallPause.

--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -179,7 +179,7 @@
 }
 
 // sweep removes the entries to which nothing has been added for the life of a stream. One
-// process does so for all.
+// process does so for all, and serves the requests that wait meanwhile.
 func (r *recall) sweep(ctx context.Context) {
 	if !r.node.keepsOrigins() {
 		clear(r.seen)
@@ -190,7 +190,12 @@
 		return
 	}
 	now, present := time.Now(), map[string]sighting{}
+	served := now
 	for _, o := range chunks {
+		if time.Since(served) > recallPause {
+			r.serve(ctx)
+			served = time.Now()
+		}
 		s, known := r.seen[o.Key]
 		if !known || s.version != o.Version {
 			s = sighting{o.Version, now}
