core: a process that becomes keeper again counts anew (ORDER)

What callers could see: a resumed stream goes on at another version after all processes were killed.

Cause: how long a default has been suspended is counted from when the keeper first saw it so. A process that is keeper, then not, then again kept these times: others may have put another default in force and suspended that meanwhile, which is then replaced at once instead of after the life of a stream.

Change: a process forgets what it has seen whenever it isn't the keeper or hasn't heard of the store.

Result: TestKeeperThatWasReplacedMeanwhileHoldsDefaultsSuspended green (red before); go test ./internal/node/core -run 'TestOldVersion|TestOriginsOutlive|TestNothing|TestStoreFrom' green.

Conclusion: a memory is used only for as long as it has been kept; a change of keeper costs time only.

--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -137,9 +137,12 @@
 // Run keeps the entry in the store until ctx ends and returns its error.
 func (d *defaults) Run(ctx context.Context) error {
 	for timer.Wait(ctx, defaultsInterval) {
-		if d.node.Ready() && d.node.keepsOrigins() {
-			d.keep(ctx, time.Now())
+		if !d.node.Ready() || !d.node.keepsOrigins() {
+			// What others do with the entry meanwhile isn't seen.
+			d.keeper = origin.Keeper{}
+			continue
 		}
+		d.keep(ctx, time.Now())
 	}
 	return ctx.Err()
 }
@@ -150,6 +153,7 @@
 	current, version, era, heard := d.current, d.version, d.era, d.heard
 	d.mu.Unlock()
 	if now.Sub(heard) > defaultsTrust {
+		d.keeper = origin.Keeper{}
 		return
 	}
 	next, changed := d.keeper.Next(now, era, current, d.routes(), d.node.streamLife())
