core: a default stays suspended also for the time until all processes know it (ORDER)

What callers could see: with timeouts of 20 s and more, a resumed stream goes on at another version if the process that began it was without the store and its peers, and has ended.

Cause: a process takes the default to be current for 40 s after it last heard of the store, and begins streams there without a record; the default was suspended for the life of a stream only, counted from the change. The last such stream begins 40 s later.

Result: TestStreamsBegunByProcessThatWasToldLateAreNotGuessed green (before: v2 for a stream of v1 that was 24.4 s old, with a timeout of 30 s); the other tests of internal/node/core unchanged.

Conclusion: streams are recorded for 40 s more after a release; nothing is assumed too early.

--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -156,7 +156,8 @@
 		d.keeper = origin.Keeper{}
 		return
 	}
-	next, changed := d.keeper.Next(now, era, current, d.routes(), d.node.streamLife())
+	// A process that is told late begins streams at the default before for defaultsTrust.
+	next, changed := d.keeper.Next(now, era, current, d.routes(), defaultsTrust+d.node.streamLife())
 	if !changed && version != 0 || len(next.Routes) == 0 {
 		return
 	}
