core: records are written again after the first return of the store too (LOST)

What callers saw: after the store came back from an older copy for the first time, streams whose records it had lost are refused once the processes that remember them end.

Cause: processes write their records again when the era rises, but took era 0 for 'none heard of yet'. The store counts how often it came back: the first return is that from 0 to 1.

Change: whether the store was heard of is asked of the time at which it was.

--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -94,9 +94,8 @@
 // Change implements follow.View.
 func (d *defaults) Change(page store.Page) {
 	d.mu.Lock()
-	before := d.era
+	lost := d.behind(page)
 	d.heard, d.era = time.Now(), max(d.era, store.Era(page.Revision))
-	lost := before != 0 && d.era > before
 	for _, o := range page.Objects {
 		if objectName(o) == defaultsName {
 			d.apply(o)
@@ -108,6 +107,12 @@
 	}
 }
 
+// behind reports whether the page is of a later era of the store than the defaults. d.mu
+// must be held.
+func (d *defaults) behind(page store.Page) bool {
+	return !d.heard.IsZero() && store.Era(page.Revision) > d.era
+}
+
 // apply takes over the entry. An invalid one, or none, leaves nothing assumed. d.mu must
 // be held.
 func (d *defaults) apply(o store.Object) {
