core: records and defaults of two eras of the store say nothing together (ORDER)

What callers could see: a stream goes on at another version, just after the store came back from an older copy that lacks its record.

Cause: records are listed, defaults are watched, each by itself. Until the watch has noticed the return, for up to a long poll, a stream without a record was taken for one of the default of the era before.

Change: a list of a later era than that of the defaults fails, so that nothing is assumed.

Conclusion: not found counts as knowledge only where the list is as new as the defaults.

--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// precedes reports whether the page is of a later era of the store than the defaults.
+func (d *defaults) precedes(page store.Page) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.behind(page)
+}
+
 // behind reports whether the page is of a later era of the store than the defaults. d.mu
 // must be held.
 func (d *defaults) behind(page store.Page) bool {
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -51,6 +51,9 @@
 	sweepPerLife = 2
 )
 
+// errStoreBack means that records may have been lost since the defaults were heard of.
+var errStoreBack = errors.New("the store has come back from an older copy")
+
 func newRecall(n *Node) *recall {
 	return &recall{node: n, wake: make(chan struct{}, 1), seen: map[string]sighting{}}
 }
@@ -154,6 +157,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("list records of streams: %w", err)
 		}
+		if r.node.origins.defaults.precedes(page) {
+			return nil, errStoreBack
+		}
 		all = append(all, page.Objects...)
 		if after = page.Next; after == "" {
 			break
