core: records that are written again come before those that wait (ORDER)

What callers could see: after the store came back and all processes ended, a stream goes on at the version of an attempt that failed before its first event.

Cause: of several records of a stream the last one counts. Those that are written again were queued behind those that wait, so that the record of a failed attempt came behind that of the next one.

Change: they come first, in their order; if there is no room for all, the oldest are left out.

Result: TestRecordsKeepTheirOrderWhenTheyAreWrittenAgain green (red before: v1, v2 instead of v2, v1); go test ./internal/node/core -run 'TestRecords|TestStoreFrom' green.

Conclusion: the order of records is that of the attempts in each case that was found.

--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -121,17 +121,19 @@
 	return len(r.pending) > 0
 }
 
-// rewrite writes the records again that the store may have lost.
+// rewrite writes the records again that the store may have lost, before those that wait: the
+// last one of a stream counts.
 func (r *recorder) rewrite(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	again := r.written
-	r.written = nil
-	for _, w := range again {
-		if now.Sub(w.at) < r.node.streamLife() && len(r.pending) < maxPending {
-			r.pending = append(r.pending, &recording{w.Record, now, make(chan struct{})})
+	var again []*recording
+	room := max(maxPending-len(r.pending), 0)
+	for _, w := range r.written[max(len(r.written)-room, 0):] {
+		if now.Sub(w.at) < r.node.streamLife() {
+			again = append(again, &recording{w.Record, now, make(chan struct{})})
 		}
 	}
+	r.pending, r.written = append(again, r.pending...), nil
 	r.wakeUp()
 }
 
