core: first events don't wait for records that can't be written

What callers saw: while the store is away and a default is suspended (for a minute after each release), the first event of each new stream came 0.4 s late, over the objective of every route with streams.

Cause: each stream waited for its record, also when none had been written for longer than that.

Change: once writes have failed for longer than recordTimeout streams begin at once; their records wait to be written as before, and such streams count as StreamsBegunUnrecorded.

Result: TestFirstEventsAreNotHeldBackWhileRecordsCanNotBeWritten green, 20 of 20 streams late before; go test ./internal/node/core -run 'TestNothing|TestOrig|TestStore' green.

Conclusion: an outage of the store costs the record, as before, but no time.

--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -86,6 +86,10 @@
 	if recorded == nil {
 		return
 	}
+	if s.recorder.fails(time.Now()) {
+		s.node.Meters.Add("StreamsBegunUnrecorded", 1)
+		return
+	}
 	timeout := time.NewTimer(recordTimeout)
 	defer timeout.Stop()
 	select {
--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -27,8 +27,9 @@
 	// written are the records of the last recordLife, oldest first; they are written again
 	// if the store has lost them.
 	written []written
-	// failed is when the last write failed, zero if it did not.
-	failed time.Time
+	// failed is when the last write failed, zero if it did not, failingSince when the first
+	// one did since a write succeeded.
+	failed, failingSince time.Time
 }
 
 // recording is a record that waits to be written.
@@ -114,6 +115,13 @@
 	return !late && (r.failed.IsZero() || now.Sub(r.failed) > recordPause)
 }
 
+// fails reports whether no write has succeeded for longer than a client waits for one.
+func (r *recorder) fails(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.failingSince.IsZero() && now.Sub(r.failingSince) > recordTimeout
+}
+
 // waiting reports whether records wait.
 func (r *recorder) waiting() bool {
 	r.mu.Lock()
@@ -233,11 +241,14 @@
 		if r.failed.IsZero() && !errors.Is(err, context.Canceled) {
 			r.node.Log.Warn("origins of streams can't be written to the store", zap.Int("Records", len(batch)), zap.Error(err))
 		}
+		if r.failed.IsZero() {
+			r.failingSince = now
+		}
 		r.failed = now
 		r.pending = append(batch, r.pending...)
 		return
 	}
-	r.failed = time.Time{}
+	r.failed, r.failingSince = time.Time{}, time.Time{}
 	r.node.Meters.Add("StreamsRecorded", int64(len(batch)))
 	for _, p := range batch {
 		close(p.done)
