core: defaults that were lost or say nothing are not taken for the first ones (ORDER)

What callers could see: after all processes ended, streams go on at another version if the store came back from a copy older than the defaults, or another writer left an entry that says nothing.

Cause: without an entry the version that most servers have becomes the default at once, which is right only if no stream began before without a record. An entry that was lost with the records, and one that is empty or invalid, looked the same to a process that had just started.

Change: if the entry is there and says nothing, or is absent after the store came back, all routes count as suspended first.

Conclusion: only a store that never came back, and has no entry, is a new one.

--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -146,6 +146,16 @@
 	return next
 }
 
+// unknownDefaults returns the defaults after an entry that was lost or says nothing: streams
+// may go on that began without a record.
+func unknownDefaults(era uint64, routes []origin.Route) origin.Defaults {
+	d := origin.Defaults{Era: era}
+	for _, r := range routes {
+		d.Routes = append(d.Routes, origin.Default{Route: r.Key, Suspended: true})
+	}
+	return d
+}
+
 // Run keeps the entry in the store until ctx ends and returns its error.
 func (d *defaults) Run(ctx context.Context) error {
 	for timer.Wait(ctx, defaultsInterval) {
@@ -168,6 +178,9 @@
 		d.keeper = origin.Keeper{}
 		return
 	}
+	if len(current.Routes) == 0 && (version != 0 || era != 0) {
+		current = unknownDefaults(era, d.routes())
+	}
 	// A process that is told late begins streams at the default before for defaultsTrust.
 	next, changed := d.keeper.Next(now, era, current, d.routes(), defaultsTrust+d.node.streamLife())
 	if !changed && version != 0 || len(next.Routes) == 0 {
