core: a record of a placement is no memory of a beginning (ORDER)

What callers could see: a stream goes on at the version of an attempt that failed before its first event; with more than 131,072 records, one at the default although it was recorded elsewhere.

Cause: records were read into the table of what this process and its peers remember, where the first entry stays. A record is written when a request is sent. If that attempt fails and another process, or the same one, lists the records before the next attempt begins the stream elsewhere, the beginning is ignored there, and told to peers wrongly. The table also drops the oldest, silently.

Change: the records of the latest list are kept by themselves. Over 262,144 records nothing is known. TestOriginsOutliveAllProcesses expected 'Remembered' for streams that nobody alive remembers; it expects 'Recorded' now, the versions are checked as before.

Conclusion: what was begun, what was sent and what is assumed are three sources now, in this order.

--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -213,7 +213,7 @@
 				n := s.cluster[(i+1)%size]
 				version, source := s.found(n, fmt.Sprint("new", i))
 				assert.Equal(t, "v2", version)
-				assert.Equal(t, origin.Remembered, source, "the records were read at the start")
+				assert.Equal(t, origin.Recorded, source, "no process that lives remembers the stream")
 				version, source = s.found(n, fmt.Sprint("old", i))
 				assert.Equal(t, "v1", version)
 				assert.Equal(t, origin.ByDefault, source)
--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -117,6 +117,9 @@
 		return origin.Origin{}, origin.Unknown
 	}
 	if o, known := s.table.Find(time.Now(), key); known {
+		return o, origin.Remembered
+	}
+	if o, known := s.recall.find(key); known {
 		return o, origin.Recorded
 	}
 	return s.byDefault(host, prefix)
@@ -129,7 +132,7 @@
 		return origin.Origin{}, origin.Unknown
 	}
 	o, source := s.byDefault(host, prefix)
-	if source == origin.ByDefault && !s.table.Only(time.Now(), o) {
+	if source == origin.ByDefault && (!s.table.Only(time.Now(), o) || !s.recall.only(o)) {
 		return origin.Origin{}, origin.Unknown
 	}
 	return o, source
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -25,9 +25,11 @@
 	node *Node
 	wake chan struct{}
 
-	// mu guards waiting, the requests that wait for the next list.
-	mu      sync.Mutex
-	waiting []chan error
+	// mu guards waiting, the requests that wait for the next list, and recorded, which has
+	// the streams of the latest list and is not changed.
+	mu       sync.Mutex
+	waiting  []chan error
+	recorded map[uint64]origin.Origin
 	// seen has the entries by key and since when each has had its version. Only the task
 	// uses it.
 	seen map[string]sighting
@@ -40,6 +42,8 @@
 }
 
 const (
+	// maxRecalled bounds the records that are read. If there are more, nothing is known.
+	maxRecalled = 1 << 18
 	// recallTimeout bounds the wait of a request for the records in the store.
 	recallTimeout = time.Second
 	// recallPause is the least pause between two lists.
@@ -54,6 +58,9 @@
 // errStoreBack means that records may have been lost since the defaults were heard of.
 var errStoreBack = errors.New("the store has come back from an older copy")
 
+// errTooMany means that the records can't all be remembered.
+var errTooMany = errors.New("the store has too many records of streams")
+
 func newRecall(n *Node) *recall {
 	return &recall{node: n, wake: make(chan struct{}, 1), seen: map[string]sighting{}}
 }
@@ -81,7 +88,7 @@
 // Run lists the records until ctx ends and returns its error.
 func (r *recall) Run(ctx context.Context) error {
 	for !r.node.streamsListed.Load() {
-		if err := r.list(ctx); err == nil {
+		if err := r.list(ctx); err == nil || errors.Is(err, errTooMany) {
 			r.node.streamsListed.Store(true)
 			break
 		}
@@ -120,14 +127,14 @@
 	}
 }
 
-// list reads all records into the table of the streams.
+// list reads all records.
 func (r *recall) list(ctx context.Context) error {
 	chunks, err := r.read(ctx)
 	if err != nil {
 		r.node.Log.Info("records of streams can't be read", zap.Error(err))
 		return err
 	}
-	latest, order := map[uint64]origin.Origin{}, []uint64(nil)
+	latest := map[uint64]origin.Origin{}
 	for _, o := range chunks {
 		records, err := origin.ParseRecords(o.Value)
 		if err != nil {
@@ -135,20 +142,40 @@
 			continue
 		}
 		for _, record := range records {
-			if _, known := latest[record.Stream]; !known {
-				order = append(order, record.Stream)
-			}
 			latest[record.Stream] = record.Origin
 		}
+		if len(latest) > maxRecalled {
+			return errTooMany
+		}
 	}
-	now := time.Now()
-	for _, key := range order {
-		r.node.origins.table.Record(now, key, latest[key])
-	}
-	r.node.Meters.Add("StreamsRecalled", int64(len(order)))
+	r.mu.Lock()
+	r.recorded = latest
+	r.mu.Unlock()
+	r.node.Meters.Add("StreamsRecalled", int64(len(latest)))
 	return nil
 }
 
+// find returns the recorded origin of a stream, as of the latest list. A stream of which a
+// process remembers the beginning may have begun elsewhere since.
+func (r *recall) find(key uint64) (origin.Origin, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, known := r.recorded[key]
+	return o, known
+}
+
+// only reports whether all streams that are recorded of a service began at its version.
+func (r *recall) only(o origin.Origin) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range r.recorded {
+		if other.Service == o.Service && other != o {
+			return false
+		}
+	}
+	return true
+}
+
 // read returns all entries with records, those written last at the end.
 func (r *recall) read(ctx context.Context) ([]store.Object, error) {
 	var all []store.Object
