--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -156,6 +156,10 @@
 	q := b.queue(w.need.key)
 	v := b.views(w.since, w)
 	if v.first.usable == 0 {
+		if b.pauseEnds(w) {
+			q.waiting = append(q.waiting, w)
+			return
+		}
 		w.deliver(nil, errNoServer)
 		return
 	}
@@ -176,6 +180,15 @@
 	q.waiting = append(q.waiting, w)
 }
 
+// pauseEnds reports whether a backend server that can go on with a resumed stream wants
+// no request now, but will before the wait is too long. b.mu must be held.
+func (b *Broker) pauseEnds(w *waiter) bool {
+	n, end := w.need, w.since.Add(w.need.maxWait)
+	return n.software.bound && n.key.role != roster.Prefill && slices.ContainsFunc(b.Roster.Service(n.key.service), func(s roster.Server) bool {
+		return s.Role == n.key.role && n.software.accepts(s) && !b.Usage.Get(end, s).Paused
+	})
+}
+
 // withdraw removes a canceled waiter from its queue.
 func (b *Broker) withdraw(w *waiter) {
 	b.mu.Lock()
