--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -156,6 +156,10 @@
 	q := b.queue(w.need.key)
 	v := b.views(w.since, w)
 	if v.first.usable == 0 {
+		if b.pauseEnds(w) {
+			q.waiting = append(q.waiting, w)
+			return
+		}
 		w.deliver(nil, errNoServer)
 		return
 	}
@@ -176,6 +180,15 @@
 	q.waiting = append(q.waiting, w)
 }
 
+// pauseEnds reports whether a backend server that can go on with a resumed stream wants
+// no request now, but will before the wait is too long. b.mu must be held.
+func (b *Broker) pauseEnds(w *waiter) bool {
+	n, end := w.need, w.since.Add(w.need.maxWait)
+	return n.software.bound && n.key.role != roster.Prefill && slices.ContainsFunc(b.Roster.Service(n.key.service), func(s roster.Server) bool {
+		return s.Role == n.key.role && n.software.accepts(s) && !b.Usage.Get(end, s).Paused
+	})
+}
+
 // withdraw removes a canceled waiter from its queue.
 func (b *Broker) withdraw(w *waiter) {
 	b.mu.Lock()
@@ -324,18 +337,23 @@
 // maxExpectedWait bounds the expected wait. It is longer than any timeout.
 const maxExpectedWait = time.Hour
 
-// ahead counts the units of the waiters that n does not precede, but for those that wait
-// for the servers of another version.
+// ahead counts the units of the waiters that n does not precede and that compete with it.
 func (q *queue) ahead(n need) int {
 	sum := 0
 	for _, other := range q.waiting {
-		if !n.precedes(other.need) && n.software.competes(other.need.software) {
+		if !n.precedes(other.need) && n.competes(other.need) {
 			sum += other.need.size()
 		}
 	}
 	return sum
 }
 
+// competes reports whether o, in the same queue, may take what n waits for. Those that wait
+// for the backend servers of a single version leave the others free.
+func (n need) competes(o need) bool {
+	return n.key.role == roster.Prefill || !o.software.limited() || n.software.sameVersion(o.software)
+}
+
 // precedes reports whether n is served before o although it has come later: resumed
 // streams come first, since new ones can begin at the servers of any version, and then
 // those of a higher priority.
@@ -362,7 +380,9 @@
 	rate, ahead := v.throughput(typical.need), v.first.peerLoad.Waiting
 	for _, w := range q.waiting {
 		waited := now.Sub(w.since)
-		ahead += w.need.size()
+		if typical.need.competes(w.need) {
+			ahead += w.need.size()
+		}
 		expected := expectedWait(ahead, rate)
 		if w.need.software.bound {
 			expected = 0
--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -94,9 +94,8 @@
 // Change implements follow.View.
 func (d *defaults) Change(page store.Page) {
 	d.mu.Lock()
-	before := d.era
+	lost := d.behind(page)
 	d.heard, d.era = time.Now(), max(d.era, store.Era(page.Revision))
-	lost := before != 0 && d.era > before
 	for _, o := range page.Objects {
 		if objectName(o) == defaultsName {
 			d.apply(o)
@@ -108,6 +107,19 @@
 	}
 }
 
+// precedes reports whether the page is of a later era of the store than the defaults.
+func (d *defaults) precedes(page store.Page) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.behind(page)
+}
+
+// behind reports whether the page is of a later era of the store than the defaults. d.mu
+// must be held.
+func (d *defaults) behind(page store.Page) bool {
+	return !d.heard.IsZero() && store.Era(page.Revision) > d.era
+}
+
 // apply takes over the entry. An invalid one, or none, leaves nothing assumed. d.mu must
 // be held.
 func (d *defaults) apply(o store.Object) {
@@ -134,12 +146,25 @@
 	return next
 }
 
+// unknownDefaults returns the defaults after an entry that was lost or says nothing: streams
+// may go on that began without a record.
+func unknownDefaults(era uint64, routes []origin.Route) origin.Defaults {
+	d := origin.Defaults{Era: era}
+	for _, r := range routes {
+		d.Routes = append(d.Routes, origin.Default{Route: r.Key, Suspended: true})
+	}
+	return d
+}
+
 // Run keeps the entry in the store until ctx ends and returns its error.
 func (d *defaults) Run(ctx context.Context) error {
 	for timer.Wait(ctx, defaultsInterval) {
-		if d.node.Ready() && d.node.keepsOrigins() {
-			d.keep(ctx, time.Now())
+		if !d.node.Ready() || !d.node.keepsOrigins() {
+			// What others do with the entry meanwhile isn't seen.
+			d.keeper = origin.Keeper{}
+			continue
 		}
+		d.keep(ctx, time.Now())
 	}
 	return ctx.Err()
 }
@@ -150,9 +175,14 @@
 	current, version, era, heard := d.current, d.version, d.era, d.heard
 	d.mu.Unlock()
 	if now.Sub(heard) > defaultsTrust {
+		d.keeper = origin.Keeper{}
 		return
 	}
-	next, changed := d.keeper.Next(now, era, current, d.routes(), d.node.streamLife())
+	if len(current.Routes) == 0 && (version != 0 || era != 0) {
+		current = unknownDefaults(era, d.routes())
+	}
+	// A process that is told late begins streams at the default before for defaultsTrust.
+	next, changed := d.keeper.Next(now, era, current, d.routes(), defaultsTrust+d.node.streamLife())
 	if !changed && version != 0 || len(next.Routes) == 0 {
 		return
 	}
--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -88,6 +88,10 @@
 	if recorded == nil {
 		return
 	}
+	if s.recorder.fails(time.Now()) {
+		s.node.Meters.Add("StreamsBegunUnrecorded", 1)
+		return
+	}
 	timeout := time.NewTimer(recordTimeout)
 	defer timeout.Stop()
 	select {
@@ -115,6 +119,9 @@
 		return origin.Origin{}, origin.Unknown
 	}
 	if o, known := s.table.Find(time.Now(), key); known {
+		return o, origin.Remembered
+	}
+	if o, known := s.recall.find(key); known {
 		return o, origin.Recorded
 	}
 	return s.byDefault(host, prefix)
@@ -127,7 +134,7 @@
 		return origin.Origin{}, origin.Unknown
 	}
 	o, source := s.byDefault(host, prefix)
-	if source == origin.ByDefault && !s.table.Only(time.Now(), o) {
+	if source == origin.ByDefault && (!s.table.Only(time.Now(), o) || !s.recall.only(o)) {
 		return origin.Origin{}, origin.Unknown
 	}
 	return o, source
--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -35,8 +35,9 @@
 	// written are the records of the last recordLife, oldest first; they are written again
 	// if the store has lost them.
 	written []written
-	// failed is when the last write failed, zero if it did not.
-	failed time.Time
+	// failed is when the last write failed, zero if it did not, failingSince when the first
+	// one did since a write succeeded.
+	failed, failingSince time.Time
 
 	// lastChunk is the number of the latest chunk. Only the task uses it.
 	lastChunk int64
@@ -212,6 +213,13 @@
 	return !late && (r.failed.IsZero() || now.Sub(r.failed) > recordPause)
 }
 
+// fails reports whether no write has succeeded for longer than a client waits for one.
+func (r *recorder) fails(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.failingSince.IsZero() && now.Sub(r.failingSince) > recordTimeout
+}
+
 // waiting reports whether records wait.
 func (r *recorder) waiting() bool {
 	r.mu.Lock()
@@ -223,13 +231,14 @@
 func (r *recorder) rewrite(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	again := r.written
-	r.written = nil
-	for _, w := range again {
-		if now.Sub(w.at) < r.node.streamLife() && len(r.pending) < maxPending {
-			r.pending = append(r.pending, &recording{Record: w.Record, added: now})
+	var again []*recording
+	room := max(maxPending-len(r.pending), 0)
+	for _, w := range r.written[max(len(r.written)-room, 0):] {
+		if now.Sub(w.at) < r.node.streamLife() {
+			again = append(again, &recording{Record: w.Record, added: now})
 		}
 	}
+	r.pending, r.written = append(again, r.pending...), nil
 	r.wakeUp()
 }
 
@@ -340,11 +349,14 @@
 		if r.failed.IsZero() && !errors.Is(err, context.Canceled) {
 			r.node.Log.Warn("origins of streams can't be written to the store", zap.Int("Records", len(batch)), zap.Error(err))
 		}
+		if r.failed.IsZero() {
+			r.failingSince = now
+		}
 		r.failed = now
 		r.pending = append(batch, r.pending...)
 		return
 	}
-	r.failed = time.Time{}
+	r.failed, r.failingSince = time.Time{}, time.Time{}
 	r.node.Meters.Add("StreamsRecorded", int64(len(batch)))
 	told := map[string][]*wire.StreamRecord{}
 	for _, p := range batch {
