core: records of streams do not wait for the end of a slow call

What callers would see: in a slow store (240 ms a call) the first events of streams at another version than the default came after 0.4 s, without a record.

Cause: one task wrote the records, one call at a time, so that a record waited for the end of the call before its own.

Change: 16 tasks write, spaced as before; a task that finds nothing left returns its call.

Conclusion: first events wait for at most one call, also where the store takes its longest.

--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -162,7 +162,9 @@
 		s.setVersions(n, versions)
 		go func() { _ = n.follower(n.Keys.OriginsKind, n.origins.defaults, s.poll, nil).Run(ctx) }()
 		go func() { _ = n.origins.defaults.Run(ctx) }()
-		go func() { _ = n.origins.recorder.Run(ctx) }()
+		for range recordTasks {
+			go func() { _ = n.origins.recorder.Run(ctx) }()
+		}
 		go func() { _ = n.origins.recall.Run(ctx) }()
 		go s.deliver(ctx, s.cluster, n)
 	}
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -21,7 +21,7 @@
 //	Write      writes those in quarantine to the store
 //	Defaults   watches in the store where streams begin by default
 //	Keep       keeps that entry up to date
-//	Record     writes the origins of other streams to the store
+//	Record1..  write the origins of other streams to the store
 //	Recall     reads them when the process starts and when nobody remembers a stream
 //	Send       sends status messages to the peers
 //	Receive    handles messages from the peers
@@ -33,6 +33,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -212,7 +213,7 @@
 
 // Run runs the tasks until ctx ends, and returns nil then.
 func (n *Node) Run(ctx context.Context) error {
-	return task.Run(ctx, n.Name, n.taskRestarted, []task.Task{
+	tasks := []task.Task{
 		{Name: "Table", Do: n.tableFollower.Run},
 		{Name: "Servers", Do: n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce)).Run},
 		{Name: "Members", Do: n.follower(n.Keys.MembersKind, &membersView{n}, n.membersPollTimeout, n.membersDebounce).Run},
@@ -222,7 +223,6 @@
 		{Name: "Write", Do: n.quarantine.Write},
 		{Name: "Defaults", Do: n.follower(n.Keys.OriginsKind, n.origins.defaults, n.membersPollTimeout, nil).Run},
 		{Name: "Keep", Do: n.origins.defaults.Run},
-		{Name: "Record", Do: n.origins.recorder.Run},
 		{Name: "Recall", Do: n.origins.recall.Run},
 		{Name: "Send", Do: n.mesh().Send},
 		{Name: "Receive", Do: n.mesh().Receive},
@@ -230,7 +230,11 @@
 		{Name: "Fetch", Do: n.fetch},
 		{Name: "Reach", Do: n.Broker.Reconnect},
 		{Name: "Tick", Do: n.tick},
-	})
+	}
+	for i := range recordTasks {
+		tasks = append(tasks, task.Task{Name: fmt.Sprint("Record", i+1), Do: n.origins.recorder.Run})
+	}
+	return task.Run(ctx, n.Name, n.taskRestarted, tasks)
 }
 
 // follower returns the Follower that keeps view up to date with the objects of a
--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -39,8 +39,9 @@
 	// one did since a write succeeded.
 	failed, failingSince time.Time
 
-	// lastChunk is the number of the latest chunk. Only the task uses it.
+	// lastChunk is the number of the latest chunk.
 	lastChunk int64
+	allowance allowance
 }
 
 // recording is a record that waits to be written.
@@ -89,6 +90,8 @@
 	// may follow each other at once.
 	recordWriteShare = 0.5
 	recordBurst      = 4
+	// recordTasks is the number of calls that one process makes at the same time.
+	recordTasks = 16
 	// recordSpacing is the least mean time between two calls of one process. Calls are
 	// paid for, and an engine needs longer until the first event.
 	recordSpacing = 15 * time.Millisecond
@@ -242,9 +245,9 @@
 	r.wakeUp()
 }
 
-// Run writes records until ctx ends and returns its error.
+// Run writes records until ctx ends and returns its error. Several tasks may run it, so
+// that records do not wait for the end of a slow call.
 func (r *recorder) Run(ctx context.Context) error {
-	allowance := allowance{last: time.Now()}
 	current := &chunk{}
 	for {
 		select {
@@ -252,16 +255,33 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		for r.waiting() && timer.Wait(ctx, allowance.take(time.Now(), r.interval())) {
+		for r.waiting() && timer.Wait(ctx, r.nextCall(time.Now())) {
 			current = r.writeBatch(ctx, current)
 		}
 	}
 }
 
+// nextCall takes a call from the allowance and returns how long to wait before it.
+func (r *recorder) nextCall(now time.Time) time.Duration {
+	interval := r.interval()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.allowance.take(now, interval)
+}
+
+// returnCall gives a call of the allowance back.
+func (r *recorder) returnCall() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.allowance.saved++
+}
+
 // writeBatch writes the records that wait and returns the chunk for the next ones.
 func (r *recorder) writeBatch(ctx context.Context, current *chunk) *chunk {
 	batch := r.take(time.Now())
 	if len(batch) == 0 {
+		// Another task has been faster.
+		r.returnCall()
 		return current
 	}
 	next, err := r.write(ctx, current, batch)
@@ -337,6 +357,8 @@
 // nextChunk returns the number of the next chunk. It grows also if the time of day goes
 // back, so that no number comes twice.
 func (r *recorder) nextChunk(now time.Time) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.lastChunk = max(r.lastChunk+1, now.UnixNano())
 	return r.lastChunk
 }
