broker: new streams begin at any version if the default has no room

What callers would see: while records can't be written, new streams were kept to the servers of the default version, and rejected if those were full or paused, though others were idle.

Cause: the restriction held like that of a resumed stream; a limited need was admitted with the figures of its version only.

Change: a new stream gets a permit at the default's servers if there is one at once, and has the choice of all otherwise.

--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -154,6 +154,12 @@
 // held.
 func (b *Broker) admit(w *waiter) {
 	q := b.queue(w.need.key)
+	if w.need.software.restricted {
+		if b.admitRestricted(q, w) {
+			return
+		}
+		w.unrestrict()
+	}
 	v := b.views(w.since, w)
 	if v.first.usable == 0 {
 		if b.pauseEnds(w) {
@@ -180,6 +186,28 @@
 	q.waiting = append(q.waiting, w)
 }
 
+// admitRestricted issues a permit at a backend server of the version at which a new stream
+// should begin. It returns false if there is none at once. b.mu must be held.
+func (b *Broker) admitRestricted(q *queue, w *waiter) bool {
+	v := b.views(w.since, w)
+	if v.first.usable == 0 || q.hasAhead(w.need) {
+		return false
+	}
+	p := b.tryAcquire(w.since, w, v)
+	if p != nil {
+		w.deliver(p, nil)
+	}
+	return p != nil
+}
+
+// unrestrict allows backend servers of any version.
+func (w *waiter) unrestrict() {
+	w.need.software = software{}
+	if w.alternative != nil {
+		w.alternative.software = software{}
+	}
+}
+
 // pauseEnds reports whether a backend server that can go on with a resumed stream wants
 // no request now, but will before the wait is too long. b.mu must be held.
 func (b *Broker) pauseEnds(w *waiter) bool {
