crash: a test that a request served before isn't taken for a cause

Test: a request that was served before the ends, beside one that never was, must be neither found beside it nor alone; with it a test that a cause which was served before is found.

--- a/internal/fleet/crash/cause_test.go
+++ b/internal/fleet/crash/cause_test.go
@@ -41,6 +41,49 @@
 	assert.Equal(t, []Cause{{"request:7", QuarantineTime}}, e.Causes(at(1000), never))
 }
 
+// TestRequestServedBeforeIsNotKeptAwayBesideTheCause checks that a request which many
+// clients send, and which was there at the crashes of one that was never served, goes on
+// being served.
+func TestRequestServedBeforeIsNotKeptAwayBesideTheCause(t *testing.T) {
+	for _, causes := range [][]int{{7, 7, 7}, {7, 9, 7}, {7, 7, 9, 7}} {
+		var e Evidence
+		for i, cause := range causes {
+			e.add(at(100*i), i, cause)
+			e.add(at(100*i), i, 8)
+		}
+		e.Succeeded("request:8", at(-1000))
+		assert.NotContains(t, e.subjects(at(1000), never), "request:8", causes)
+		known := Known(func(subject string) time.Duration {
+			return map[string]time.Duration{"request:7": bystanderTime}[subject]
+		})
+		assert.NotContains(t, e.subjects(at(1000), known), "request:8", "%v: once the cause is kept away", causes)
+	}
+}
+
+// TestRequestServedBeforeIsFoundBesideBystanders checks that a request which crashes
+// servers though it was served before is found, whatever was there beside it.
+func TestRequestServedBeforeIsFoundBesideBystanders(t *testing.T) {
+	for _, beside := range [][]int{nil, {9, 9, 9}, {9, 9, 10, 10, 11}} {
+		var e Evidence
+		known := map[string]time.Duration{}
+		found := func(subject string) time.Duration { return known[subject] }
+		for i := range requiredAfterSuccess {
+			e.add(at(100*i), i, 8)
+			if i < len(beside) {
+				e.add(at(100*i), i, beside[i])
+			}
+			e.Succeeded("request:8", at(-1000))
+			for _, c := range e.Causes(at(100*i).Add(settleTime), found) {
+				known[c.Subject] = c.For
+			}
+			if len(beside) == 0 && i+1 == requiredForRequest {
+				break
+			}
+		}
+		assert.Positive(t, known["request:8"], beside)
+	}
+}
+
 // TestSecondCauseIsFoundAtItsNextCrash checks that a request whose crashes another one
 // explains is kept away from servers after the next one, at first for a short time, since
 // it may be sound, and then for a long one.
