--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -224,6 +224,22 @@
 	assert.Equal(t, 1, table.Members())
 }
 
+// TestLiveProcessWhoseEntryIsRemovedKeepsItsShare checks that a process is counted while it
+// sends status messages, and not any more once it is silent, if its entry is removed.
+func TestLiveProcessWhoseEntryIsRemovedKeepsItsShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := Table{Self: "a"}
+	table.Replace([]Member{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+	table.Apply(now, &wire.News{From: "b", Incarnation: 1, Sequence: 1})
+	table.Remove("b")
+	table.Remove("c")
+	assert.Equal(t, 2, table.Members(), "b still runs")
+	table.Expire(now.Add(silentRetention))
+	assert.Equal(t, 2, table.Members(), "b may still use servers")
+	table.Expire(now.Add(silentRetention + 1))
+	assert.Equal(t, 1, table.Members())
+}
+
 // TestProcessGoneForGoodHasNoShare checks that a process that has been silent for an hour
 // is not counted any more where a limit is divided among the processes.
 func TestProcessGoneForGoodHasNoShare(t *testing.T) {
