core: a process whose entry is removed announces itself again at once

What callers would see: a process that runs and whose entry was removed from the store has no share for up to a minute as others see it, until the next check of its own entry. Cause: only a list of the processes' entries looked for its own one, the watch took no notice of it. A removal that is wrong costs its place for a moment.

--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -39,8 +39,7 @@
 func (v *membersView) Change(page store.Page) {
 	for _, o := range page.Objects {
 		if o.Removed {
-			v.node.peers.Remove(objectName(o))
-			v.node.Log.Info("process removed", zap.String("Peer", objectName(o)), zap.Uint64("Revision", store.Revision(o.Version)))
+			v.removed(o)
 			continue
 		}
 		if m, ok := v.node.parseMember(o); ok {
@@ -51,6 +50,16 @@
 	}
 }
 
+// removed handles that an entry was removed, maybe this process's own by mistake.
+func (v *membersView) removed(o store.Object) {
+	name := objectName(o)
+	v.node.peers.Remove(name)
+	v.node.Log.Info("process removed", zap.String("Peer", name), zap.Uint64("Revision", store.Revision(o.Version)))
+	if name == v.node.Name && v.node.announced.Load() {
+		v.node.announceAgain()
+	}
+}
+
 // parseMember decodes a process's entry, and logs and rejects an invalid one.
 func (n *Node) parseMember(o store.Object) (peers.Member, bool) {
 	m, err := peers.Parse(o.Value)
