core: the test of a removed entry waits for the other goroutine

Cause: TestProcessWhoseEntryIsRemovedAnnouncesItselfAtOnce read the store that the task of the announcement writes without any order between the two; with -race it was red. Change: synctest.Wait after each pause, no check is changed. Result: go test -race ./internal/node/core: race reported before, ok after.

--- a/internal/node/core/gone_test.go
+++ b/internal/node/core/gone_test.go
@@ -24,10 +24,12 @@
 		defer cancel()
 		go func() { _ = n.announce(ctx) }()
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.NotEmpty(t, s.object.Value)
 		s.object = store.Object{}
 		(&membersView{n}).Change(page(store.Object{Key: "members/a", Removed: true}))
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.NotEmpty(t, s.object.Value)
 		m, err := peers.Parse(s.object.Value)
 		require.NoError(t, err)
