peers: a process whose entry is removed stays a member while it is live

What callers would see: limits, the quota of retries and connections divided among fewer processes than run, if an entry is removed of a process that goes on. Cause: Remove took a process out of the members at once; only a whole list (Replace) kept those that are live, and one that fell silent later stayed a member until the next list.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -6,7 +6,8 @@
 // in status messages, datagrams that each process sends to all others several
 // times a second. The load of a process that has sent none for HeartbeatTimeout
 // no longer counts, but the process remains a member, as it may still run,
-// until its entry is removed from the store.
+// until its entry is removed from the store. A process that still sends status
+// messages then remains one until it has been silent for some seconds.
 //
 // # Usage
 //
@@ -154,22 +155,26 @@
 	// silent has the time of the last status message of each process that
 	// Expire removed from peers, for silentRetention.
 	silent map[string]time.Time
+	// lost has the members without an entry in the store, which stay while they may
+	// still run.
+	lost map[string]bool
 }
 
-// Replace replaces all members. Those that are live stay, as the store may have lost
-// their entries.
+// Replace replaces all members. Those that are live stay until they are silent, as the
+// store may have lost their entries.
 func (t *Table) Replace(members []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.members
-	t.members = make(map[string]Member, len(members))
+	t.members, t.lost = make(map[string]Member, len(members)), map[string]bool{}
 	for name := range t.peers {
 		if m, ok := before[name]; ok {
-			t.members[name] = m
+			t.members[name], t.lost[name] = m, true
 		}
 	}
 	for _, m := range members {
 		t.members[m.Name] = m
+		delete(t.lost, m.Name)
 	}
 }
 
@@ -181,13 +186,29 @@
 		t.members = map[string]Member{}
 	}
 	t.members[m.Name] = m
+	delete(t.lost, m.Name)
 }
 
-// Remove removes a member.
+// Remove removes a member, once it is silent.
 func (t *Table) Remove(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, live := t.peers[name]; !live {
+		t.drop(name)
+		return
+	}
+	if _, ok := t.members[name]; ok {
+		if t.lost == nil {
+			t.lost = map[string]bool{}
+		}
+		t.lost[name] = true
+	}
+}
+
+// drop removes a member. The caller must hold mu.
+func (t *Table) drop(name string) {
 	delete(t.members, name)
+	delete(t.lost, name)
 }
 
 // Peers returns the members other than this process, sorted by name.
@@ -297,6 +318,9 @@
 	for name, last := range t.silent {
 		if now.Sub(last) > silentRetention {
 			delete(t.silent, name)
+			if t.lost[name] {
+				t.drop(name)
+			}
 		}
 	}
 	return silent
