gone: the store entry of a process that has ended for good is removed

Cause: silence alone is no proof. A process that is silent may be cut off, frozen or not reachable from here only, and goes on. Change: one process, chosen by rendezvous hashing, looks at the entries of silent processes once a minute. After five minutes without a status message, with one version and every read answered, it marks the entry as doubted by a conditional write; a process that runs and reaches the store writes it again at once. Ten minutes later it removes the entry, on the condition of that version. No clocks are compared; a failed read, a new version or era, a status message or a pause starts the times again. A process that hears fewer than half removes nothing. One that has not seen its own entry unmarked for five minutes, and hears half or fewer, sends nothing to limited servers and takes of slack and connections what the others leave (peers.Table.Members, Rank). Not run on the real program.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -24,6 +24,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"sort"
@@ -33,6 +34,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ebonyscale.example/ebonyscale/internal/fleet/gone"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 )
 
@@ -83,6 +85,9 @@
 	// Cores is the number of processor cores of the VM, which may be a
 	// fraction; 0 if not known.
 	Cores float64
+	// Doubted is set by another process if this one seems to have ended. One that runs
+	// writes its entry again.
+	Doubted bool `json:",omitempty"`
 }
 
 // ErrInvalidEntry means that an entry does not describe a process.
@@ -158,6 +163,12 @@
 	// lost has the members without an entry in the store, which stay while they may
 	// still run.
 	lost map[string]bool
+	// heard is when the last status message of each member came.
+	heard map[string]time.Time
+	// confirmed is when this process last saw its own entry in the store; zero if never.
+	confirmed time.Time
+	// uncounted is set while others may have removed this process's entry.
+	uncounted bool
 }
 
 // Replace replaces all members. Those that are live stay until they are silent, as the
@@ -176,6 +187,10 @@
 		t.members[m.Name] = m
 		delete(t.lost, m.Name)
 	}
+	maps.DeleteFunc(t.heard, func(name string, _ time.Time) bool {
+		_, ok := t.members[name]
+		return !ok
+	})
 }
 
 // Set adds or updates a member.
@@ -209,6 +224,7 @@
 func (t *Table) drop(name string) {
 	delete(t.members, name)
 	delete(t.lost, name)
+	delete(t.heard, name)
 }
 
 // Peers returns the members other than this process, sorted by name.
@@ -226,15 +242,62 @@
 }
 
 // Members returns the number of members, whether live or silent, this process
-// included.
+// included. It is higher while others may have removed this process's entry: what they
+// share out among themselves and what the processes here take is then not more than what
+// all members take.
 func (t *Table) Members() int {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	count := len(t.members)
+	live, members := t.count()
+	if t.uncounted {
+		return max(members, (members-live+1)*live-1)
+	}
+	return members
+}
+
+// count returns the numbers of live members and of all, this process included. The caller
+// must hold mu.
+func (t *Table) count() (live, members int) {
+	live, members = 1, len(t.members)
 	if _, ok := t.members[t.Self]; !ok {
-		count++
+		members++
 	}
-	return count
+	for name := range t.peers {
+		if _, ok := t.members[name]; ok {
+			live++
+		}
+	}
+	return live, members
+}
+
+// Confirm records that this process's entry was in the store, without a mark, at a time
+// or later.
+func (t *Table) Confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed = at
+}
+
+// Half reports whether half of the members or more are live, this process included.
+func (t *Table) Half() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	live, members := t.count()
+	return 2*live >= members
+}
+
+// Quiet returns the members that are not live, other than this process, and when their
+// last status message came, zero if none has.
+func (t *Table) Quiet() map[string]time.Time {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	quiet := map[string]time.Time{}
+	for name := range t.members {
+		if _, live := t.peers[name]; !live && name != t.Self {
+			quiet[name] = t.heard[name]
+		}
+	}
+	return quiet
 }
 
 // Live returns the number of processes that are not silent, this one included.
@@ -278,9 +341,21 @@
 	t.peers[message.From] = p
 	delete(t.silent, message.From)
 	t.addLoads(p, 1)
+	t.recordHeard(now, message.From)
 	return true
 }
 
+// recordHeard records that a status message came. The caller must hold mu.
+func (t *Table) recordHeard(now time.Time, name string) {
+	if _, ok := t.members[name]; !ok {
+		return
+	}
+	if t.heard == nil {
+		t.heard = map[string]time.Time{}
+	}
+	t.heard[name] = now
+}
+
 // addLoads adds a process's loads to the sums, or subtracts them if sign is -1.
 // The caller must hold mu.
 func (t *Table) addLoads(p *peer, sign int) {
@@ -323,6 +398,8 @@
 			}
 		}
 	}
+	live, members := t.count()
+	t.uncounted = !t.confirmed.IsZero() && now.Sub(t.confirmed) > gone.ConfirmedFor && 2*live <= members
 	return silent
 }
 
@@ -405,6 +482,7 @@
 
 // Rank returns the position of this process, from 0, in the rendezvous order of all
 // members for a key, and their number. Silent members count, since they may still run.
+// While others may have removed this process's entry, it is the last: they share out all.
 func (t *Table) Rank(key uint64) (rank, members int) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -419,6 +497,9 @@
 			rank++
 		}
 	}
+	if t.uncounted {
+		return members, members
+	}
 	return rank, members
 }
 
--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -29,7 +29,7 @@
 		}
 	}
 	v.node.peers.Replace(members)
-	if v.node.announced.Load() && !slices.ContainsFunc(members, func(m peers.Member) bool { return m.Name == v.node.Name }) {
+	if v.node.announced.Load() && !slices.ContainsFunc(members, func(m peers.Member) bool { return m.Name == v.node.Name && !m.Doubted }) {
 		v.node.announceAgain()
 	}
 	v.node.Log.Info("processes listed", zap.Int("Members", len(members)), zap.Uint64("Revision", store.Revision(page.Revision)))
@@ -45,7 +45,10 @@
 		if m, ok := v.node.parseMember(o); ok {
 			v.node.peers.Set(m)
 			v.node.Log.Info("process announced", zap.String("Peer", m.Name), zap.Stringer("Address", m.Address),
-				zap.Uint64("Incarnation", m.Incarnation), zap.Uint64("Revision", store.Revision(o.Version)))
+				zap.Uint64("Incarnation", m.Incarnation), zap.Bool("Doubted", m.Doubted), zap.Uint64("Revision", store.Revision(o.Version)))
+			if m.Name == v.node.Name && m.Doubted {
+				v.node.announceAgain()
+			}
 		}
 	}
 }
@@ -121,9 +124,9 @@
 }
 
 // announceOnce writes this process's entry unless the store already has an equal
-// one.
+// one. An entry that another process has marked as doubted is not equal.
 func (n *Node) announceOnce(ctx context.Context) error {
-	key := n.Keys.MembersKind + "/" + n.Name
+	began, key := time.Now(), n.memberKey(n.Name)
 	own := peers.Member{Name: n.Name, AvailabilityZone: n.Zone, Address: n.Address, Incarnation: n.incarnation, Cores: n.Cores}
 	value, err := json.Marshal(own)
 	if err != nil {
@@ -137,6 +140,7 @@
 		return fmt.Errorf("read own entry: %w", err)
 	default:
 		if m, err := peers.Parse(object.Value); err == nil && m == own {
+			n.peers.Confirm(began)
 			return nil
 		}
 	}
@@ -144,5 +148,9 @@
 	if _, err := n.Store.Put(ctx, object); err != nil {
 		return fmt.Errorf("write own entry: %w", err)
 	}
+	n.peers.Confirm(began)
 	return nil
 }
+
+// memberKey returns the store key of a process's entry.
+func (n *Node) memberKey(name string) string { return n.Keys.MembersKind + "/" + name }
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -16,6 +16,7 @@
 //	Servers    watches the backend servers in the store
 //	Members    watches the other processes in the store
 //	Announce   keeps this process's entry in the store
+//	Gone       removes the entries of processes that have ended for good
 //	Quarantine watches the requests and prompt parts in quarantine in the store
 //	Causes     finds the requests and prompt parts that crash backend servers
 //	Write      writes those in quarantine to the store
@@ -206,6 +207,7 @@
 		{Name: "Servers", Do: n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce)).Run},
 		{Name: "Members", Do: n.follower(n.Keys.MembersKind, &membersView{n}, n.membersPollTimeout, n.membersDebounce).Run},
 		{Name: "Announce", Do: n.announce},
+		{Name: "Gone", Do: n.removeGone},
 		{Name: "Quarantine", Do: n.follower(n.Keys.QuarantineKind, quarantineView{n.quarantine}, n.membersPollTimeout, nil).Run},
 		{Name: "Causes", Do: n.quarantine.Run},
 		{Name: "Write", Do: n.quarantine.Write},
