--- a/internal/fleet/crash/cause_test.go
+++ b/internal/fleet/crash/cause_test.go
@@ -60,6 +60,44 @@
 	}
 }
 
+// TestRequestServedBeforeIsNotKeptAwayAtTheFirstCrashOfASecondCause checks the same of a
+// request all whose other crashes have a known cause.
+func TestRequestServedBeforeIsNotKeptAwayAtTheFirstCrashOfASecondCause(t *testing.T) {
+	var e Evidence
+	for i, cause := range []int{7, 7, 7, 9} {
+		e.add(at(100*i), i, cause)
+		e.add(at(100*i), i, 8)
+	}
+	e.Succeeded("request:8", at(-1000))
+	assert.Empty(t, e.Causes(at(1000), set(map[string]bool{"request:7": true})))
+}
+
+// TestRequestServedBeforeIsNotKeptAwayWhileNoServerIsUp checks the same where two others end
+// all servers within a second, so that nothing is served between the crashes.
+func TestRequestServedBeforeIsNotKeptAwayWhileNoServerIsUp(t *testing.T) {
+	for _, crashes := range [][][]int{
+		{{7}, {9, 8}, {7, 8, 9}, {7, 8, 9}, {7, 8, 9}, {7, 8, 9}},
+		{{7, 8}, {7, 8}, {7, 8}, {7, 8}, {7, 8}, {7, 8}},
+		{{7, 9, 8}, {7, 9, 8}, {7, 9, 8}, {7, 9, 8}, {7, 9, 8}},
+	} {
+		var e Evidence
+		for i, requests := range crashes {
+			for _, request := range requests {
+				e.add(at(100*i), i, request)
+			}
+		}
+		e.Succeeded("request:8", at(-1000))
+		known := map[string]time.Duration{}
+		for range 3 {
+			for _, c := range e.Causes(at(1000), func(subject string) time.Duration { return known[subject] }) {
+				known[c.Subject] = c.For
+			}
+		}
+		assert.NotZero(t, known["request:7"], crashes)
+		assert.Zero(t, known["request:8"], crashes)
+	}
+}
+
 // TestRequestServedBeforeIsFoundBesideBystanders checks that a request which crashes
 // servers though it was served before is found, whatever was there beside it.
 func TestRequestServedBeforeIsFoundBesideBystanders(t *testing.T) {
