crash: a request that was served before isn't taken for a cause beside one that never was

That it had been served before counted for parts of prompts only. Change: for a request that was served before, an end is not held against it if a request that never was served and was at three ends was there too; else it needs five ends instead of three beside such suspects, and after ends with a known cause one without requests that were never served. The request beside it stays in doubt as before (a minute), unless it was at an end without it. A cause that was served before is found after five ends at most: TestRequestServedBeforeIsFoundBesideBystanders.

--- a/internal/fleet/crash/cause.go
+++ b/internal/fleet/crash/cause.go
@@ -8,10 +8,11 @@
 // requestCauses returns the requests that crash servers and are not in quarantine. Those
 // that are certain explain their crashes; one that they don't clear may be a bystander.
 func (e *Evidence) requestCauses(now time.Time, known Known) []Cause {
-	suspects := e.provenRequests(now, known)
+	sums := e.tallyRequests(known)
+	suspects := slices.DeleteFunc(slices.Clone(sums), func(t *tally) bool { return !t.proven(now) && !t.excusable() })
 	var causes []Cause
-	for _, t := range suspects {
-		if e.certain(t, suspects, known) {
+	for _, t := range sums {
+		if t.proven(now) && e.certain(t, suspects, known) {
 			causes = append(causes, Cause{t.subject, QuarantineTime})
 		}
 	}
@@ -62,16 +63,31 @@
 		for subject, v := range c.involved {
 			switch {
 			case !isRequest(subject) || !e.suspicious(subject) || known(subject) > 0:
-			case explained:
+			case explained || e.excused(c, subject):
 				sums.addExplained(e, subject, c)
 			default:
 				sums.add(e, subject, c, v, e.outside(i, subject))
+				sums.addBeside(subject, e.beside(c, subject, askFrom), e.beside(c, subject, 1))
 			}
 		}
 	}
 	return sums.sorted()
 }
 
+// beside reports whether another request was there at a crash that was never served, and
+// that was there at this many crashes.
+func (e *Evidence) beside(c *crash, subject string, crashes int) bool {
+	return c.any(func(other string) bool {
+		return other != subject && isRequest(other) && e.counts[other] >= crashes && e.succeeded[other].IsZero()
+	})
+}
+
+// excused reports whether a crash is not held against a request that was served before, as
+// one that never was may be the cause and was there at enough crashes.
+func (e *Evidence) excused(c *crash, subject string) bool {
+	return !e.succeeded[subject].IsZero() && e.beside(c, subject, requiredForRequest)
+}
+
 // suspicious reports whether the sums of a subject are of interest.
 func (e *Evidence) suspicious(subject string) bool {
 	_, relapse := e.relapses[subject]
--- a/internal/fleet/crash/cause_test.go
+++ b/internal/fleet/crash/cause_test.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// TestRequestBesideOneServedBeforeIsInDoubt checks that a request that was never served is
+// kept away only shortly if it was never at a crash without one that was served before.
+func TestRequestBesideOneServedBeforeIsInDoubt(t *testing.T) {
+	var e Evidence
+	for i := range requiredForRequest {
+		e.add(at(100*i), i, 7)
+		e.add(at(100*i), i, 8)
+	}
+	e.Succeeded("request:8", at(-1000))
+	assert.Equal(t, []Cause{{"request:7", bystanderTime}}, e.Causes(at(1000), never))
+	e.add(at(1000), 9, 7)
+	assert.Equal(t, []Cause{{"request:7", QuarantineTime}}, e.Causes(at(1500), never))
+}
+
 // TestRequestServedBeforeIsFoundBesideBystanders checks that a request which crashes
 // servers though it was served before is found, whatever was there beside it.
 func TestRequestServedBeforeIsFoundBesideBystanders(t *testing.T) {
--- a/internal/fleet/crash/crash.go
+++ b/internal/fleet/crash/crash.go
@@ -17,6 +17,10 @@
 //     explains them: a request beside it is not charged with them. Where several were
 //     there at the same crashes only, each may be a bystander that was retried, and is
 //     kept away for a short time only.
+//   - A request that was served before is less likely the cause than one that never was:
+//     crashes that such a one may explain are not held against it, and others count from
+//     a higher number on. Many clients may send it, so that it is there at every crash
+//     while no server is up that could serve it.
 //   - A part is a cause only if different requests with it were there. The part that was
 //     there at most of the remaining crashes is the cause, and explains these crashes:
 //     the parts beside it are not charged with them.
--- a/internal/fleet/crash/evidence.go
+++ b/internal/fleet/crash/evidence.go
@@ -19,6 +19,8 @@
 	// requiredForRequest is how many crashes a request must have been there at to be a
 	// cause. One is enough if it was the cause of crashes before, within relapseTime, of
 	// which is remembered for maxRelapses requests.
+	// A request that was served before, beside one that never was, needs
+	// requiredAfterSuccess.
 	requiredForRequest = 3
 	relapseTime        = time.Hour
 	maxRelapses        = 256
@@ -280,6 +282,9 @@
 	// servedBefore is set if the subject was served before the first of them, relapse
 	// if it was the cause of earlier ones.
 	servedBefore, relapse bool
+	// rival is set if a suspicious request that was never served was there too at one of
+	// them, alone if no request was there at one that was never served.
+	rival, alone bool
 	// last is when the last of them was, known when the last report of them came.
 	last, known time.Time
 }
@@ -289,7 +294,7 @@
 	switch {
 	case t.relapse:
 		return 1
-	case isRequest(t.subject):
+	case isRequest(t.subject) && !(t.servedBefore && t.rival):
 		return requiredForRequest
 	case t.servedBefore:
 		return requiredAfterSuccess
@@ -317,9 +322,16 @@
 }
 
 // resumed reports whether a request that was there at enough crashes with a known cause
-// was there at one without: it may be a second cause.
+// was there at one without: it may be a second cause. If it was served before, it must have
+// been there without one that never was.
 func (t *tally) resumed() bool {
-	return t.crashes > 0 && t.explained >= requiredForRequest
+	return t.crashes > 0 && t.explained >= requiredForRequest && (t.alone || !t.servedBefore)
+}
+
+// excusable reports whether the subject is a request that would be proven if it had not been
+// served before.
+func (t *tally) excusable() bool {
+	return isRequest(t.subject) && t.servedBefore && t.crashes+t.explained >= requiredForRequest
 }
 
 // add adds a crash, which is not older than those before. spaced is set if it must not
@@ -355,6 +367,15 @@
 	}
 }
 
+// addBeside records whether requests that were never served were there at a crash, if that
+// counts.
+func (t tallies) addBeside(subject string, suspicious, any bool) {
+	if sum, counted := t[subject]; counted {
+		sum.rival = sum.rival || suspicious
+		sum.alone = sum.alone || !any
+	}
+}
+
 // sum returns the sums of a subject.
 func (t tallies) sum(e *Evidence, subject string) *tally {
 	sum, known := t[subject]
