peers: the number of members is known without counting the live ones

Cause: found on reading the removal of entries again: Members is called for each request (retries, connections) and counted the live members each time, a pass over up to 720 processes under the lock, though that number is only of use while this process may have been removed. Change: size and live are two functions; Members counts the live ones only in that state. No result changes. Result: go test -race ./internal/fleet/peers and go test ./internal/node/core: ok.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -248,26 +248,31 @@
 func (t *Table) Members() int {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	live, members := t.count()
+	members := t.size()
 	if t.uncounted {
+		live := t.live()
 		return max(members, (members-live+1)*live-1)
 	}
 	return members
 }
 
-// count returns the numbers of live members and of all, this process included. The caller
-// must hold mu.
-func (t *Table) count() (live, members int) {
-	live, members = 1, len(t.members)
-	if _, ok := t.members[t.Self]; !ok {
-		members++
+// size returns the number of members, this process included. The caller must hold mu.
+func (t *Table) size() int {
+	if _, ok := t.members[t.Self]; ok {
+		return len(t.members)
 	}
+	return len(t.members) + 1
+}
+
+// live returns the number of live members, this process included. The caller must hold mu.
+func (t *Table) live() int {
+	live := 1
 	for name := range t.peers {
 		if _, ok := t.members[name]; ok {
 			live++
 		}
 	}
-	return live, members
+	return live
 }
 
 // Confirm records that this process's entry was in the store, without a mark, at a time
@@ -282,8 +287,7 @@
 func (t *Table) Half() bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	live, members := t.count()
-	return 2*live >= members
+	return 2*t.live() >= t.size()
 }
 
 // Quiet returns the members that are not live, other than this process, and when their
@@ -398,8 +402,7 @@
 			}
 		}
 	}
-	live, members := t.count()
-	t.uncounted = !t.confirmed.IsZero() && now.Sub(t.confirmed) > gone.ConfirmedFor && 2*live <= members
+	t.uncounted = !t.confirmed.IsZero() && now.Sub(t.confirmed) > gone.ConfirmedFor && 2*t.live() <= t.size()
 	return silent
 }
 
