core, httpd: a planned stop ends with no accepted connection cut off

What callers saw: a request sent to a process at the end of its planned stop, while too few others were ready, got no response at all, not even that it had not run. Cause: after its last look at the connections the process closed the listener and ended at once; what it had accepted meanwhile, and what was in progress at the end of its time, was cut off. Change: Stop closes the listener itself (Server.Refuse), so that clients are refused from then on, waits until the accepting goroutine has ended, and then up to 0.3 s for the connections that there still are; that is in the half second before the forced end that it kept already. A stop under load lasts up to 0.3 s longer.

--- a/internal/node/core/stop.go
+++ b/internal/node/core/stop.go
@@ -16,8 +16,10 @@
 	// balancerWait is how long new connections may still arrive.
 	balancerWait = 2500 * time.Millisecond
 	// stopMargin is how long before the forced end of the process Stop gives up
-	// waiting.
+	// waiting, and refuses connections. lastWait is how long it then waits for those that
+	// were accepted; it is longer than a new one may take to send its request.
 	stopMargin       = 500 * time.Millisecond
+	lastWait         = 300 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
 )
 
@@ -25,7 +27,8 @@
 // process is no longer ready, but serves requests until all in progress have
 // ended. If too few processes are ready, the load balancer keeps sending to all
 // of them; therefore, after balancerWait or half of grace, only requests are
-// accepted whose deadline is before the end of the stop.
+// accepted whose deadline is before the end of the stop. New connections are refused
+// only at its end, and those that were accepted before are served.
 func (n *Node) Stop(ctx context.Context, server *httpd.Server, grace time.Duration) {
 	began := time.Now()
 	end := began.Add(grace - stopMargin)
@@ -34,14 +37,19 @@
 	server.Drain()
 	n.Log.Info("stopping", zap.Int("Active", server.Active()), zap.Int("Connections", server.Connections()), zap.Duration("Grace", grace))
 	timer.Wait(ctx, min(balancerWait, grace/2))
-	for time.Now().Before(end) {
+	awaitEnd(ctx, server, end)
+	server.Refuse()
+	awaitEnd(ctx, server, time.Now().Add(lastWait))
+	n.Log.Info("stopped", zap.Int("Active", server.Active()), zap.Duration("Took", time.Since(began)))
+}
+
+// awaitEnd waits until there is neither a request nor a connection, or until a time or the
+// end of ctx.
+func awaitEnd(ctx context.Context, server *httpd.Server, until time.Time) {
+	for time.Now().Before(until) {
 		server.CloseIdle()
-		if server.Active() == 0 && server.Connections() == 0 {
-			break
-		}
-		if !timer.Wait(ctx, stopPollInterval) {
-			break
+		if server.Active() == 0 && server.Connections() == 0 || !timer.Wait(ctx, stopPollInterval) {
+			return
 		}
 	}
-	n.Log.Info("stopped", zap.Int("Active", server.Active()), zap.Duration("Took", time.Since(began)))
 }
--- a/internal/node/httpd/httpd.go
+++ b/internal/node/httpd/httpd.go
@@ -68,14 +68,17 @@
 	MaxBuffered int64
 	Log         *zap.Logger
 
-	// mu guards open and closed.
+	// mu guards open, closed and listener, which is that of Serve.
 	mu       sync.Mutex
 	open     map[*conn]bool
 	closed   bool
+	listener net.Listener
 	draining atomic.Bool
 	active   atomic.Int64
 	buffered atomic.Int64
 	group    sync.WaitGroup
+	// accepting counts the calls of Serve.
+	accepting sync.WaitGroup
 }
 
 // acceptRetry is the pause after a connection could not be accepted, for example
@@ -84,6 +87,11 @@
 
 // Serve accepts and serves connections until the listener is closed. It returns nil.
 func (s *Server) Serve(listener net.Listener) error {
+	s.accepting.Add(1)
+	defer s.accepting.Done()
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
 	for {
 		raw, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
