--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -154,7 +154,7 @@
 func (p *entryProcess) serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	clients, err := entry.Listen(p.settings.Addresses.Callers)
+	clients, err := httpd.Listen(p.settings.Addresses.Callers.String())
 	if err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
--- a/internal/node/core/stop_test.go
+++ b/internal/node/core/stop_test.go
@@ -29,7 +29,7 @@
 func TestConnectionsUntilTheEndOfAStopAreServed(t *testing.T) {
 	n := newNode(t)
 	server := &httpd.Server{Handler: answering{}, Limits: n.Limits}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := httpd.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = server.Serve(listener) }()
 	var clients sync.WaitGroup
