--- a/internal/state/follow/list.go
+++ b/internal/state/follow/list.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // listTimeout bounds the time in which failed pages of a list are retried. The
@@ -31,6 +33,10 @@
 		}
 		pause = backoff{}
 		all.Objects, all.Next = append(all.Objects, page.Objects...), page.Next
+		all.Nameless += page.Nameless
+	}
+	if all.Nameless > 0 {
+		f.Log.Warn("objects of the store are left out, their names cannot be read", zap.String("Kind", f.Kind), zap.Int("Objects", all.Nameless))
 	}
 	f.View.Replace(all, f.outage(all.Revision))
 	f.recordSuccess(all)
--- a/internal/state/store/era.go
+++ b/internal/state/store/era.go
@@ -7,6 +7,9 @@
 // revisionBits is the number of bits of a version that have the revision.
 const revisionBits = 48
 
+// MaxRevision is the highest revision that fits into a version.
+const MaxRevision = 1<<revisionBits - 1
+
 // Version returns the version of a revision in an era.
 func Version(era, revision uint64) uint64 {
 	return era<<revisionBits | revision&(1<<revisionBits-1)
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -68,6 +68,8 @@
 	// Next is the token for the next page of a list; empty on the last page and
 	// in changes.
 	Next string
+	// Nameless counts the objects that are left out as their names cannot be read.
+	Nameless int `json:"-"`
 }
 
 // Errors of the platform. Any other error of a write means that the write's
