follow: watches that fail each time are no busy loop

What callers saw: nothing yet; found while looking for what an odd entry in the store can cause. Cause: a Follower lists the objects again without a pause when the store says that the history is gone, and begins with the shortest pause again after each list. If lists succeed and watches never do, as with events that can't be read or a history that is always gone, it calls the store as fast as that responds. The first relist comes as soon as before.

--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -136,19 +136,21 @@
 	return ctx.Err()
 }
 
-// listAndWatch lists the objects and applies changes until a call fails.
+// listAndWatch lists the objects and applies changes until a call fails. The pause grows
+// until a watch has succeeded: lists may succeed while no watch does.
 func (f *Follower) listAndWatch(ctx context.Context, pause *backoff) error {
 	after, err := f.list(ctx)
 	if err != nil {
 		return err
 	}
-	*pause = backoff{}
+	relisted := false
 	for {
 		waitCtx, done := f.waitContext(ctx)
 		page, err := f.Feed.Changes(waitCtx, f.Kind, after, f.PollTimeout())
 		relist := errors.Is(context.Cause(waitCtx), errRelist)
 		done()
-		if errors.Is(err, store.ErrForgotten) || err != nil && relist {
+		if errors.Is(err, store.ErrForgotten) && !relisted || err != nil && relist {
+			relisted = !relist
 			f.Log.Info("listing objects again", zap.String("Kind", f.Kind), zap.Uint64("After", store.Revision(after)), zap.Error(err))
 			if after, err = f.list(ctx); err != nil {
 				return err
@@ -158,6 +160,7 @@
 		if err != nil {
 			return err
 		}
+		relisted, *pause = false, backoff{}
 		f.View.Change(page)
 		after = max(after, page.Revision)
 		if f.Debounce != nil && len(page.Objects) > 0 && !timer.Wait(ctx, f.Debounce()) {
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -202,6 +203,41 @@
 	})
 }
 
+// watchless is a Feed whose lists succeed and whose watches all fail.
+type watchless struct {
+	err   error
+	calls int
+}
+
+func (w *watchless) List(ctx context.Context, _, _ string) (store.Page, error) {
+	time.Sleep(time.Millisecond)
+	w.calls++
+	return store.Page{Revision: 5}, ctx.Err()
+}
+
+func (w *watchless) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Page, error) {
+	time.Sleep(time.Millisecond)
+	w.calls++
+	return store.Page{}, cmp.Or(ctx.Err(), w.err)
+}
+
+// TestWatchesThatFailAreNoBusyLoop checks that watches that fail each time although lists
+// succeed, as with events that can't be read or with a history that is always gone, cost a
+// few calls a second.
+func TestWatchesThatFailAreNoBusyLoop(t *testing.T) {
+	for _, err := range []error{store.ErrForgotten, errors.New("unreadable")} {
+		synctest.Test(t, func(t *testing.T) {
+			feed, view := &watchless{err: err}, &view{}
+			f := Follower{Kind: "k", Feed: feed, View: view, PollTimeout: second, Log: zap.NewNop()}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			assert.ErrorIs(t, f.Run(ctx), context.DeadlineExceeded)
+			assert.Less(t, feed.calls, 4*60, "at most 60 rounds of two lists and two watches: %v", err)
+			assert.Greater(t, len(view.updates), 15, "%v", err)
+		})
+	}
+}
+
 // TestRelist checks that Relist interrupts a wait for changes and lists again,
 // and that it has no effect before Run.
 func TestRelist(t *testing.T) {
