roster: an entry with values that no backend server has names none

Cause: Parse took any positive number of slots, any start, any port and any length of names. An odd entry with port 0, address 0.0.0.0 or a group was a server that requests were tried at; one with 1e9 slots drew all requests of its service, as load is counted per slot; one that claimed a start in the far future under the ID of a server hid that server's own entries for good, as its start is earlier; a name of a megabyte went into each log line and datagram; a slow start of 1e300 ms overflowed (undefined in Go). Shown on: TestOddEntryNamesNoServer: no error for port 0, 0.0.0.0, 224.0.0.1, 255.255.255.255, version 6, 1e9 slots, start 2^53-1, 1e300 ms, long ID, service, zone and version; TestServerIsUsedAgainAfterAnOddEntry: "[{i-1  s ...}] should have 1 item(s), but has 2"; FuzzParse red at two of the new seeds. Change: these make an entry invalid; its server is used again with its own next entry. No valid entry changes: connections are made over IP version 4 only, as before.

--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -1,8 +1,10 @@
 package roster
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,6 +60,43 @@
 	}
 }
 
+// oddEntries are entries of another writer with values that no backend server has.
+func oddEntries() map[string][]byte {
+	long := strings.Repeat("x", maxName+1)
+	return map[string][]byte{
+		"nested":               entryWith(`,"Extra":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)),
+		"port 0":               entryWith(`,"Address":"10.1.0.9:0"`),
+		"port too large":       entryWith(`,"Address":"10.1.0.9:65536"`),
+		"address unspecified":  entryWith(`,"Address":"0.0.0.0:80"`),
+		"address of a group":   entryWith(`,"Address":"224.0.0.1:80"`),
+		"address of all":       entryWith(`,"Address":"255.255.255.255:80"`),
+		"address of version 6": entryWith(`,"Address":"[2001:db8::1]:80"`),
+		"slots 1e9":            entryWith(`,"Slots":1e9`),
+		"slots 1e999":          entryWith(`,"Slots":1e999`),
+		"start in the future":  entryWith(`,"born":9007199254740991`),
+		"warmup too long":      entryWith(`,"ColdLeftMs":1e300`),
+		"service too long":     entryWith(`,"Service":"` + long + `"`),
+		"zone too long":        entryWith(`,"AvailabilityZone":"` + long + `"`),
+		"version too long":     entryWith(`,"Version":"` + long + `"`),
+		"sequence too large":   entryWith(`,"Sequence":18446744073709551615`),
+		"null":                 []byte(`null`),
+	}
+}
+
+// TestOddEntryNamesNoServer checks that values out of range make an entry that names no
+// server, and that an odd ID does.
+func TestOddEntryNamesNoServer(t *testing.T) {
+	for name, data := range oddEntries() {
+		_, err := Parse("i-1", data)
+		assert.ErrorIs(t, err, ErrInvalidEntry, name)
+	}
+	_, err := Parse(strings.Repeat("x", maxName+1), entryWith(""))
+	assert.ErrorIs(t, err, ErrInvalidEntry, "ID too long")
+	s, err := Parse("i-1", entryWith(`,"Address":"[::ffff:10.1.0.9]:80","ColdLeftMs":-1e300`))
+	require.NoError(t, err)
+	assert.Equal(t, "10.1.0.9:80 0s", fmt.Sprint(s.Address, " ", s.WarmupLeft))
+}
+
 func ids(r *Roster) []string {
 	list := []string{}
 	for _, s := range r.Service("jobs") {
@@ -260,9 +299,15 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add(entryWith(""))
+	for _, data := range oddEntries() {
+		f.Add(data)
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := Parse("i-1", data)
-		if err == nil && (s.Slots < 1 || !s.Address.IsValid() || s.Service == "") {
+		if err != nil && !errors.Is(err, ErrInvalidEntry) {
+			t.Fatal(err)
+		}
+		if err == nil && (s.Slots < 1 || s.Slots > maxSlots || !s.Address.IsValid() || s.Address.Port() == 0 || s.Service == "" || s.WarmupLeft < 0 || s.Born < 0) {
 			t.Fatalf("%+v", s)
 		}
 	})
--- a/internal/fleet/roster/server.go
+++ b/internal/fleet/roster/server.go
@@ -85,20 +85,24 @@
 	if err := json.Unmarshal(data, &d); err != nil {
 		return Server{}, fmt.Errorf("%w: %w", ErrInvalidEntry, err)
 	}
-	address, err := netip.ParseAddrPort(d.Address)
+	address, err := parseAddress(d.Address)
 	switch {
 	case err != nil:
 		return Server{}, fmt.Errorf("%w: address: %w", ErrInvalidEntry, err)
 	case id == "" || d.Service == "":
 		return Server{}, fmt.Errorf("%w: ID or service is missing", ErrInvalidEntry)
+	case max(len(id), len(d.Service), len(d.AvailabilityZone), len(d.Version)) > maxName:
+		return Server{}, fmt.Errorf("%w: ID, service, availability zone or version is too long", ErrInvalidEntry)
 	case d.State != Ready && d.State != Leaving:
 		return Server{}, fmt.Errorf("%w: unknown state %q", ErrInvalidEntry, d.State)
 	case d.Role != "" && d.Role != Prefill && d.Role != Decode:
 		return Server{}, fmt.Errorf("%w: unknown role %q", ErrInvalidEntry, d.Role)
-	case !isInteger(d.Slots) || d.Slots < 1 || !isInteger(d.Sequence):
-		return Server{}, fmt.Errorf("%w: slots must be a positive whole number and sequence a non-negative one", ErrInvalidEntry)
-	case d.Born == nil || !isInteger(*d.Born):
-		return Server{}, fmt.Errorf("%w: born, the time of its start, is missing or not a non-negative whole number", ErrInvalidEntry)
+	case !isInteger(d.Slots) || d.Slots < 1 || d.Slots > maxSlots || !isInteger(d.Sequence):
+		return Server{}, fmt.Errorf("%w: slots must be a positive whole number of at most %d and sequence a non-negative one", ErrInvalidEntry, maxSlots)
+	case d.Born == nil || !isInteger(*d.Born) || *d.Born > maxBorn:
+		return Server{}, fmt.Errorf("%w: born, the time of its start, is missing or not a non-negative whole number of milliseconds before %d", ErrInvalidEntry, maxBorn)
+	case d.ColdLeftMs > maxWarmup:
+		return Server{}, fmt.Errorf("%w: its slow start takes over a day", ErrInvalidEntry)
 	}
 	return Server{
 		ID: id, Born: int64(*d.Born), Service: d.Service, Address: address, Zone: d.AvailabilityZone, Version: d.Version,
@@ -107,6 +111,36 @@
 	}, nil
 }
 
+// Limits of the values of an entry. Others are not those of a backend server.
+const (
+	// maxName bounds names, in bytes.
+	maxName  = 256
+	maxSlots = 1 << 16
+	// maxBorn is the latest start, in milliseconds since 1970: the beginning of 2200. An
+	// entry that claims a later start would hide those of the backend server itself.
+	maxBorn = 7_258_118_400_000
+	// maxWarmup is a day, in milliseconds.
+	maxWarmup = 24 * 3600 * 1000
+)
+
+// errUnusable means that nothing can be sent to an address.
+var errUnusable = errors.New("no address of version 4 with a port that a request can be sent to")
+
+// parseAddress decodes the address of a backend server.
+func parseAddress(text string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	ip := address.Addr().Unmap()
+	if !ip.Is4() || ip.IsUnspecified() || ip.IsMulticast() || ip == broadcast || address.Port() == 0 {
+		return netip.AddrPort{}, errUnusable
+	}
+	return netip.AddrPortFrom(ip, address.Port()), nil
+}
+
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // isInteger reports whether n is a non-negative integer below 2^53, the range in
 // which a float64 has every integer exactly.
 func isInteger(n float64) bool { return n >= 0 && n < 1<<53 && n == math.Trunc(n) }
--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -104,6 +104,21 @@
 	assert.Len(t, n.roster.Service("s"), 2)
 }
 
+// TestServerIsUsedAgainAfterAnOddEntry checks that a server whose entry another writer has
+// replaced by an odd one is used with its own next entry, also if the odd one claims a later
+// start.
+func TestServerIsUsedAgainAfterAnOddEntry(t *testing.T) {
+	n := newNode(t)
+	v := &serversView{n}
+	v.Replace(page(serverEntry("i-1", `,"Sequence":1`), serverEntry("i-2", "")), false)
+	for i, odd := range []string{`,"born":9007199254740991`, `,"born":9e99`, `,"Sequence":9e99`, `,"Slots":1e12`, `,"Address":"10.0.0.1:99999"`} {
+		v.Change(page(serverEntry("i-1", odd)))
+		assert.Len(t, n.roster.Service("s"), 1, odd)
+		v.Change(page(serverEntry("i-1", fmt.Sprintf(`,"Sequence":%d`, 2+i))))
+		assert.Len(t, n.roster.Service("s"), 2, odd)
+	}
+}
+
 func TestDeparturesAreSentToPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b := newNode(t), newNode(t)
