peers: an odd entry of another writer names no process; one's own is written again at once

Cause: Parse took any address, number of cores and length of names: an odd entry counted as a member with port 0 or -1 cores, and each member lessens the others' shares of limits and of the retry budget. A process whose own entry another writer had replaced noticed it within a minute only; new processes did not know it until then. Change: these make an entry invalid; an odd entry under a process's own name makes it announce itself again at once. Peers keep what they know of it, as before. Can't happen, shown by TestOddQuarantineEntries and FuzzQuarantined, which passed at once: odd entries of quarantined prompt parts (ends that overflow, nested, other types) end no process, hide no other and hold for ten minutes at most.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -93,12 +93,25 @@
 	if err := json.Unmarshal(data, &m); err != nil {
 		return Member{}, fmt.Errorf("%w: %w", ErrInvalidEntry, err)
 	}
-	if m.Name == "" || !m.Address.IsValid() {
+	switch ip := m.Address.Addr(); {
+	case m.Name == "" || !m.Address.IsValid():
 		return Member{}, fmt.Errorf("%w: name or address is missing", ErrInvalidEntry)
+	case max(len(m.Name), len(m.AvailabilityZone)) > maxName:
+		return Member{}, fmt.Errorf("%w: name or availability zone is too long", ErrInvalidEntry)
+	case ip.IsUnspecified() || ip.IsMulticast() || m.Address.Port() == 0:
+		return Member{}, fmt.Errorf("%w: nothing can be sent to its address", ErrInvalidEntry)
+	case m.Cores < 0 || m.Cores > maxCores:
+		return Member{}, fmt.Errorf("%w: cores out of range", ErrInvalidEntry)
 	}
 	return m, nil
 }
 
+// maxName bounds the names in an entry, in bytes, maxCores the cores of a VM.
+const (
+	maxName  = 256
+	maxCores = 1 << 16
+)
+
 // Load counts requests of one process, or of several together, at one backend
 // server or in one queue. The unit in the queues of prefills is prompt tokens.
 type Load struct {
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -1,9 +1,11 @@
 package peers
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,6 +81,54 @@
 	}
 }
 
+// memberEntry is the entry of a process with the fields added.
+func memberEntry(fields string) string {
+	return `{"Name":"a","AvailabilityZone":"calicut","Address":"10.0.0.1:7660","Incarnation":5,"Cores":2` + fields + `}`
+}
+
+// oddEntries are entries of another writer with values that no process has.
+func oddEntries() []string {
+	long := strings.Repeat("x", 257)
+	entries := []string{"null", "[]", "\xff\xfe", `{"Name":["a"]}`, strings.Repeat("[", 20_000)}
+	for _, fields := range []string{
+		`,"Extra":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000), `,"Name":"` + long + `"`, `,"AvailabilityZone":"` + long + `"`,
+		`,"Address":"10.0.0.1:0"`, `,"Address":"10.0.0.1:65536"`, `,"Address":"0.0.0.0:7660"`, `,"Address":"224.0.0.1:7660"`, `,"Address":7`,
+		`,"Cores":-1`, `,"Cores":1e308`, `,"Cores":1e999`, `,"Cores":"2"`, `,"Cores":NaN`, `,"Incarnation":-1`, `,"Incarnation":18446744073709551616`,
+	} {
+		entries = append(entries, memberEntry(fields))
+	}
+	return entries
+}
+
+// TestOddEntryNamesNoProcess checks that values out of range make an entry that names no
+// process.
+func TestOddEntryNamesNoProcess(t *testing.T) {
+	_, err := Parse([]byte(memberEntry("")))
+	assert.NoError(t, err)
+	for _, data := range oddEntries() {
+		_, err := Parse([]byte(data))
+		assert.ErrorIs(t, err, ErrInvalidEntry, "%.120s", data)
+	}
+}
+
+// FuzzParse checks that Parse returns either a process that can be reached or an
+// ErrInvalidEntry.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(memberEntry("")))
+	for _, data := range oddEntries() {
+		f.Add([]byte(data))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Parse(data)
+		if err != nil && !errors.Is(err, ErrInvalidEntry) {
+			t.Fatal(err)
+		}
+		if err == nil && (m.Name == "" || m.Address.Port() == 0 || !(m.Cores >= 0 && m.Cores < 1e6)) {
+			t.Fatalf("%+v", m)
+		}
+	})
+}
+
 // FuzzTake checks that no loads are left over once all peers have expired,
 // whatever datagrams arrive.
 func FuzzTake(f *testing.F) {
--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,6 +120,26 @@
 	}
 }
 
+// TestOwnOddEntryIsWrittenAgain checks that a process whose entry another writer has
+// replaced by an odd one announces itself again, and that it and its peers keep the members.
+func TestOwnOddEntryIsWrittenAgain(t *testing.T) {
+	own := store.Object{Key: "members/a", Value: []byte(`{"Name":"a","Address":"10.0.0.1:7660"}`)}
+	for _, odd := range []string{`null`, `{"Name":"a","Address":"10.0.0.1:99999"}`, strings.Repeat("[", 20_000), `{"Name":"b","Address":"10.0.0.1:7660"}`} {
+		n := newNode(t)
+		n.announced.Store(true)
+		v := &membersView{n}
+		v.Replace(page(own), false)
+		v.Change(page(own))
+		assert.Empty(t, n.announceNow)
+		v.Change(page(store.Object{Key: "members/b", Value: []byte(odd)}))
+		assert.Empty(t, n.announceNow, "another's entry")
+		v.Change(page(store.Object{Key: "members/a", Value: []byte(odd)}))
+		assert.Len(t, n.announceNow, 1, "%.40s", odd)
+		_, known := n.peers.Member("a")
+		assert.True(t, known, "%.40s", odd)
+	}
+}
+
 func TestDeparturesAreSentToPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b := newNode(t), newNode(t)
--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -47,6 +47,8 @@
 			v.node.peers.Set(m)
 			v.node.Log.Info("process announced", zap.String("Peer", m.Name), zap.Stringer("Address", m.Address),
 				zap.Uint64("Incarnation", m.Incarnation), zap.Uint64("Revision", store.Revision(o.Version)))
+		} else if objectName(o) == v.node.Name && v.node.announced.Load() {
+			v.node.announceAgain()
 		}
 	}
 }
--- a/internal/node/core/quarantine_test.go
+++ b/internal/node/core/quarantine_test.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,6 +203,50 @@
 	})
 }
 
+// TestOddQuarantineEntries checks that entries of another writer end no process, put nothing
+// into quarantine for longer than any other entry, and hide no other.
+func TestOddQuarantineEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(t)
+		view := quarantineView{n.quarantine}
+		entry := func(part, until string) store.Object {
+			return store.Object{Key: n.quarantine.key(part), Value: []byte(`{"Part":"` + part + `","UntilMs":` + until + `}`), Version: 7}
+		}
+		objects := []store.Object{
+			entry("future", "9223372036854775807"), entry("past", "-9223372036854775808"), entry("large", "9223372036854775808"),
+			entry("fraction", "1.5"), entry("text", `"1"`), entry("nested", strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)),
+			entry(strings.Repeat("x", crash.MaxPartBytes+1), "9223372036854775807"),
+			{Key: "quarantine/no-value"},
+			{Key: "", Value: []byte("null")},
+			entry("sound", fmt.Sprint(time.Now().Add(time.Minute).UnixMilli())),
+		}
+		view.Replace(page(objects...), false)
+		view.Change(page(objects...))
+		assert.True(t, n.has("sound"))
+		assert.True(t, n.has("future"))
+		for _, part := range []string{"past", "large", "fraction", "text", "nested"} {
+			assert.False(t, n.has(part), part)
+		}
+		n.quarantine.tick(time.Now())
+		time.Sleep(crash.QuarantineTime + time.Second)
+		n.quarantine.tick(time.Now())
+		assert.False(t, n.has("future"))
+	})
+}
+
+// FuzzQuarantined checks that decoding an entry doesn't panic and bounds the subject.
+func FuzzQuarantined(f *testing.F) {
+	for _, data := range []string{`{"Part":"a","UntilMs":5}`, `{"Part":"a","UntilMs":9223372036854775808}`, `{"Part":7}`, `null`, "\xff", strings.Repeat("[", 20_000)} {
+		f.Add([]byte(data))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entry, err := parseQuarantined(data)
+		if err != nil && !errors.Is(err, errInvalidQuarantine) || err == nil && (entry.Part == "" || len(entry.Part) > crash.MaxPartBytes) {
+			t.Fatal(entry, err)
+		}
+	})
+}
+
 // TestQuarantineEnds checks that a quarantine ends when its entry is removed, and that
 // the entry is removed when its time is over.
 func TestQuarantineEnds(t *testing.T) {
