broker: a refusal written once more has never the ID of the request in flight

What callers saw (a report from another operator): a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that a server ran (REFUSED). Cause here: a refusal counts if it echoes the request ID. A request that may run again was sent on kept connections in each attempt, and two of its attempts can reach the same address: a server answers 421 or refuses, and the next attempt goes to another ID behind that address (a restart, a reused address). The first refusal, written once more on that connection, then has the ID of the request that runs; with the attempts used up, the client gets 503. Shown on the code before: TestRefusalOnceMoreUnderTheSameID: "told as not run" for /many (idempotent) and /talk (resumable stream) under 421, 421 and 503 with the not-run header, 429, 408 and 400 with it, with Server-Leaving and Server-Limit, with the seal: 16 cases. Change: each attempt but a request's first uses a new connection, as those of requests that run at most once do. A connection that had a response to the request is never used for it again; a refusal with its ID can then only be that of the attempt. Can't happen, shown by TestEarlierRefusalOnceMore, which passed at once: the refusal with the earlier request's ID or none, written while the connection is idle, before or behind the next response, for 11 refusals: bytes on an idle connection close it, responses with another ID are dropped, and one without an ID on a kept connection is no proof. Requests that run at most once (/once, /chat) were safe before. Measured: go test ./platform -run OnceMore passes; ./internal/node/broker passes.

--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -138,10 +138,14 @@
 const maxWaitShare = 0.6
 
 // newCall returns the call for the next attempt. Requests that must not run
-// twice use a new connection.
+// twice use a new connection, and so does each attempt but the first: only on a
+// connection that has had no response to the request is a refusal with its ID surely
+// that of this attempt. A server may write an earlier one once more, and two of the
+// attempts may reach the same address.
 func (j *job) newCall() Call {
 	return Call{
-		Request: j.request, Deadline: j.deadline, After: j.request.After, NewConnection: !j.route.Repeatable(), MaxConnections: j.broker.maxConnections(j.service),
+		Request: j.request, Deadline: j.deadline, After: j.request.After, NewConnection: !j.route.Repeatable() || j.attempts+j.dialFailures > 0,
+		MaxConnections: j.broker.maxConnections(j.service),
 	}
 }
 
