entry: serve says NotRun only if no attempt may have run

What callers saw: nothing reported; found while looking for refusals that are believed wrongly. Cause: the outcome that `serve` tells (X-Outcome, 503 or 502) was that of the last attempt. A call that may run again, whose first attempt ran with a lost response and whose next ones were refused, or found no server, ended as NotRun with 503, "not run, try again"; an engine's 400 in a later attempt did the same. The platform's form keeps the outcome of all attempts together and was right. Shown on the code before: TestServeToldNotRunOnlyIfNoAttemptRan: "/s/1: lost, then refused" and "/v1/chat/completions: lost, then refused": expected Unknown, actual NotRun, status 503. Change: retry.Failure has MayHaveRun, set once an attempt failed that may have run; plain calls and model requests keep it, also for ends without a further attempt. The test's service got an idempotent pattern, which no other test of the package uses. Measured: go test ./internal/node/entry ./internal/route/retry ./internal/stand/scene pass.

--- a/internal/node/entry/crash_test.go
+++ b/internal/node/entry/crash_test.go
@@ -312,7 +312,7 @@
 // newFragileCore returns a core with three engines and three servers of a plain service
 // that a request can crash.
 func newFragileCore(t *testing.T) (*Core, *fragile) {
-	text := "[Deployment d]\n[Model m]\nVersion = 1\n[Service s]\nPrefix = /s/\n"
+	text := "[Deployment d]\n[Model m]\nVersion = 1\n[Service s]\nPrefix = /s/\nIdempotent = GET /s/*\n"
 	for i := range 3 {
 		text += fmt.Sprintf("[BackendServer e%d]\nAddress = 127.0.1.%d:1\nAvailabilityZone = z\nModels = m\n", i, i+1)
 		text += fmt.Sprintf("[BackendServer p%d]\nAddress = 127.0.0.%d:1\nAvailabilityZone = z\nService = s\n", i, i+1)
--- a/internal/node/entry/model.go
+++ b/internal/node/entry/model.go
@@ -65,6 +65,8 @@
 	initial  *placement
 	started  time.Time
 	finished bool
+	// mayHaveRun is set once an attempt has failed that may have run.
+	mayHaveRun bool
 	// offset is how many events had been received when the response was last
 	// opened or resumed.
 	offset int
@@ -230,7 +232,7 @@
 		t = &terminalError{outcome: retry.Unknown, reason: "AnswerBroken", err: err}
 	}
 	if t.response != nil {
-		return j.forwardRejection(t.response)
+		return j.forwardRejection(t)
 	}
 	if errors.Is(t, errQuarantined) {
 		return rejectQuarantined(t.outcome, j.core.quarantined(j.request.content))
@@ -244,14 +246,14 @@
 
 // forwardRejection returns an engine's own rejection of the request's content to
 // the client, and closes the engine's response.
-func (j *job) forwardRejection(response *engine.Response) *Reply {
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+func (j *job) forwardRejection(t *terminalError) *Reply {
+	defer t.response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(t.response.Body, 1<<20))
 	if err != nil {
-		body = errorJSON(retry.NotRun, "EngineRefused", "the engine refused the request")
+		body = errorJSON(t.outcome, "EngineRefused", "the engine refused the request")
 	}
-	reply := jsonReply(response.Status, body)
-	reply.Outcome, reply.Reason = retry.NotRun, "EngineRefused"
+	reply := jsonReply(t.response.Status, body)
+	reply.Outcome, reply.Reason = t.outcome, "EngineRefused"
 	return reply
 }
 
@@ -307,6 +309,9 @@
 		}
 		var t *terminalError
 		if errors.As(err, &t) {
+			if j.mayHaveRun {
+				t.outcome = retry.Unknown
+			}
 			return nil, err
 		}
 		cause = err
@@ -334,9 +339,10 @@
 	}
 	failure := retry.Failure{
 		Rejected: errors.Is(cause, errRejected), Stage: call.StageOf(cause), Repeatable: true,
-		Attempts: j.attempts, Left: time.Until(j.request.Deadline),
+		MayHaveRun: j.mayHaveRun, Attempts: j.attempts, Left: time.Until(j.request.Deadline),
 	}
 	decision := j.core.decideRetry(failure)
+	j.mayHaveRun = decision.Outcome == retry.Unknown
 	if !decision.Retry {
 		return &terminalError{outcome: decision.Outcome, reason: decision.Reason.String(), err: cause}
 	}
--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -158,6 +158,7 @@
 // run sends the call, and retries it where that is safe. The response is nil if the
 // reply is an error.
 func (p *plainCall) run(ctx context.Context) (*Reply, *claim.Response) {
+	mayHaveRun := false
 	for attempts := 1; ; attempts++ {
 		response, err := p.attempt(ctx)
 		if err == nil {
@@ -170,9 +171,10 @@
 		}
 		failure := retry.Failure{
 			Rejected: errors.Is(err, errRejected) || errors.Is(err, errNoServer), Stage: call.StageOf(err), Repeatable: p.repeatable,
-			Attempts: attempts, Left: time.Until(p.request.Deadline),
+			MayHaveRun: mayHaveRun, Attempts: attempts, Left: time.Until(p.request.Deadline),
 		}
 		decision := p.core.decideRetry(failure)
+		mayHaveRun = decision.Outcome == retry.Unknown
 		waited := decision.Retry && timer.Wait(ctx, decision.Delay)
 		if left := p.core.quarantined(p.request.content); waited && left > 0 {
 			return rejectQuarantined(decision.Outcome, left), nil
--- a/internal/route/retry/retry.go
+++ b/internal/route/retry/retry.go
@@ -57,6 +57,8 @@
 	Rejected bool
 	// Stage is the stage at which the call failed if it was not rejected.
 	Stage call.Stage
+	// MayHaveRun is set if an earlier attempt of the call may have run.
+	MayHaveRun bool
 	// Repeatable is set for calls that may safely run more than once.
 	Repeatable bool
 	// Attempts is the number of attempts so far, this one included.
@@ -65,10 +67,10 @@
 	Left time.Duration
 }
 
-// Outcome returns NotRun if the failed attempt certainly didn't run, and Unknown
-// otherwise.
+// Outcome returns NotRun if the failed attempt and those before it certainly didn't
+// run, and Unknown otherwise.
 func (f Failure) Outcome() Outcome {
-	if f.Rejected || f.Stage == call.StageDialing {
+	if !f.MayHaveRun && (f.Rejected || f.Stage == call.StageDialing) {
 		return NotRun
 	}
 	return Unknown
