engine: serve takes no refusal for a call's own that may be another's

Cause in `serve`: a response with X-Outcome: NotRun, and for models any 429, 503 or other 4xx, counted as a refusal of the call whatever ID it had; plain calls compared the ID, but took a response without one. All calls that may run again and all model requests use kept connections, in each attempt, also at a server that refused them before. Change: Response.Foreign is set if the ID isn't echoed and the connection has had other calls; such a refusal proves nothing and the call goes on as after a lost response. Attempts after the first (Call.Again) use a new connection, so that a refusal under the same ID is that of the attempt. The stand-ins for engines and servers echo the ID in each response, as plain servers did in those with status 200. An engine that doesn't echo the ID has its refusals on kept connections counted as failures.

--- a/internal/fleet/engine/client.go
+++ b/internal/fleet/engine/client.go
@@ -63,12 +63,15 @@
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	fill(request, server, &outgoing)
-	x, err := c.requests.Do(ctx, server.Address, request, call.Options{NewConnection: outgoing.AtMostOnce, ReadTimeout: outgoing.ReadTimeout})
+	newConnection := outgoing.AtMostOnce || outgoing.Again
+	x, err := c.requests.Do(ctx, server.Address, request, call.Options{NewConnection: newConnection, ReadTimeout: outgoing.ReadTimeout})
 	if err != nil {
 		return nil, fmt.Errorf("send to %s: %w", server.Name, err)
 	}
 	response := &Response{Status: x.Status(), Body: x}
-	response.NotRun = string(x.Header.Peek(OutcomeHeader)) == NotRunOutcome
+	echoed := string(x.Header.Peek(IDHeader))
+	response.Foreign = echoed != outgoing.ID && (echoed != "" || !newConnection)
+	response.NotRun = !response.Foreign && string(x.Header.Peek(OutcomeHeader)) == NotRunOutcome
 	for name, value := range x.Header.All() {
 		if !hopByHop(string(name)) {
 			response.Fields = append(response.Fields, Field{Name: string(name), Value: string(value)})
--- a/internal/fleet/engine/engine.go
+++ b/internal/fleet/engine/engine.go
@@ -71,6 +71,10 @@
 	// is then sent on a new connection: if the server had closed an idle one, it
 	// would be unknown whether it has read the request.
 	AtMostOnce bool
+	// Again is set if the request has been sent before. It is then sent on a new
+	// connection too: a kept one may bring the refusal of an earlier attempt once more,
+	// with the same ID.
+	Again bool
 	// ReadTimeout limits each read of the response. 0 means no limit.
 	ReadTimeout time.Duration
 }
@@ -86,6 +90,9 @@
 	// NotRun is set if the backend server states that it rejected the call
 	// without executing it.
 	NotRun bool
+	// Foreign is set if the response may be that to another call: it does not have the
+	// call's ID, and came on a connection that has had other calls. It proves nothing.
+	Foreign bool
 }
 
 // Report is an engine's report of its state and load.
--- a/internal/node/entry/model.go
+++ b/internal/node/entry/model.go
@@ -380,7 +380,7 @@
 	j.core.Trace.Add(trace.Event{Kind: trace.Placed, Request: j.id, Engine: p.decode.Name, Detail: p.detail()})
 	outgoing := engine.Call{
 		ID: j.id, Method: "POST", Path: j.request.Path, Body: j.request.Body, Priority: j.request.Priority,
-		Fields: j.request.Fields, Offset: offset, ReadTimeout: j.core.StallTimeout,
+		Fields: j.request.Fields, Offset: offset, Again: j.attempts > 1, ReadTimeout: j.core.StallTimeout,
 	}
 	if p.decision.Split() {
 		if err := j.prefill(p, outgoing); err != nil {
@@ -444,6 +444,10 @@
 		j.core.Estimates.RecordSuccess(server.Name)
 		return response.Body, nil
 	}
+	if response.Foreign {
+		response.Body.Close()
+		return nil, fmt.Errorf("%w: %w", errForeign, engine.StatusError{Status: response.Status})
+	}
 	if response.NotRun || response.Status == 429 || response.Status == 503 {
 		response.Body.Close()
 		return nil, errRejected
@@ -455,6 +459,9 @@
 	return nil, engine.StatusError{Status: response.Status}
 }
 
+// errForeign means that a response which is no success may be that to another call.
+var errForeign = errors.New("response without the ID of the call")
+
 // sendTo records the engine to which the request is sent next.
 func (j *job) sendTo(server spec.BackendServer) {
 	j.server, j.begun = server, j.core.quarantine.start(server.Name)
--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -160,7 +160,7 @@
 func (p *plainCall) run(ctx context.Context) (*Reply, *claim.Response) {
 	mayHaveRun := false
 	for attempts := 1; ; attempts++ {
-		response, err := p.attempt(ctx)
+		response, err := p.attempt(ctx, attempts > 1)
 		if err == nil {
 			p.core.quarantine.succeeded(time.Now(), p.request.content)
 			reply := jsonReply(response.Status, response.Body)
@@ -221,8 +221,9 @@
 // errNoServer means that no server of the service is available for the call.
 var errNoServer = errors.New("no server of the service may get the call now")
 
-// attempt sends the call to one server and reads its response.
-func (p *plainCall) attempt(ctx context.Context) (*claim.Response, error) {
+// attempt sends the call to one server and reads its response. again is set if it was sent
+// before.
+func (p *plainCall) attempt(ctx context.Context, again bool) (*claim.Response, error) {
 	c := p.core
 	server, ok := c.Estimates.PickServer(time.Now(), p.service.Name, p.excluded)
 	if !ok && len(p.excluded) > 0 {
@@ -238,7 +239,7 @@
 	c.Trace.Add(trace.Event{Kind: trace.Placed, Request: p.id, Engine: server.Name})
 	outgoing := engine.Call{
 		ID: p.id, Method: p.request.Method, Path: p.request.Path, Fields: p.request.Fields,
-		Body: p.request.Body, AtMostOnce: !p.repeatable, ReadTimeout: p.service.Limit,
+		Body: p.request.Body, AtMostOnce: !p.repeatable, Again: again, ReadTimeout: p.service.Limit,
 	}
 	response, err := c.Sender.Send(ctx, server, outgoing)
 	if err != nil {
--- a/internal/node/entry/refused_test.go
+++ b/internal/node/entry/refused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -66,7 +67,7 @@
 				sender := &scripted{steps: c.steps}
 				core.Sender = sender
 				for k := range 3 {
-					core.Estimates.ApplyReport(time.Now(), engine.Report{Engine: "e" + string(rune('0'+k)), Incarnation: 1, Sequence: 1, Models: []engine.Loaded{{Model: "m", Version: 1}}})
+					core.Estimates.ApplyReport(time.Now(), engine.Report{Engine: fmt.Sprint("e", k), Incarnation: 1, Sequence: 1, Models: []engine.Loaded{{Model: "m", Version: 1}}})
 				}
 				r.Deadline = time.Now().Add(5 * time.Second)
 				reply := core.Serve(t.Context(), r)
@@ -77,3 +78,34 @@
 		}
 	}
 }
+
+// foreign returns a refusal that may be that of another call.
+func foreign(status int) func() (*engine.Response, error) {
+	return func() (*engine.Response, error) {
+		return &engine.Response{Status: status, Foreign: true, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+}
+
+// TestServeRefusalOfAnotherCallIsNoProof checks that a model request isn't told as not run
+// after a refusal that may be that of another call, and that each attempt but the first is
+// sent as one that was sent before.
+func TestServeRefusalOfAnotherCallIsNoProof(t *testing.T) {
+	for _, status := range []int{400, 429, 503} {
+		synctest.Test(t, func(t *testing.T) {
+			core, _ := newFragileCore(t)
+			sender := &scripted{steps: []func() (*engine.Response, error){foreign(status), refused}}
+			core.Sender = sender
+			for k := range 3 {
+				core.Estimates.ApplyReport(time.Now(), engine.Report{Engine: fmt.Sprint("e", k), Incarnation: 1, Sequence: 1, Models: []engine.Loaded{{Model: "m", Version: 1}}})
+			}
+			body := []byte(`{"model":"m","max_tokens":4,"messages":[{"role":"user","content":"x"}]}`)
+			reply := core.Serve(t.Context(), Request{Method: "POST", Path: "/v1/chat/completions", Body: body, Deadline: time.Now().Add(5 * time.Second)})
+			assert.Equal(t, retry.Unknown, reply.Outcome, status)
+			assert.Greater(t, len(sender.calls), 1, "it may run again: %d", status)
+			for i, c := range sender.calls {
+				assert.Equal(t, i > 0, c.Again, status)
+			}
+			_ = reply.Body.Close()
+		})
+	}
+}
--- a/internal/stand/model/handler.go
+++ b/internal/stand/model/handler.go
@@ -75,6 +75,7 @@
 		return
 	}
 	c.SetStatusCode(response.Status)
+	c.Response.Header.Set(engine.IDHeader, received.ID)
 	for _, f := range response.Fields {
 		c.Response.Header.Set(f.Name, f.Value)
 	}
--- a/internal/stand/plain/plain.go
+++ b/internal/stand/plain/plain.go
@@ -183,6 +183,7 @@
 	}
 	body, _ := io.ReadAll(response.Body)
 	c.SetStatusCode(response.Status)
+	c.Response.Header.Set(engine.IDHeader, request.ID)
 	for _, f := range response.Fields {
 		c.Response.Header.Set(f.Name, f.Value)
 	}
