store, tree: odd objects of other writers hide no other from serve

What callers saw: nothing; the report of odd entries, seen for `serve`'s own form. Values are bytes in base64 in the platform's responses, so that no value can break a watch (TestOddValuesHideNoOther: nested 100,000 deep, no text, no JSON, over the network). An odd claim or intent holds up its own key or engine only, by reading the code; no test was added for these. The list of VMs has no other writer.

--- a/internal/state/store/store_test.go
+++ b/internal/state/store/store_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +29,30 @@
 	return &store.Client{Address: netip.MustParseAddrPort(listener.Addr().String()), Timeout: 2 * time.Second}
 }
 
+// TestOddValuesHideNoOther checks that values of another writer that are no JSON, nested too
+// deeply or no text arrive as they are, and hide no other object of the watch.
+func TestOddValuesHideNoOther(t *testing.T) {
+	p := &platf.Platform{}
+	api := overNetwork(t, p)
+	values := map[string]string{"a/sound": `{"Version":1}`, "a/zound": "1"}
+	for i, odd := range []string{strings.Repeat("[", 100_000), strings.Repeat(`{"a":`, 20_000) + "1" + strings.Repeat("}", 20_000), "\x00\xff\xfe", "null", `"]}`, "1e999", "\u2028<"} {
+		values[fmt.Sprint("a/odd", i)] = odd
+	}
+	for key, value := range values {
+		_, err := api.Put(t.Context(), store.Object{Key: key, Value: []byte(value)})
+		require.NoError(t, err)
+	}
+	page, err := api.Watch(t.Context(), "a/", 0, time.Second)
+	require.NoError(t, err)
+	assert.Len(t, page.Objects, len(values))
+	for _, o := range page.Objects {
+		assert.True(t, values[o.Key] == string(o.Value), o.Key)
+		one, err := api.Get(t.Context(), o.Key)
+		require.NoError(t, err)
+		assert.True(t, values[o.Key] == string(one.Value), o.Key)
+	}
+}
+
 // TestContract checks that the stand-in itself and the network client before it
 // behave as documented at API, so that tests may use either.
 func TestContract(t *testing.T) {
