core: a log line about an odd entry has only its beginning

What callers saw: nothing yet (report of odd entries in the store). Cause: the errors of an entry that can't be parsed have the text that is wrong: a number or an address of a megabyte made a log line of one to two megabytes, each time the entry was written or listed again. The log buffers 1 MiB and drops what does not fit: such an entry crowds out the lines of others. Change: key and error of these lines are cut off after 512 bytes, in all four kinds. Measured: go test ./internal/node/core passes.

--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"google.golang.org/protobuf/proto"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/kept"
@@ -120,6 +122,24 @@
 	}
 }
 
+// TestOddEntryMakesShortLogLines checks that a line about an odd entry doesn't have all of
+// it: one of a megabyte would crowd out the lines of others.
+func TestOddEntryMakesShortLogLines(t *testing.T) {
+	long := strings.Repeat("7", 1<<20)
+	for _, fields := range []string{`,"Slots":` + long, `,"Address":"` + long + `"`, `,"State":"` + long + `"`, `,"Role":"` + long + `"`, `,"Part":` + long, `,"Version":` + long} {
+		n := newNode(t)
+		var output bytes.Buffer
+		n.Log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&output), zap.InfoLevel))
+		o := serverEntry("i-1", fields)
+		(&serversView{n}).Change(page(o))
+		(&membersView{n}).Change(page(o))
+		quarantineView{n.quarantine}.Change(page(o, store.Object{Key: "quarantine/" + long, Value: []byte("{")}))
+		(&tableView{n}).Change(page(store.Object{Key: "config/main", Value: o.Value}))
+		assert.Contains(t, output.String(), "skipped over")
+		assert.Less(t, output.Len(), 10_000, "%.20s", fields)
+	}
+}
+
 // TestOwnOddEntryIsWrittenAgain checks that a process whose entry another writer has
 // replaced by an odd one announces itself again, and that it and its peers keep the members.
 func TestOwnOddEntryIsWrittenAgain(t *testing.T) {
--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -60,7 +60,7 @@
 		err = peers.ErrInvalidEntry
 	}
 	if err != nil {
-		n.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
+		n.logInvalid(o, err)
 	}
 	return m, err == nil
 }
--- a/internal/node/core/quarantined.go
+++ b/internal/node/core/quarantined.go
@@ -112,8 +112,11 @@
 			continue
 		}
 		entry, err := parseQuarantined(o.Value)
-		if err != nil || v.key(entry.Part) != o.Key {
-			v.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
+		if err == nil && v.key(entry.Part) != o.Key {
+			err = errInvalidQuarantine
+		}
+		if err != nil {
+			v.node.logInvalid(o, err)
 			continue
 		}
 		v.added(entry, o.Version)
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -35,7 +35,7 @@
 func (n *Node) activate(data []byte, source string) {
 	t, err := table.Parse(data)
 	if err != nil {
-		n.Log.Error("configuration cannot be used", zap.String("Source", source), zap.Uint64("InForce", n.Version()), zap.Error(err))
+		n.Log.Error("configuration cannot be used", zap.String("Source", source), zap.Uint64("InForce", n.Version()), zap.String("error", short(err.Error())))
 		return
 	}
 	n.mu.Lock()
@@ -110,11 +110,29 @@
 	s, err := roster.Parse(objectName(o), o.Value)
 	s.Revision = o.Version
 	if err != nil && !o.Removed {
-		n.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
+		n.logInvalid(o, err)
 	}
 	return s, !errors.Is(err, roster.ErrInvalidEntry)
 }
 
+// logInvalid logs that an entry of the store is not used.
+func (n *Node) logInvalid(o store.Object, err error) {
+	n.Log.Info("invalid store entry is skipped over", zap.String("Key", short(o.Key)),
+		zap.Uint64("Revision", store.Revision(o.Version)), zap.String("error", short(err.Error())))
+}
+
+// maxLogText bounds a text in a log line that another writer of the store may have made,
+// in bytes.
+const maxLogText = 512
+
+// short returns the beginning of a text.
+func short(text string) string {
+	if len(text) <= maxLogText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxLogText], "") + "..."
+}
+
 // announceLeaving handles a backend server that has said that it leaves. The peers are
 // told of it like of an entry with the state Leaving.
 func (n *Node) announceLeaving(server roster.Server) {
