lease: an odd record frees no lease and takes no fencing token back

The holder before may still have a grant of up to 9 s, so that two processes would give orders; and engines that have seen a higher token refuse the new holder's orders for as many changes of holder as it took to reach it. Change: such a record is free after the duration of a lease, as one whose holder is silent, and the token never goes back in a process that has seen a higher one. A released record and a missing object are free at once, as before. Measured: go test ./internal/state/lease ./internal/fleet/order ./internal/node/tree pass. A process that has seen no earlier record begins at the odd one's token.

--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -96,6 +96,8 @@
 	if len(object.Value) > 0 && json.Unmarshal(object.Value, &record) != nil {
 		record = Record{}
 	}
+	// Another writer may have replaced the record: the token never goes back.
+	record.Fence = max(record.Fence, l.record.Fence)
 	l.record, l.version, l.observedAt, l.observed = record, object.Version, now, true
 	if record.Holder != l.Holder || record.Released {
 		l.held = false
@@ -107,7 +109,7 @@
 	if !l.observed {
 		return false
 	}
-	if l.version == 0 || l.record.Released || l.record.Holder == "" {
+	if l.version == 0 || l.record.Released {
 		return true
 	}
 	return now.Sub(l.observedAt) >= extendForDrift(Duration)
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,6 +84,21 @@
 	assert.EqualValues(t, 2, record.Fence, "the next acquisition increments the fencing token")
 }
 
+// TestOddRecordFreesNoLease checks that a record that another writer has made unreadable
+// doesn't free the lease while its holder may have a grant, and that the fencing token grows.
+func TestOddRecordFreesNoLease(t *testing.T) {
+	start := time.Unix(1, 0)
+	for _, odd := range []string{"null", "7", "{", `{"Fence":-1}`, `{"Fence":1e999}`, "{}", strings.Repeat("[", 20_000)} {
+		l := lease.Lease{Holder: "b"}
+		l.Observe(start, store.Object{Key: "k", Value: []byte(`{"Holder":"a","Fence":7}`), Version: 1})
+		l.Observe(start.Add(time.Millisecond), store.Object{Key: "k", Value: []byte(odd), Version: 2})
+		assert.False(t, l.Free(start.Add(lease.Duration)), "%.20s", odd)
+		assert.True(t, l.Free(start.Add(2*lease.Duration)), "%.20s", odd)
+		_, record := l.AcquireWrite("k", "w")
+		assert.EqualValues(t, 8, record.Fence, "%.20s", odd)
+	}
+}
+
 // TestKeeperUnderFaults runs two keepers against a failing platform and checks
 // that never both have a grant.
 func TestKeeperUnderFaults(t *testing.T) {
