--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -1,10 +1,12 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"google.golang.org/protobuf/proto"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/kept"
@@ -110,6 +113,59 @@
 	assert.Len(t, n.roster.Service("s"), 2)
 }
 
+// TestServerIsUsedAgainAfterAnOddEntry checks that a server whose entry another writer has
+// replaced by an odd one is used with its own next entry, also if the odd one claims a later
+// start.
+func TestServerIsUsedAgainAfterAnOddEntry(t *testing.T) {
+	n := newNode(t)
+	v := &serversView{n}
+	v.Replace(page(serverEntry("i-1", `,"Sequence":1`), serverEntry("i-2", "")), false)
+	for i, odd := range []string{`,"born":9007199254740991`, `,"born":9e99`, `,"Sequence":9e99`, `,"Slots":1e12`, `,"Address":"10.0.0.1:99999"`} {
+		v.Change(page(serverEntry("i-1", odd)))
+		assert.Len(t, n.roster.Service("s"), 1, odd)
+		v.Change(page(serverEntry("i-1", fmt.Sprintf(`,"Sequence":%d`, 2+i))))
+		assert.Len(t, n.roster.Service("s"), 2, odd)
+	}
+}
+
+// TestOddEntryMakesShortLogLines checks that a line about an odd entry doesn't have all of
+// it: one of a megabyte would crowd out the lines of others.
+func TestOddEntryMakesShortLogLines(t *testing.T) {
+	long := strings.Repeat("7", 1<<20)
+	for _, fields := range []string{`,"Slots":` + long, `,"Address":"` + long + `"`, `,"State":"` + long + `"`, `,"Role":"` + long + `"`, `,"Part":` + long, `,"Version":` + long} {
+		n := newNode(t)
+		var output bytes.Buffer
+		n.Log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&output), zap.InfoLevel))
+		o := serverEntry("i-1", fields)
+		(&serversView{n}).Change(page(o))
+		(&membersView{n}).Change(page(o))
+		quarantineView{n.quarantine}.Change(page(o, store.Object{Key: "quarantine/" + long, Value: []byte("{")}))
+		(&tableView{n}).Change(page(store.Object{Key: "config/main", Value: o.Value}))
+		assert.Contains(t, output.String(), "skipped over")
+		assert.Less(t, output.Len(), 10_000, "%.20s", fields)
+	}
+}
+
+// TestOwnOddEntryIsWrittenAgain checks that a process whose entry another writer has
+// replaced by an odd one announces itself again, and that it and its peers keep the members.
+func TestOwnOddEntryIsWrittenAgain(t *testing.T) {
+	own := store.Object{Key: "members/a", Value: []byte(`{"Name":"a","Address":"10.0.0.1:7660"}`)}
+	for _, odd := range []string{`null`, `{"Name":"a","Address":"10.0.0.1:99999"}`, strings.Repeat("[", 20_000), `{"Name":"b","Address":"10.0.0.1:7660"}`} {
+		n := newNode(t)
+		n.announced.Store(true)
+		v := &membersView{n}
+		v.Replace(page(own), false)
+		v.Change(page(own))
+		assert.Empty(t, n.announceNow)
+		v.Change(page(store.Object{Key: "members/b", Value: []byte(odd)}))
+		assert.Empty(t, n.announceNow, "another's entry")
+		v.Change(page(store.Object{Key: "members/a", Value: []byte(odd)}))
+		assert.Len(t, n.announceNow, 1, "%.40s", odd)
+		_, known := n.peers.Member("a")
+		assert.True(t, known, "%.40s", odd)
+	}
+}
+
 func TestDeparturesAreSentToPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b := newNode(t), newNode(t)
--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -49,6 +49,8 @@
 			if m.Name == v.node.Name && m.Doubted {
 				v.node.announceAgain()
 			}
+		} else if objectName(o) == v.node.Name && v.node.announced.Load() {
+			v.node.announceAgain()
 		}
 	}
 }
@@ -70,7 +72,7 @@
 		err = peers.ErrInvalidEntry
 	}
 	if err != nil {
-		n.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
+		n.logInvalid(o, err)
 	}
 	return m, err == nil
 }
--- a/internal/node/entry/model.go
+++ b/internal/node/entry/model.go
@@ -65,6 +65,8 @@
 	initial  *placement
 	started  time.Time
 	finished bool
+	// mayHaveRun is set once an attempt has failed that may have run.
+	mayHaveRun bool
 	// offset is how many events had been received when the response was last
 	// opened or resumed.
 	offset int
@@ -230,7 +232,7 @@
 		t = &terminalError{outcome: retry.Unknown, reason: "AnswerBroken", err: err}
 	}
 	if t.response != nil {
-		return j.forwardRejection(t.response)
+		return j.forwardRejection(t)
 	}
 	if errors.Is(t, errQuarantined) {
 		return rejectQuarantined(t.outcome, j.core.quarantined(j.request.content))
@@ -244,14 +246,14 @@
 
 // forwardRejection returns an engine's own rejection of the request's content to
 // the client, and closes the engine's response.
-func (j *job) forwardRejection(response *engine.Response) *Reply {
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+func (j *job) forwardRejection(t *terminalError) *Reply {
+	defer t.response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(t.response.Body, 1<<20))
 	if err != nil {
-		body = errorJSON(retry.NotRun, "EngineRefused", "the engine refused the request")
+		body = errorJSON(t.outcome, "EngineRefused", "the engine refused the request")
 	}
-	reply := jsonReply(response.Status, body)
-	reply.Outcome, reply.Reason = retry.NotRun, "EngineRefused"
+	reply := jsonReply(t.response.Status, body)
+	reply.Outcome, reply.Reason = t.outcome, "EngineRefused"
 	return reply
 }
 
@@ -307,6 +309,9 @@
 		}
 		var t *terminalError
 		if errors.As(err, &t) {
+			if j.mayHaveRun {
+				t.outcome = retry.Unknown
+			}
 			return nil, err
 		}
 		cause = err
@@ -334,9 +339,10 @@
 	}
 	failure := retry.Failure{
 		Rejected: errors.Is(cause, errRejected), Stage: call.StageOf(cause), Repeatable: true,
-		Attempts: j.attempts, Left: time.Until(j.request.Deadline),
+		MayHaveRun: j.mayHaveRun, Attempts: j.attempts, Left: time.Until(j.request.Deadline),
 	}
 	decision := j.core.decideRetry(failure)
+	j.mayHaveRun = decision.Outcome == retry.Unknown
 	if !decision.Retry {
 		return &terminalError{outcome: decision.Outcome, reason: decision.Reason.String(), err: cause}
 	}
@@ -374,7 +380,7 @@
 	j.core.Trace.Add(trace.Event{Kind: trace.Placed, Request: j.id, Engine: p.decode.Name, Detail: p.detail()})
 	outgoing := engine.Call{
 		ID: j.id, Method: "POST", Path: j.request.Path, Body: j.request.Body, Priority: j.request.Priority,
-		Fields: j.request.Fields, Offset: offset, ReadTimeout: j.core.StallTimeout,
+		Fields: j.request.Fields, Offset: offset, Again: j.attempts > 1, ReadTimeout: j.core.StallTimeout,
 	}
 	if p.decision.Split() {
 		if err := j.prefill(p, outgoing); err != nil {
@@ -438,6 +444,10 @@
 		j.core.Estimates.RecordSuccess(server.Name)
 		return response.Body, nil
 	}
+	if response.Foreign {
+		response.Body.Close()
+		return nil, fmt.Errorf("%w: %w", errForeign, engine.StatusError{Status: response.Status})
+	}
 	if response.NotRun || response.Status == 429 || response.Status == 503 {
 		response.Body.Close()
 		return nil, errRejected
@@ -449,6 +459,9 @@
 	return nil, engine.StatusError{Status: response.Status}
 }
 
+// errForeign means that a response which is no success may be that to another call.
+var errForeign = errors.New("response without the ID of the call")
+
 // sendTo records the engine to which the request is sent next.
 func (j *job) sendTo(server spec.BackendServer) {
 	j.server, j.begun = server, j.core.quarantine.start(server.Name)
--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -158,8 +158,9 @@
 // run sends the call, and retries it where that is safe. The response is nil if the
 // reply is an error.
 func (p *plainCall) run(ctx context.Context) (*Reply, *claim.Response) {
+	mayHaveRun := false
 	for attempts := 1; ; attempts++ {
-		response, err := p.attempt(ctx)
+		response, err := p.attempt(ctx, attempts > 1)
 		if err == nil {
 			p.core.quarantine.succeeded(time.Now(), p.request.content)
 			reply := jsonReply(response.Status, response.Body)
@@ -170,9 +171,10 @@
 		}
 		failure := retry.Failure{
 			Rejected: errors.Is(err, errRejected) || errors.Is(err, errNoServer), Stage: call.StageOf(err), Repeatable: p.repeatable,
-			Attempts: attempts, Left: time.Until(p.request.Deadline),
+			MayHaveRun: mayHaveRun, Attempts: attempts, Left: time.Until(p.request.Deadline),
 		}
 		decision := p.core.decideRetry(failure)
+		mayHaveRun = decision.Outcome == retry.Unknown
 		waited := decision.Retry && timer.Wait(ctx, decision.Delay)
 		if left := p.core.quarantined(p.request.content); waited && left > 0 {
 			return rejectQuarantined(decision.Outcome, left), nil
@@ -219,8 +221,9 @@
 // errNoServer means that no server of the service is available for the call.
 var errNoServer = errors.New("no server of the service may get the call now")
 
-// attempt sends the call to one server and reads its response.
-func (p *plainCall) attempt(ctx context.Context) (*claim.Response, error) {
+// attempt sends the call to one server and reads its response. again is set if it was sent
+// before.
+func (p *plainCall) attempt(ctx context.Context, again bool) (*claim.Response, error) {
 	c := p.core
 	server, ok := c.Estimates.PickServer(time.Now(), p.service.Name, p.excluded)
 	if !ok && len(p.excluded) > 0 {
@@ -236,7 +239,7 @@
 	c.Trace.Add(trace.Event{Kind: trace.Placed, Request: p.id, Engine: server.Name})
 	outgoing := engine.Call{
 		ID: p.id, Method: p.request.Method, Path: p.request.Path, Fields: p.request.Fields,
-		Body: p.request.Body, AtMostOnce: !p.repeatable, ReadTimeout: p.service.Limit,
+		Body: p.request.Body, AtMostOnce: !p.repeatable, Again: again, ReadTimeout: p.service.Limit,
 	}
 	response, err := c.Sender.Send(ctx, server, outgoing)
 	if err != nil {
