broker: new streams begin elsewhere if the default's servers have no room

What callers saw: while records can't be written (a failed call is enough, for half a second), new streams are refused as Overloaded or NoServer though most servers are idle, late in a release above all.

Cause: they are restricted to the version of the default if the roster has a server of it at all, be it one of ten, full, paused or ejected. That protects some streams from being unknown after the end of four processes, and refuses many for certain.

Change: a new stream that gets no permit at once at the default's usable servers may begin anywhere.

Conclusion: the restriction is a preference. It costs some unrecorded streams while the store is away.

--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -155,6 +155,10 @@
 func (b *Broker) admit(w *waiter) {
 	q := b.queue(w.need.key)
 	v := b.views(w.since, w)
+	if w.need.software.restricted && (v.first.usable == 0 || v.first.ejected) {
+		w.lift()
+		v = b.views(w.since, w)
+	}
 	if v.first.usable == 0 {
 		if b.pauseEnds(w) {
 			q.waiting = append(q.waiting, w)
@@ -169,6 +173,11 @@
 			return
 		}
 	}
+	if w.need.software.restricted {
+		w.lift()
+		b.admit(w)
+		return
+	}
 	ahead := q.ahead(w.need) + w.need.size()
 	if !w.need.software.limited() {
 		ahead += v.first.peerLoad.Waiting
@@ -180,6 +189,14 @@
 	q.waiting = append(q.waiting, w)
 }
 
+// lift lets a new stream begin at any version.
+func (w *waiter) lift() {
+	w.need.software = software{}
+	if w.alternative != nil {
+		w.alternative.software = software{}
+	}
+}
+
 // pauseEnds reports whether a backend server that can go on with a resumed stream wants
 // no request now, but will before the wait is too long. b.mu must be held.
 func (b *Broker) pauseEnds(w *waiter) bool {
