core: failing test of a stream that is resumed for longer than its record lasts

What callers could see: a long stream that is resumed several times goes on at another version after all processes were killed (ORDER).

Cause: its origin is recorded when it begins, and the record is removed when nothing has been added to its entry for the life of a stream. A resumed stream adds nothing, though Keeper.Next says that the life counts from when a stream was last resumed.

--- a/internal/node/core/review_test.go
+++ b/internal/node/core/review_test.go
@@ -355,3 +355,22 @@
 		s.end()
 	})
 }
+
+// TestStreamThatIsResumedForLongIsNotGuessed guards against the record of a stream being removed
+// while its client still resumes it.
+func TestStreamThatIsResumedForLongIsNotGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{store: &memoryStore{}}
+		s.start(t, 1, "v1", "v1", "v2")
+		s.begin(s.cluster[0], "r", "v2")
+		for range 12 {
+			time.Sleep(minStreamLife / 4)
+			version, _ := s.found(s.cluster[0], "r")
+			assert.Equal(t, "v2", version)
+		}
+		s.restart(t, "v1", "v1", "v2")
+		version, _ := s.found(s.cluster[0], "r")
+		assert.NotEqual(t, "v1", version, "it was resumed 4 s ago")
+		s.end()
+	})
+}
