--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -105,7 +105,16 @@
 	if request == "" {
 		return s.findUnnamed(ctx, host, prefix)
 	}
-	key := origin.Key(request)
+	o, source := s.findNamed(ctx, origin.Key(request), host, prefix)
+	if source != origin.Unknown {
+		// Its client may resume it again, for as long after as if it began now.
+		s.Place(request, host, prefix, o, false)
+	}
+	return o, source
+}
+
+// findNamed returns the origin of the stream with the key.
+func (s *origins) findNamed(ctx context.Context, key uint64, host, prefix string) (origin.Origin, origin.Source) {
 	if o, known := s.table.Find(time.Now(), key); known {
 		return o, origin.Remembered
 	}
