--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -190,7 +190,7 @@
 // should begin. It returns false if there is none at once. b.mu must be held.
 func (b *Broker) admitRestricted(q *queue, w *waiter) bool {
 	v := b.views(w.since, w)
-	if v.first.usable == 0 || q.hasAhead(w.need) {
+	if v.first.usable == 0 || v.first.ejected || q.hasAhead(w.need) {
 		return false
 	}
 	p := b.tryAcquire(w.since, w, v)
--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -73,7 +73,7 @@
 	if byDefault, known := s.defaults.find(now, origin.RouteKey(host, prefix)); known && byDefault == o && attempt == 0 {
 		return nil
 	}
-	record := origin.Record{Stream: origin.Key(request), Origin: o, Attempt: uint8(min(attempt, math.MaxUint8))}
+	record := origin.Record{Stream: origin.Key(request), Origin: o, Attempt: uint8(min(attempt, resumedAttempt-1))}
 	return s.recorder.record(now, record)
 }
 
@@ -102,12 +102,25 @@
 	}
 }
 
+// resumedAttempt is the attempt of a stream that has begun, which no failed one follows.
+const resumedAttempt = math.MaxUint8
+
 // Find implements broker.Origins.
 func (s *origins) Find(ctx context.Context, request, host, prefix string) (origin.Origin, origin.Source) {
 	if request == "" {
 		return s.findUnnamed(ctx, host, prefix)
 	}
 	key := origin.Key(request)
+	o, source := s.findNamed(ctx, key, host, prefix)
+	if source == origin.Remembered || source == origin.Recorded {
+		// Its client may resume it again, for as long after as if it began now.
+		s.recorder.record(time.Now(), origin.Record{Stream: key, Origin: o, Attempt: resumedAttempt})
+	}
+	return o, source
+}
+
+// findNamed returns the origin of the stream with the key.
+func (s *origins) findNamed(ctx context.Context, key uint64, host, prefix string) (origin.Origin, origin.Source) {
 	if o, known := s.table.Find(time.Now(), key); known {
 		return o, origin.Remembered
 	}
