--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ebonyscale.example/ebonyscale/internal/config/table"
+	"ebonyscale.example/ebonyscale/internal/fleet/origin"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/retry"
@@ -80,8 +81,14 @@
 	// quarantinedUntil is when the quarantine of the request ends, zero if it is in
 	// none.
 	quarantinedUntil time.Time
-	// software is bound once the stream has begun.
-	software software
+	// software is bound once the stream has begun. originFrom is set if the client resumes
+	// a stream.
+	software   software
+	originFrom origin.Source
+	// placed is set once the request has been sent to a backend server that may begin its
+	// stream, recorded is the result of Origins.Place.
+	placed   bool
+	recorded <-chan struct{}
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
 }
@@ -170,6 +177,7 @@
 		zap.Uint64("Version", j.table.Version), zap.String("Server", p.server.ID), zap.Int64("Born", p.server.Born), zap.String("Software", p.server.Version),
 		zap.Int("Send", j.attempts), zap.Duration("Waited", p.waited), zap.String("Coordinator", p.coordinator),
 		zap.String("After", c.After), zap.String("Origin", j.request.Origin))
+	j.placeStream(p.server)
 	response, err := j.broker.Servers.Send(ctx, p.server, c)
 	if err != nil {
 		f := j.sendFailure(ctx, err)
@@ -341,6 +349,10 @@
 		fields = append(fields, zap.String("Route", j.route.Name), zap.String("Service", j.service.Name), zap.Uint64("Version", j.table.Version))
 		j.broker.Meters.Observe("Took."+string(j.route.Kind), took)
 	}
+	if j.originFrom != "" {
+		fields = append(fields, zap.String("Origin", j.request.Origin), zap.String("OriginFrom", string(j.originFrom)), zap.String("Software", j.software.version))
+		j.broker.Meters.Add("Resumed."+string(reason), 1)
+	}
 	fields = append(fields, j.stages...)
 	if j.longestGap > 0 {
 		fields = append(fields, zap.Duration("MaxGap", j.longestGap))
