--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -67,12 +68,13 @@
 }
 
 // Place implements broker.Origins.
-func (s *origins) Place(request, host, prefix string, o origin.Origin, again bool) <-chan struct{} {
+func (s *origins) Place(request, host, prefix string, o origin.Origin, attempt int) <-chan struct{} {
 	now := time.Now()
-	if byDefault, known := s.defaults.find(now, origin.RouteKey(host, prefix)); known && byDefault == o && !again {
+	if byDefault, known := s.defaults.find(now, origin.RouteKey(host, prefix)); known && byDefault == o && attempt == 0 {
 		return nil
 	}
-	return s.recorder.add(now, origin.Record{Stream: origin.Key(request), Origin: o})
+	record := origin.Record{Stream: origin.Key(request), Origin: o, Attempt: uint8(min(attempt, math.MaxUint8))}
+	return s.recorder.record(now, record)
 }
 
 // Begin implements broker.Origins.
@@ -86,6 +88,10 @@
 	if recorded == nil {
 		return
 	}
+	if s.recorder.fails(time.Now()) {
+		s.node.Meters.Add("StreamsBegunUnrecorded", 1)
+		return
+	}
 	timeout := time.NewTimer(recordTimeout)
 	defer timeout.Stop()
 	select {
@@ -113,6 +119,9 @@
 		return origin.Origin{}, origin.Unknown
 	}
 	if o, known := s.table.Find(time.Now(), key); known {
+		return o, origin.Remembered
+	}
+	if o, known := s.recall.find(key); known {
 		return o, origin.Recorded
 	}
 	return s.byDefault(host, prefix)
@@ -125,7 +134,7 @@
 		return origin.Origin{}, origin.Unknown
 	}
 	o, source := s.byDefault(host, prefix)
-	if source == origin.ByDefault && !s.table.Only(time.Now(), o) {
+	if source == origin.ByDefault && (!s.table.Only(time.Now(), o) || !s.recall.only(o)) {
 		return origin.Origin{}, origin.Unknown
 	}
 	return o, source
@@ -213,6 +222,7 @@
 		}
 		s.responded(m, message.From)
 	}
+	s.recorder.handle(now, message)
 	if len(message.StreamsAsked) == 0 {
 		return
 	}
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -5,9 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -25,9 +22,11 @@
 	node *Node
 	wake chan struct{}
 
-	// mu guards waiting, the requests that wait for the next list.
-	mu      sync.Mutex
-	waiting []chan error
+	// mu guards waiting, the requests that wait for the next list, and recorded, which has
+	// the streams of the latest list and is not changed.
+	mu       sync.Mutex
+	waiting  []chan error
+	recorded map[uint64]origin.Record
 	// seen has the entries by key and since when each has had its version. Only the task
 	// uses it.
 	seen map[string]sighting
@@ -40,6 +39,8 @@
 }
 
 const (
+	// maxRecalled bounds the records that are read. If there are more, nothing is known.
+	maxRecalled = 1 << 18
 	// recallTimeout bounds the wait of a request for the records in the store.
 	recallTimeout = time.Second
 	// recallPause is the least pause between two lists.
@@ -51,6 +52,12 @@
 	sweepPerLife = 2
 )
 
+// errStoreBack means that records may have been lost since the defaults were heard of.
+var errStoreBack = errors.New("the store has come back from an older copy")
+
+// errTooMany means that the records can't all be remembered.
+var errTooMany = errors.New("the store has too many records of streams")
+
 func newRecall(n *Node) *recall {
 	return &recall{node: n, wake: make(chan struct{}, 1), seen: map[string]sighting{}}
 }
@@ -78,7 +85,7 @@
 // Run lists the records until ctx ends and returns its error.
 func (r *recall) Run(ctx context.Context) error {
 	for !r.node.streamsListed.Load() {
-		if err := r.list(ctx); err == nil {
+		if err := r.list(ctx); err == nil || errors.Is(err, errTooMany) {
 			r.node.streamsListed.Store(true)
 			break
 		}
@@ -86,17 +93,18 @@
 			return ctx.Err()
 		}
 	}
+	sweep := time.NewTimer(r.node.streamLife() / sweepPerLife)
+	defer sweep.Stop()
 	for ctx.Err() == nil {
-		sweep := time.NewTimer(r.node.streamLife() / sweepPerLife)
 		select {
 		case <-r.wake:
 			r.serve(ctx)
 			timer.Wait(ctx, recallPause)
 		case <-sweep.C:
 			r.sweep(ctx)
+			sweep.Reset(r.node.streamLife() / sweepPerLife)
 		case <-ctx.Done():
 		}
-		sweep.Stop()
 	}
 	return ctx.Err()
 }
@@ -116,36 +124,55 @@
 	}
 }
 
-// list reads all records into the table of the streams.
+// list reads all records.
 func (r *recall) list(ctx context.Context) error {
 	chunks, err := r.read(ctx)
 	if err != nil {
 		r.node.Log.Info("records of streams can't be read", zap.Error(err))
 		return err
 	}
-	latest, order := map[uint64]origin.Origin{}, []uint64(nil)
+	var all []origin.Record
 	for _, o := range chunks {
 		records, err := origin.ParseRecords(o.Value)
 		if err != nil {
 			r.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
 			continue
 		}
-		for _, record := range records {
-			if _, known := latest[record.Stream]; !known {
-				order = append(order, record.Stream)
-			}
-			latest[record.Stream] = record.Origin
+		all = append(all, records...)
+		if len(all) > maxRecalled {
+			return errTooMany
 		}
 	}
-	now := time.Now()
-	for _, key := range order {
-		r.node.origins.table.Record(now, key, latest[key])
-	}
-	r.node.Meters.Add("StreamsRecalled", int64(len(order)))
+	latest := origin.Latest(all)
+	r.mu.Lock()
+	r.recorded = latest
+	r.mu.Unlock()
+	r.node.Meters.Add("StreamsRecalled", int64(len(latest)))
 	return nil
 }
 
-// read returns all entries with records, those written last at the end.
+// find returns the recorded origin of a stream, as of the latest list. A stream of which a
+// process remembers the beginning may have begun elsewhere since.
+func (r *recall) find(key uint64) (origin.Origin, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, known := r.recorded[key]
+	return record.Origin, known
+}
+
+// only reports whether all streams that are recorded of a service began at its version.
+func (r *recall) only(o origin.Origin) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range r.recorded {
+		if other.Service == o.Service && other.Origin != o {
+			return false
+		}
+	}
+	return true
+}
+
+// read returns all entries with records.
 func (r *recall) read(ctx context.Context) ([]store.Object, error) {
 	var all []store.Object
 	for after := ""; ; {
@@ -153,32 +180,19 @@
 		if err != nil {
 			return nil, fmt.Errorf("list records of streams: %w", err)
 		}
+		if r.node.origins.defaults.precedes(page) {
+			return nil, errStoreBack
+		}
 		all = append(all, page.Objects...)
 		if after = page.Next; after == "" {
 			break
 		}
 	}
-	slices.SortFunc(all, func(a, b store.Object) int { return compareChunks(a.Key, b.Key) })
 	return all, nil
 }
 
-// compareChunks orders the keys of chunks by the time at which they were begun, as each
-// process counts it: a stream is recorded by one process only.
-func compareChunks(a, b string) int {
-	return int(min(max(chunkNumber(a)-chunkNumber(b), -1), 1))
-}
-
-// chunkNumber returns the number at the end of a chunk's key, 0 if there is none.
-func chunkNumber(key string) int64 {
-	number, err := strconv.ParseInt(key[strings.LastIndexByte(key, '.')+1:], 16, 64)
-	if err != nil {
-		return 0
-	}
-	return number
-}
-
 // sweep removes the entries to which nothing has been added for the life of a stream. One
-// process does so for all.
+// process does so for all, and serves the requests that wait meanwhile.
 func (r *recall) sweep(ctx context.Context) {
 	if !r.node.keepsOrigins() {
 		clear(r.seen)
@@ -189,7 +203,12 @@
 		return
 	}
 	now, present := time.Now(), map[string]sighting{}
+	served := now
 	for _, o := range chunks {
+		if time.Since(served) > recallPause {
+			r.serve(ctx)
+			served = time.Now()
+		}
 		s, known := r.seen[o.Key]
 		if !known || s.version != o.Version {
 			s = sighting{o.Version, now}
