--- a/internal/fleet/crash/cause_test.go
+++ b/internal/fleet/crash/cause_test.go
@@ -41,6 +41,101 @@
 	assert.Equal(t, []Cause{{"request:7", QuarantineTime}}, e.Causes(at(1000), never))
 }
 
+// TestRequestServedBeforeIsNotKeptAwayBesideTheCause checks that a request which many
+// clients send, and which was there at the crashes of one that was never served, goes on
+// being served.
+func TestRequestServedBeforeIsNotKeptAwayBesideTheCause(t *testing.T) {
+	for _, causes := range [][]int{{7, 7, 7}, {7, 9, 7}, {7, 7, 9, 7}} {
+		var e Evidence
+		for i, cause := range causes {
+			e.add(at(100*i), i, cause)
+			e.add(at(100*i), i, 8)
+		}
+		e.Succeeded("request:8", at(-1000))
+		assert.NotContains(t, e.subjects(at(1000), never), "request:8", causes)
+		known := Known(func(subject string) time.Duration {
+			return map[string]time.Duration{"request:7": bystanderTime}[subject]
+		})
+		assert.NotContains(t, e.subjects(at(1000), known), "request:8", "%v: once the cause is kept away", causes)
+	}
+}
+
+// TestRequestServedBeforeIsNotKeptAwayAtTheFirstCrashOfASecondCause checks the same of a
+// request all whose other crashes have a known cause.
+func TestRequestServedBeforeIsNotKeptAwayAtTheFirstCrashOfASecondCause(t *testing.T) {
+	var e Evidence
+	for i, cause := range []int{7, 7, 7, 9} {
+		e.add(at(100*i), i, cause)
+		e.add(at(100*i), i, 8)
+	}
+	e.Succeeded("request:8", at(-1000))
+	assert.Empty(t, e.Causes(at(1000), set(map[string]bool{"request:7": true})))
+}
+
+// TestRequestServedBeforeIsNotKeptAwayWhileNoServerIsUp checks the same where two others end
+// all servers within a second, so that nothing is served between the crashes.
+func TestRequestServedBeforeIsNotKeptAwayWhileNoServerIsUp(t *testing.T) {
+	for _, crashes := range [][][]int{
+		{{7}, {9, 8}, {7, 8, 9}, {7, 8, 9}, {7, 8, 9}, {7, 8, 9}},
+		{{7, 8}, {7, 8}, {7, 8}, {7, 8}, {7, 8}, {7, 8}},
+		{{7, 9, 8}, {7, 9, 8}, {7, 9, 8}, {7, 9, 8}, {7, 9, 8}},
+	} {
+		var e Evidence
+		for i, requests := range crashes {
+			for _, request := range requests {
+				e.add(at(100*i), i, request)
+			}
+		}
+		e.Succeeded("request:8", at(-1000))
+		known := map[string]time.Duration{}
+		for range 3 {
+			for _, c := range e.Causes(at(1000), func(subject string) time.Duration { return known[subject] }) {
+				known[c.Subject] = c.For
+			}
+		}
+		assert.NotZero(t, known["request:7"], crashes)
+		assert.Zero(t, known["request:8"], crashes)
+	}
+}
+
+// TestRequestBesideOneServedBeforeIsInDoubt checks that a request that was never served is
+// kept away only shortly if it was never at a crash without one that was served before.
+func TestRequestBesideOneServedBeforeIsInDoubt(t *testing.T) {
+	var e Evidence
+	for i := range requiredForRequest {
+		e.add(at(100*i), i, 7)
+		e.add(at(100*i), i, 8)
+	}
+	e.Succeeded("request:8", at(-1000))
+	assert.Equal(t, []Cause{{"request:7", bystanderTime}}, e.Causes(at(1000), never))
+	e.add(at(1000), 9, 7)
+	assert.Equal(t, []Cause{{"request:7", QuarantineTime}}, e.Causes(at(1500), never))
+}
+
+// TestRequestServedBeforeIsFoundBesideBystanders checks that a request which crashes
+// servers though it was served before is found, whatever was there beside it.
+func TestRequestServedBeforeIsFoundBesideBystanders(t *testing.T) {
+	for _, beside := range [][]int{nil, {9, 9, 9}, {9, 9, 10, 10, 11}} {
+		var e Evidence
+		known := map[string]time.Duration{}
+		found := func(subject string) time.Duration { return known[subject] }
+		for i := range requiredAfterSuccess {
+			e.add(at(100*i), i, 8)
+			if i < len(beside) {
+				e.add(at(100*i), i, beside[i])
+			}
+			e.Succeeded("request:8", at(-1000))
+			for _, c := range e.Causes(at(100*i).Add(settleTime), found) {
+				known[c.Subject] = c.For
+			}
+			if len(beside) == 0 && i+1 == requiredForRequest {
+				break
+			}
+		}
+		assert.Positive(t, known["request:8"], beside)
+	}
+}
+
 // TestSecondCauseIsFoundAtItsNextCrash checks that a request whose crashes another one
 // explains is kept away from servers after the next one, at first for a short time, since
 // it may be sound, and then for a long one.
