broker: a process that has lost all backend servers serves through peers

The cause: no way led from a client to a server but the process's own links; the class: a duty that a process cannot do any more is refused instead of passed on.

Now a process to which no backend server of a service accepts connections hands whole requests to a live peer that says it reaches some (status messages name the services that their sender has lost): over one drpc stream, the body in parts, run only after the peer has accepted it and was told to go. Before that a broken hop means not run, after it unknown unless the peer says more. The response comes back as it arrives, with the version that a stream is bound to and the attempts used, so that a stream goes on at another peer. Stalled servers are probed by a connection, and the rest of the fleet once half of a service refuses, so that a cut is known soon.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -137,6 +137,10 @@
 	version               uint64
 	stopping              bool
 	servers, queues       map[uint64]Load
+	// lost has the hashes of the services of which it reaches no backend server, running
+	// is the number of its requests in progress.
+	lost    []uint64
+	running int
 }
 
 // Table has the members and the state of the live peers. Self must be set before
@@ -243,9 +247,10 @@
 	if known {
 		t.addLoads(before, -1)
 	}
-	p := &peer{incarnation: message.Incarnation, sequence: message.Sequence, receivedAt: now, version: message.TableVersion, stopping: message.Stopping}
+	p := &peer{incarnation: message.Incarnation, sequence: message.Sequence, receivedAt: now, version: message.TableVersion, stopping: message.Stopping, lost: message.Lost}
 	p.servers, p.queues = make(map[uint64]Load, len(message.Loads)), make(map[uint64]Load, len(message.Lines))
 	for _, l := range message.Loads {
+		p.running += int(l.Running)
 		p.servers[l.Server] = Load{
 			Running: int(l.Running), Long: int(l.Long), Granted: int(l.Granted), Prefills: int(l.Reading), PrefillTokens: int(l.Tokens),
 			GrantedPrefills: int(l.GrantedReading), GrantedTokens: int(l.GrantedTokens),
@@ -379,6 +384,43 @@
 	return names
 }
 
+// Reacher is a live member that reaches backend servers of a service.
+type Reacher struct {
+	Member
+	// Running is the number of its requests in progress.
+	Running int
+}
+
+// LostAll stands for all services among those of which a process reaches no backend
+// server.
+const LostAll = 0
+
+// Reachers returns the live peers that reach backend servers of the service with the hash
+// key and are not stopping, up to MaxFresh of them: the first in the rendezvous order for
+// this process's name.
+func (t *Table) Reachers(key uint64) []Reacher {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var list []Reacher
+	for name, p := range t.peers {
+		m, ok := t.members[name]
+		if ok && !p.stopping && !p.hasLost(key) {
+			list = append(list, Reacher{m, p.running})
+		}
+	}
+	if len(list) <= MaxFresh {
+		return list
+	}
+	own := xxhash.Sum64String(t.Self)
+	slices.SortFunc(list, func(a, b Reacher) int { return cmp.Compare(rendezvous(a.Name, own), rendezvous(b.Name, own)) })
+	return list[:MaxFresh]
+}
+
+// hasLost reports whether the process reaches no backend server of the service.
+func (p *peer) hasLost(key uint64) bool {
+	return slices.Contains(p.lost, key) || slices.Contains(p.lost, LostAll)
+}
+
 // Rank returns the position of this process, from 0, in the rendezvous order of all
 // members for a key, and their number. Silent members count, since they may still run.
 func (t *Table) Rank(key uint64) (rank, members int) {
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -124,6 +124,11 @@
 	// Unreachable is set after a connection could not be made, until one
 	// succeeds or the backend server sends something.
 	Unreachable bool
+	// Undialable is set after a connection could not be made, until one succeeds. Those
+	// that are open may still work.
+	Undialable bool
+	// HeardAt is when the backend server last sent something to this process.
+	HeardAt time.Time
 	// Paused is set while the backend server wants no request from this process. It
 	// must get none, not even if there is no other.
 	Paused bool
@@ -155,6 +160,7 @@
 	ejections, rejections int
 	suspect               bool
 	unreachable           bool
+	undialable            bool
 	ejectedUntil          time.Time
 	pausedUntil           time.Time
 	limited               limited
@@ -162,6 +168,8 @@
 	// lastActive is when the backend server last sent something, or when it
 	// got a request while it had none.
 	lastActive time.Time
+	// heardAt is when the backend server last sent something.
+	heardAt time.Time
 }
 
 // Table has the counts and the health of each incarnation of a backend server.
@@ -262,7 +270,7 @@
 		r.latencyRatio += latencyWeight * (min(result.LatencyRatio, maxLatencyRatio) - r.latencyRatio)
 	}
 	if result.Verdict == OK || result.Verdict == Full {
-		r.lastActive = now
+		r.lastActive, r.heardAt = now, now
 		r.unreachable = false
 	}
 	switch result.Verdict {
@@ -278,7 +286,7 @@
 			r.eject(now)
 		}
 	case Unreachable:
-		r.unreachable = true
+		r.unreachable, r.undialable = true, true
 		r.failureRate += failureWeight * (1 - r.failureRate)
 		r.eject(now)
 	case Full:
@@ -320,11 +328,11 @@
 		return Snapshot{LatencyRatio: 1}
 	}
 	shareless := r.limited.active(now) && r.limited.share == 0
-	stalled := r.running > 0 && now.Sub(r.lastActive) > r.stallTime()
+	stalled := r.stalled(now)
 	return Snapshot{
 		Paused: now.Before(r.pausedUntil) || shareless, Throttled: r.limited.throttled(now), LimitShare: r.limited.share, Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
 		Times: r.prefills.times(now, server.Role), LatencyRatio: r.latencyRatio, Suspect: r.suspect,
-		Ejected: stalled || r.unreachable || now.Before(r.ejectedUntil), Stalled: stalled, Unreachable: r.unreachable,
+		Ejected: stalled || r.unreachable || now.Before(r.ejectedUntil), Stalled: stalled, Unreachable: r.unreachable, Undialable: r.undialable, HeardAt: r.heardAt,
 		TransferSeconds: r.transferSeconds, TransferAt: r.transferAt,
 	}
 }
@@ -335,23 +343,40 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(server)
-	r.lastActive, r.unreachable = now, false
+	r.lastActive, r.heardAt, r.unreachable = now, now, false
 }
 
 // Unreachable returns the backend servers that could not be connected to, in no
-// particular order.
+// particular order, also those that answer over connections that are open.
 func (t *Table) Unreachable() []Incarnation {
+	return t.list(func(r *record) bool { return r.undialable })
+}
+
+// Stalled returns the backend servers that are stalled and may be reachable, in no
+// particular order.
+func (t *Table) Stalled(now time.Time) []Incarnation {
+	return t.list(func(r *record) bool { return !r.undialable && r.stalled(now) })
+}
+
+// list returns the backend servers for whose records the condition holds.
+func (t *Table) list(condition func(*record) bool) []Incarnation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Incarnation
 	for k, r := range t.records {
-		if r.unreachable {
+		if condition(r) {
 			list = append(list, k)
 		}
 	}
 	return list
 }
 
+// stalled reports whether the backend server has requests in progress and has sent
+// nothing for too long.
+func (r *record) stalled(now time.Time) bool {
+	return r.running > 0 && now.Sub(r.lastActive) > r.stallTime()
+}
+
 // MarkDialing records a connection attempt, so that Sweep does not delete the
 // record meanwhile.
 func (t *Table) MarkDialing(now time.Time, i Incarnation) {
@@ -362,17 +387,30 @@
 	}
 }
 
-// MarkReachable records that a connection was made to an unreachable backend
-// server. This ends its ejection; it stays on probation.
+// MarkReachable records that a connection was made to a backend server. If it was
+// unreachable, this ends its ejection; it stays on probation.
 func (t *Table) MarkReachable(now time.Time, i Incarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.records[i]; ok && r.unreachable {
+	r, ok := t.records[i]
+	if !ok {
+		return
+	}
+	r.undialable = false
+	if r.unreachable {
 		r.unreachable = false
 		r.ejectedUntil, r.lastUsed = now, now
 	}
 }
 
+// MarkUnreachable records that a connection to a backend server could not be made,
+// though no request needed one.
+func (t *Table) MarkUnreachable(now time.Time, server roster.Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(now, t.record(server), Result{Verdict: Unreachable})
+}
+
 // RecordTransfer records how long an engine that fetches the KV cache from this
 // backend server took from its permit to its first event.
 func (t *Table) RecordTransfer(now time.Time, server roster.Server, took time.Duration) {
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -78,6 +78,12 @@
 	content uint64
 }
 
+// pathOnly returns the path without its query.
+func (r *Request) pathOnly() string {
+	path, _, _ := strings.Cut(r.Path, "?")
+	return path
+}
+
 // Reply is a complete response to the client.
 type Reply struct {
 	Status int
@@ -252,6 +258,9 @@
 	// if it is nil, this process uses no coordinator.
 	Name         string
 	Coordination Coordination
+	// Carrier, if set, has requests served by peers when this process reaches no backend
+	// server of their service.
+	Carrier Carrier
 	// MaxBuffered bounds the bytes of the responses of backend servers that are kept in
 	// memory, of all requests together; 0 means no bound.
 	MaxBuffered int64
@@ -265,6 +274,8 @@
 
 	shutdown atomic.Pointer[shutdown]
 	buffered atomic.Int64
+	// undialable is how many backend servers could not be connected to at the last check.
+	undialable atomic.Int64
 
 	// mu guards the fields below.
 	mu            sync.Mutex
@@ -369,15 +380,20 @@
 		j.reject(noConfiguration)
 		return
 	}
-	path, _, _ := strings.Cut(r.Path, "?")
-	route, found := t.Match(r.Host, path)
+	route, found := t.Match(r.Host, r.pathOnly())
 	if !found {
-		j.end(Reply{Status: 404}, noRoute, nil)
+		j.endUnanswered(Reply{Status: 404}, noRoute, nil)
 		return
 	}
 	j.route = route
 	j.service = t.Services[route.PickService(b.random())]
-	j.deadline = r.Arrived.Add(route.Timeout)
+	j.run(ctx)
+}
+
+// run serves the request once its route and service are known.
+func (j *job) run(ctx context.Context) {
+	b, r := j.broker, j.request
+	j.deadline = r.Arrived.Add(j.route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(j.deadline) {
 		j.deadline = r.Deadline
 	}
@@ -388,17 +404,22 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errTimeout)
 	defer cancel()
 	j.ctx = ctx
-	b.countRequest(j.service.Name)
-	b.Meters.Add("Requests", 1)
+	if j.hop == nil {
+		b.countRequest(j.service.Name)
+		b.Meters.Add("Requests", 1)
+	}
 	if j.quarantined() {
 		j.giveUp(errQuarantined)
 		return
 	}
-	if r.After != "" && route.Kind == table.Stream && !j.findOrigin() {
+	if r.After != "" && j.route.Kind == table.Stream && !j.software.bound && !j.findOrigin() {
 		j.reject(originUnknown)
 		return
 	}
-	if route.Kind == table.Stream && route.Prompted && j.service.Engine != nil {
+	if j.cutOff() && j.carry() {
+		return
+	}
+	if j.route.Kind == table.Stream && j.route.Prompted && j.service.Engine != nil {
 		j.servePrompt()
 		return
 	}
--- a/internal/node/broker/failure.go
+++ b/internal/node/broker/failure.go
@@ -102,13 +102,7 @@
 // recordFailure updates the state of the request after a failure. The outcome
 // stays NotRun only if no attempt has run or may have run.
 func (j *job) recordFailure(f *failure) {
-	j.attempted = true
-	switch {
-	case f.outcome != retry.NotRun:
-		j.outcome = f.outcome
-	case j.attempts+j.dialFailures == 1:
-		j.outcome = retry.NotRun
-	}
+	j.recordOutcome(f.outcome)
 	if f.dialFailed {
 		j.attempts--
 		j.dialFailures++
@@ -118,15 +112,24 @@
 	}
 }
 
+// recordOutcome adds the outcome of a failed attempt to that of the earlier ones.
+func (j *job) recordOutcome(outcome retry.Outcome) {
+	if outcome != retry.NotRun || !j.attempted {
+		j.outcome = outcome
+	}
+	j.attempted = true
+}
+
 // fail ends the request after its last failure. An error response of a backend
 // server is relayed.
 func (j *job) fail(f *failure) {
 	switch {
+	case f.dialFailed && j.mayMove() && j.carry():
 	case j.failedReply != nil:
 		j.end(*j.failedReply, serverFailed, f.err)
 	case j.outcome == retry.NotRun:
 		j.reject(f.reason)
 	default:
-		j.end(Reply{Status: 502}, f.reason, f.err)
+		j.endUnanswered(Reply{Status: 502}, f.reason, f.err)
 	}
 }
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -82,6 +82,18 @@
 	quarantinedUntil time.Time
 	// software is bound once the stream has begun.
 	software software
+	// hop is set if the request is served for a peer.
+	hop CarriedOutput
+	// failedAt has the IDs of the backend servers that the request has reached, carriers
+	// those of the peers that it was handed to.
+	failedAt []string
+	carriers map[string]bool
+	// resumeAfter is the ID of the last event that the client has got of a stream that
+	// broke, finished is set once the client has the whole response.
+	resumeAfter string
+	finished    bool
+	// unanswered is set if the response is not a backend server's.
+	unanswered bool
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
 }
@@ -93,6 +105,9 @@
 // servePlain serves a request without a prefill stage.
 func (j *job) servePlain() {
 	for {
+		if j.attempted && j.cutOff() && j.carry() {
+			return
+		}
 		p, err := j.broker.acquire(j.ctx, j.need("", usage.Short, plainPerSlot), nil)
 		if err != nil {
 			j.giveUp(err)
@@ -240,6 +255,9 @@
 		j.excluded = map[string]bool{}
 	}
 	j.excluded[server.ID] = true
+	if !f.dialFailed {
+		j.failedAt = append(j.failedAt, server.ID)
+	}
 	notRetried := ""
 	switch {
 	case j.ctx.Err() != nil:
@@ -295,13 +313,16 @@
 	case errors.Is(cause, errNoServer):
 		j.reject(noServer)
 	case errors.Is(cause, errOverloaded):
+		if j.mostlyCut() && j.mayMove() && j.carry() {
+			return
+		}
 		j.reject(overloaded)
 	case errors.Is(cause, errQuarantined):
 		j.reject(quarantined)
 	case errors.Is(cause, errTimeout) && notRun:
 		j.reject(timedOut)
 	case errors.Is(cause, errTimeout):
-		j.end(Reply{Status: 504}, timedOut, cause)
+		j.endUnanswered(Reply{Status: 504}, timedOut, cause)
 	default:
 		j.logEnd(0, clientGone, cause)
 	}
@@ -316,16 +337,23 @@
 // not run. If it may have run, it responds with 502.
 func (j *job) reject(reason Reason) {
 	if j.attempted && j.outcome != retry.NotRun {
-		j.end(Reply{Status: 502}, reason, nil)
+		j.endUnanswered(Reply{Status: 502}, reason, nil)
 		return
 	}
 	j.outcome = retry.NotRun
-	j.end(Reply{Status: 503, RetryAfter: j.retryAfter()}, reason, nil)
+	j.endUnanswered(Reply{Status: 503, RetryAfter: j.retryAfter()}, reason, nil)
+}
+
+// endUnanswered sends a final response that is not a backend server's.
+func (j *job) endUnanswered(reply Reply, reason Reason, cause error) {
+	j.unanswered = true
+	j.end(reply, reason, cause)
 }
 
 // end sends the final response.
 func (j *job) end(reply Reply, reason Reason, cause error) {
-	if err := j.out.Respond(reply); err != nil {
+	j.finished = true
+	if err := j.respond(reply, reason); err != nil {
 		reason, cause = notDelivered, errors.Join(cause, err)
 	}
 	j.logEnd(reply.Status, reason, cause)
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -269,7 +269,7 @@
 			count++
 			continue
 		}
-		if p.abort != nil && b.canMove(now, p) && b.quota(p.need.key.service).TryRetry(now, b.Peers.Members()) {
+		if p.abort != nil && (b.canMove(now, p) || b.canCarry(p.need)) && b.quota(p.need.key.service).TryRetry(now, b.Peers.Members()) {
 			p.abort()
 			p.abort = nil
 		}
--- a/internal/node/broker/reconnect.go
+++ b/internal/node/broker/reconnect.go
@@ -27,19 +27,22 @@
 // Reconnect probes unreachable backend servers by connecting to them, so that no
 // request is spent on that. It blocks until ctx ends and returns its error.
 func (b *Broker) Reconnect(ctx context.Context) error {
-	r := reconnector{broker: b, dialing: map[usage.Incarnation]bool{}}
+	r := reconnector{broker: b, dialing: map[usage.Incarnation]bool{}, probed: map[usage.Incarnation]time.Time{}}
 	defer r.attempts.Wait()
 	for timer.Wait(ctx, reconnectInterval) {
 		if b.Table() == nil {
 			continue
 		}
 		unreachable := b.Usage.Unreachable()
+		b.undialable.Store(int64(len(unreachable)))
 		r.logChanges(unreachable)
+		r.logLost()
 		for _, i := range unreachable {
 			if server, ok := b.Roster.Find(i.ID, i.Born); ok && !b.Usage.Get(time.Now(), server).Paused && r.reserve(i) {
 				r.attempts.Go(func() { r.connect(ctx, i, server) })
 			}
 		}
+		r.probe(ctx, time.Now())
 	}
 	return ctx.Err()
 }
@@ -50,6 +53,10 @@
 	attempts sync.WaitGroup
 	// unreachable has the backend servers of the last list.
 	unreachable map[usage.Incarnation]bool
+	// probed is until when each backend server that seemed silent is not probed again.
+	probed map[usage.Incarnation]time.Time
+	// lost has the services of which no backend server can be reached.
+	lost []string
 
 	// mu guards dialing, which has the backend servers with an attempt in
 	// progress.
@@ -98,11 +105,7 @@
 // connect makes one attempt to connect, and pauses if it fails.
 func (r *reconnector) connect(ctx context.Context, i usage.Incarnation, server roster.Server) {
 	b := r.broker
-	defer func() {
-		r.mu.Lock()
-		delete(r.dialing, i)
-		r.mu.Unlock()
-	}()
+	defer r.unreserve(i)
 	b.Meters.Add("ReachTries", 1)
 	b.Usage.MarkDialing(time.Now(), i)
 	err := b.Servers.Connect(ctx, server, b.maxConnections(b.Table().Services[server.Service]))
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/event"
@@ -32,6 +33,9 @@
 		return
 	}
 	for {
+		if p == nil && source.Handle == "" && j.attempted && j.cutOff() && j.carry() {
+			return
+		}
 		var err error
 		if p == nil {
 			n := j.decodeNeed()
@@ -191,20 +195,21 @@
 
 // relayEvent sends an event to the client, and before the first one the header.
 func (j *job) relayEvent(response *Response, e event.Event) error {
-	if err := j.sendHeader(response); err != nil {
+	if err := j.sendHeader(response.Status, response.Fields); err != nil {
 		return err
 	}
 	return j.out.Event(e.Text)
 }
 
 // sendHeader sends the header of the first response. A resumed stream keeps it.
-func (j *job) sendHeader(response *Response) error {
+func (j *job) sendHeader(status int, fields []call.Field) error {
 	j.outcome = retry.Run
 	if j.headerSent {
 		return nil
 	}
 	j.headerSent = true
-	if err := j.out.Begin(response.Status, response.Fields); err != nil {
+	j.bindHop()
+	if err := j.out.Begin(status, fields); err != nil {
 		return fmt.Errorf("send response header: %w", err)
 	}
 	return nil
@@ -212,6 +217,7 @@
 
 // endStream ends a complete stream.
 func (j *job) endStream() {
+	j.finished = true
 	if err := j.out.End(); err != nil {
 		j.logEnd(0, notDelivered, err)
 		return
@@ -233,7 +239,10 @@
 	if cause == nil && j.route.Repeatable() && j.attempts < j.route.Attempts && j.broker.tryRetry(j.service.Name) {
 		j.broker.Log.Info("stream broke, resuming on another engine", zap.String("Request", j.request.ID), zap.String("Server", p.server.ID),
 			zap.String("Software", p.server.Version), zap.Uint64("After", r.LastID), zap.Error(err))
-		j.resume(p.server, r)
+		if r.HasLastID {
+			j.resumeAfter = strconv.FormatUint(r.LastID, 10)
+		}
+		j.resume(p.server.ID)
 		return nil
 	}
 	reason := streamBroken
@@ -249,11 +258,14 @@
 
 // resume retries the request on another engine, which continues after the last
 // event that the client has received.
-func (j *job) resume(failed roster.Server, r *event.Reader) {
+func (j *job) resume(failed string) {
 	if j.excluded == nil {
 		j.excluded = map[string]bool{}
 	}
-	j.excluded[failed.ID] = true
+	j.excluded[failed] = true
+	if j.cutOff() && j.carry() {
+		return
+	}
 	p, err := j.broker.acquire(j.ctx, j.decodeNeed(), nil)
 	if err != nil {
 		j.logEnd(0, streamBroken, err)
@@ -265,10 +277,18 @@
 		return
 	}
 	c := j.newCall()
-	if r.HasLastID {
-		c.After = strconv.FormatUint(r.LastID, 10)
+	if j.resumeAfter != "" {
+		c.After = j.resumeAfter
 	}
-	if f := j.attempt(p, c); f != nil {
-		j.logEnd(0, f.reason, f.err)
+	f := j.attempt(p, c)
+	if f == nil {
+		return
+	}
+	if f.dialFailed {
+		j.attempts--
+		if j.carry() {
+			return
+		}
 	}
+	j.logEnd(0, f.reason, f.err)
 }
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -77,7 +77,10 @@
 	// Peers is the RPC client for the other processes, StatusConn the socket
 	// for status messages to and from them. Address is where they reach this
 	// process.
-	Peers      Peers
+	Peers Peers
+	// Hops has requests served by the other processes when this one reaches no backend
+	// server; if it is nil, they are not.
+	Hops       Hops
 	StatusConn *net.UDPConn
 	Address    netip.AddrPort
 	// Cores is the number of processor cores of the VM; it may be a fraction.
@@ -106,6 +109,7 @@
 	coordination     *coordination
 	quarantine       *quarantine
 	origins          *origins
+	carrier          *carrier
 	table            atomic.Pointer[table.Table]
 	serversListed    atomic.Bool
 	quarantineListed atomic.Bool
@@ -135,6 +139,14 @@
 	Table(ctx context.Context, address netip.AddrPort, q *wire.TableQuery) (*wire.TableAnswer, error)
 }
 
+// Hops opens calls that have a request served by the process at the address. It must be
+// safe for concurrent use.
+type Hops interface {
+	// Carry opens a call that lasts as long as ctx. done ends the call; clean says that it
+	// is complete, so that its connection can be kept.
+	Carry(ctx context.Context, address netip.AddrPort) (call wire.DRPCEntry_CarryClient, done func(clean bool), err error)
+}
+
 // Prepare sets up the state that the tasks share. It is called once, before
 // any other method.
 func (n *Node) Prepare() {
@@ -145,11 +157,15 @@
 	n.coordination = newCoordination(n)
 	n.quarantine = newQuarantine(n)
 	n.origins = newOrigins(n)
+	n.carrier = newCarrier(n)
 	n.Broker = &broker.Broker{
 		Zone: n.Zone, Table: n.table.Load, Roster: &n.roster, Usage: &n.usage, Servers: n.Servers,
 		Peers: &n.peers, Name: n.Name, Coordination: n.coordination, RetryLimit: n.RetryLimit, Meters: n.Meters, Log: n.Log, Seed: n.Seed,
 		Announce: n.announceLeaving, Quarantine: n.quarantine, Origins: n.origins,
 	}
+	if n.Hops != nil {
+		n.Broker.Carrier = n.carrier
+	}
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.pollTimeout, n.debounce)
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
 	n.Meters.Gauge("BackendServers", func() int64 { return int64(n.roster.Len()) })
@@ -313,6 +329,7 @@
 		for _, name := range n.peers.Expire(now) {
 			n.Log.Info("process is silent", zap.String("Peer", name))
 			n.Broker.Revoke(name)
+			n.carrier.drop(name)
 		}
 		n.Broker.Tick(now)
 		if i%ticksPerSweep == 0 {
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -93,6 +93,7 @@
 		})
 	})
 	message.Limits = n.limitsTold(time.Now())
+	message.Lost = n.lostTold()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	message.Departures = n.departureBatch(time.Now())
@@ -118,6 +119,24 @@
 	maxLimits = 8
 )
 
+// maxLost bounds the lost services in a status message. If there are more, all count as
+// lost.
+const maxLost = 4
+
+// lostTold returns the hashes of the services of which this process reaches no backend
+// server.
+func (n *Node) lostTold() []uint64 {
+	names := n.Broker.Lost()
+	if len(names) > maxLost {
+		return []uint64{peers.LostAll}
+	}
+	var keys []uint64
+	for _, name := range names {
+		keys = append(keys, xxhash.Sum64String(name))
+	}
+	return keys
+}
+
 // limitEnded is the PerSecond of a limit that has ended.
 const limitEnded = -1
 
--- a/internal/node/core/stop.go
+++ b/internal/node/core/stop.go
@@ -36,7 +36,7 @@
 	timer.Wait(ctx, min(balancerWait, grace/2))
 	for time.Now().Before(end) {
 		server.CloseIdle()
-		if server.Active() == 0 && server.Connections() == 0 {
+		if server.Active() == 0 && server.Connections() == 0 && n.carrier.serving.Load() == 0 {
 			break
 		}
 		if !timer.Wait(ctx, stopPollInterval) {
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -45,8 +45,14 @@
 // callTimeout bounds a call, including the dial.
 const callTimeout = 2 * time.Second
 
-// maxIdlePerPeer is the number of idle connections kept to a process.
-const maxIdlePerPeer = 2
+const (
+	// maxIdlePerPeer is the number of idle connections kept to a process, maxIdleCarrying
+	// that to one that serves requests for this one.
+	maxIdlePerPeer  = 2
+	maxIdleCarrying = 16
+	// writeTimeout bounds each write, as a process that is lost reads no more.
+	writeTimeout = 20 * time.Second
+)
 
 // Client calls other processes. Meters must be set before use. A call fails if it
 // takes longer than 2 s, also if its context has no deadline. A Client is safe for
@@ -76,7 +82,7 @@
 		conn.Close()
 		return none, fmt.Errorf("call %s: %w", address, err)
 	}
-	c.release(address, conn)
+	c.release(address, conn, maxIdlePerPeer)
 	return response, nil
 }
 
@@ -110,13 +116,13 @@
 
 // release keeps the connection for further calls, or closes it if enough are
 // idle.
-func (c *Client) release(address netip.AddrPort, conn *drpcconn.Conn) {
+func (c *Client) release(address netip.AddrPort, conn *drpcconn.Conn, maxIdle int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
 		c.idle = map[netip.AddrPort][]*drpcconn.Conn{}
 	}
-	if len(c.idle[address]) >= maxIdlePerPeer {
+	if len(c.idle[address]) >= maxIdle {
 		conn.Close()
 		return
 	}
@@ -144,6 +150,30 @@
 	return invoke(ctx, c, address, q, newEntryClient, wire.DRPCEntryClient.Table)
 }
 
+// Carry opens a call that has a request served by another entry process. It lasts as long
+// as ctx. done must be called; clean says that the call is complete, so that its connection
+// is kept.
+func (c *Client) Carry(ctx context.Context, address netip.AddrPort) (call wire.DRPCEntry_CarryClient, done func(clean bool), err error) {
+	dialCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := c.acquire(dialCtx, address)
+	if err != nil {
+		return nil, nil, fmt.Errorf("call %s: %w", address, err)
+	}
+	call, err = newEntryClient(conn).Carry(ctx)
+	if err != nil {
+		conn.Close()
+		return nil, nil, fmt.Errorf("call %s: %w", address, err)
+	}
+	return call, func(clean bool) {
+		if clean {
+			c.release(address, conn, maxIdleCarrying)
+			return
+		}
+		conn.Close()
+	}, nil
+}
+
 // Exchange exchanges gossip with a process.
 func (c *Client) Exchange(ctx context.Context, address netip.AddrPort, g *wire.Gossip) (*wire.Gossip, error) {
 	return invoke(ctx, c, address, g, newPeerClient, wire.DRPCPeerClient.Exchange)
@@ -223,6 +253,8 @@
 
 // Write implements io.Writer.
 func (c *countingConn) Write(p []byte) (int, error) {
+	// A connection that does not accept a deadline fails the write that follows.
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := c.Conn.Write(p)
 	c.meters.Add(BytesOut, int64(n))
 	return n, err
