--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -210,6 +210,10 @@
 	}
 	f := &CarryError{Outcome: retry.Unknown, Err: err}
 	errors.As(err, &f)
+	if f.Outcome != retry.NotRun && f.Attempts == 0 && !relay.bound {
+		// It may have run there, at one backend server at least.
+		j.attempts++
+	}
 	return j.handleCarryError(peer, f)
 }
 
@@ -233,9 +237,6 @@
 	j.broker.Log.Info("peer has not served a carried request", zap.String("Request", j.request.ID), zap.String("Peer", peer),
 		zap.String("Reason", string(f.Reason)), zap.Stringer("Outcome", f.Outcome), zap.Error(f.Err))
 	j.attempts = max(j.attempts, f.Attempts)
-	if f.Attempts == 0 && f.Outcome != retry.NotRun {
-		j.attempts++
-	}
 	if !j.headerSent {
 		j.recordOutcome(f.Outcome)
 	}
@@ -274,12 +275,15 @@
 // carryRelay relays what a peer sends to the client.
 type carryRelay struct {
 	job *job
+	// bound is set once the peer has said how many attempts it has used.
+	bound bool
 	// ended is set once the request has ended, also if the client could not be reached.
 	ended bool
 }
 
 // Bind implements Relay.
 func (r *carryRelay) Bind(version string, attempts int) {
+	r.bound = true
 	r.job.attempts = max(r.job.attempts, attempts)
 	if r.job.route.Kind == table.Stream && version != "" {
 		r.job.software = software{true, version}
--- a/internal/node/broker/probe.go
+++ b/internal/node/broker/probe.go
@@ -22,32 +22,39 @@
 	maxProbes = 2
 )
 
+// probe is a connection to a backend server that is not repeated for the pause.
+type probe struct {
+	usage.Incarnation
+	pause time.Duration
+}
+
 // probe connects to backend servers that are stalled. A sound one that is just slow accepts
 // the connection; otherwise it counts as unreachable. While the links of this process may be
 // cut, the idle ones are probed too.
 func (r *reconnector) probe(ctx context.Context, now time.Time) {
-	for i, until := range r.probed {
+	for p, until := range r.probed {
 		if !now.Before(until) {
-			delete(r.probed, i)
+			delete(r.probed, p)
 		}
 	}
-	begun := r.probeAll(ctx, now, r.broker.Usage.Stalled(now), probePause, maxProbes)
+	begun := r.probeAll(ctx, now, r.broker.Usage.Stalled(now), probe{pause: probePause}, maxProbes)
 	if begun < maxProbes && r.broker.mayBeCut() {
-		r.probeAll(ctx, now, r.idle(now), idlePause, maxProbes-begun)
+		r.probeAll(ctx, now, r.idle(now), probe{pause: idlePause}, maxProbes-begun)
 	}
 }
 
 // probeAll begins up to most probes of backend servers that have not been probed lately, and
-// returns how many. None of them is probed again for the pause.
-func (r *reconnector) probeAll(ctx context.Context, now time.Time, list []usage.Incarnation, pause time.Duration, most int) int {
+// returns how many. None of them is probed again for p.pause.
+func (r *reconnector) probeAll(ctx context.Context, now time.Time, list []usage.Incarnation, p probe, most int) int {
 	begun := 0
 	for _, i := range list {
+		p.Incarnation = i
 		server, ok := r.broker.Roster.Find(i.ID, i.Born)
-		if _, probed := r.probed[i]; !ok || probed || begun == most || !r.reserve(i) {
+		if _, probed := r.probed[p]; !ok || probed || begun == most || !r.reserve(i) {
 			continue
 		}
 		begun++
-		r.probed[i] = now.Add(pause)
+		r.probed[p] = now.Add(p.pause)
 		r.attempts.Go(func() { r.probeOne(ctx, i, server) })
 	}
 	return begun
--- a/internal/node/broker/reconnect.go
+++ b/internal/node/broker/reconnect.go
@@ -27,7 +27,7 @@
 // Reconnect probes unreachable backend servers by connecting to them, so that no
 // request is spent on that. It blocks until ctx ends and returns its error.
 func (b *Broker) Reconnect(ctx context.Context) error {
-	r := reconnector{broker: b, dialing: map[usage.Incarnation]bool{}, probed: map[usage.Incarnation]time.Time{}}
+	r := reconnector{broker: b, dialing: map[usage.Incarnation]bool{}, probed: map[probe]time.Time{}}
 	defer r.attempts.Wait()
 	for timer.Wait(ctx, reconnectInterval) {
 		if b.Table() == nil {
@@ -53,8 +53,8 @@
 	attempts sync.WaitGroup
 	// unreachable has the backend servers of the last list.
 	unreachable map[usage.Incarnation]bool
-	// probed is until when each backend server that seemed silent is not probed again.
-	probed map[usage.Incarnation]time.Time
+	// probed is until when each probe of a backend server that seemed silent is not repeated.
+	probed map[probe]time.Time
 	// lost has the services of which no backend server can be reached.
 	lost []string
 
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -268,7 +268,9 @@
 	}
 	p, err := j.broker.acquire(j.ctx, j.decodeNeed(), nil)
 	if err != nil {
-		j.logEnd(0, streamBroken, err)
+		if !j.mostlyCut() || !j.carry() {
+			j.logEnd(0, streamBroken, err)
+		}
 		return
 	}
 	if j.quarantined() {
--- a/internal/node/core/carried.go
+++ b/internal/node/core/carried.go
@@ -120,4 +120,3 @@
 func (o *carriedOutput) header(status int, fields []call.Field) *wire.ReplyHeader {
 	return &wire.ReplyHeader{Status: uint32(status), Fields: encodeFields(fields), Software: o.software, Attempts: uint32(o.attempts)}
 }
-
