usage: a failing test that a peer's success says nothing about own links

Callers of a coordinator that was cut off from the servers were sent to engines that it could not reach: the success that a peer reports with a permit's release ended the state unreachable, and the state stalled, at the coordinator itself.

--- a/internal/fleet/usage/usage_test.go
+++ b/internal/fleet/usage/usage_test.go
@@ -140,3 +140,21 @@
 	assert.Equal(t, now, snapshot.TransferAt)
 	assert.Zero(t, table.Get(now, restarted).TransferSeconds)
 }
+
+// TestSuccessOfPeersIsNotOwnReach checks that what a peer reports says nothing about the
+// links of this process.
+func TestSuccessOfPeersIsNotOwnReach(t *testing.T) {
+	var table Table
+	now := time.Unix(1000, 0)
+	lost, silent := roster.Server{ID: "lost", Born: 1}, roster.Server{ID: "silent", Born: 1}
+	table.MarkUnreachable(now, lost)
+	table.Start(now, silent, Short)
+	now = now.Add(2 * StallThreshold)
+	for _, server := range []roster.Server{lost, silent} {
+		for _, verdict := range []Verdict{OK, Full} {
+			table.RecordRemote(now, server, Result{Verdict: verdict})
+		}
+	}
+	assert.True(t, table.Get(now, lost).Unreachable)
+	assert.True(t, table.Get(now, silent).Stalled)
+}
