usage: a peer's success says nothing about own links

Callers of a coordinator that was cut off from the servers were sent to engines that it could not reach: RecordRemote applied the success that a peer reports with a permit's release as if this process had heard from the server, which ended unreachable and stalled. Now only the end of an own request does.

--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -252,11 +252,15 @@
 	r := t.record(server)
 	r.running--
 	r.work[result.Work]--
+	if result.Verdict == OK || result.Verdict == Full {
+		r.lastActive, r.heardAt, r.unreachable = now, now, false
+	}
 	t.observe(now, r, result)
 }
 
 // RecordRemote applies the result of a request that another process sent to
-// the backend server; it does not change the counts of requests.
+// the backend server. It does not change the counts of requests, nor whether this process
+// reaches the backend server.
 func (t *Table) RecordRemote(now time.Time, server roster.Server, result Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -269,10 +273,6 @@
 	if result.LatencyRatio > 0 {
 		r.latencyRatio += latencyWeight * (min(result.LatencyRatio, maxLatencyRatio) - r.latencyRatio)
 	}
-	if result.Verdict == OK || result.Verdict == Full {
-		r.lastActive, r.heardAt = now, now
-		r.unreachable = false
-	}
 	switch result.Verdict {
 	case OK:
 		r.failureRate -= failureWeight * r.failureRate
