call: a sound server may fall silent for two seconds

The user timeout is 4 s now, so that a silence of 2 s after the last byte is borne; a peer that is gone for good is noticed a second later, 4 s after its last byte instead of 3.

--- a/internal/fleet/call/pool.go
+++ b/internal/fleet/call/pool.go
@@ -28,8 +28,9 @@
 	readBufferBytes  = 8 << 10
 	writeBufferBytes = 4 << 10
 	// unackedTimeout ends a connection whose peer acknowledges no data, as in a
-	// network partition.
-	unackedTimeout = 3 * time.Second
+	// network partition. Linux also gives up keep-alive probes by it, whatever their
+	// count: the peer may be silent for unackedTimeout less probeIdle.
+	unackedTimeout = 4 * time.Second
 	// probeIdle, probeEvery and probeCount set the TCP keep-alive probes. These
 	// detect a lost peer while a response is awaited, when no data is sent.
 	probeIdle  = 2 * time.Second
