--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -237,3 +237,22 @@
 		assert.Equal(t, 1, members)
 	})
 }
+
+// TestCutProcessDoesNotCoordinate checks that a process that reaches no backend server of a
+// service is not its coordinator, while another one reaches some.
+func TestCutProcessDoesNotCoordinate(t *testing.T) {
+	const key, other = 7, 8
+	now := time.Unix(1000, 0)
+	table := Table{Self: "a"}
+	table.Replace([]Member{{Name: "a", Cores: 1}, {Name: "b", Cores: 2}, {Name: "c", Cores: 1}})
+	for _, name := range []string{"b", "c"} {
+		m := message(name, 1, 1, 0)
+		if name == "b" {
+			m.Lost = []uint64{key}
+		}
+		table.Apply(now, m)
+	}
+	assert.NotEqual(t, "b", table.Coordinator(key, false))
+	assert.Equal(t, "c", table.Coordinator(key, true), "this process is cut off too")
+	assert.Equal(t, "b", table.Coordinator(other, false))
+}
--- a/internal/node/core/carry_test.go
+++ b/internal/node/core/carry_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/peers"
@@ -316,3 +318,26 @@
 	}
 	assert.Equal(t, map[string]int{"a": 150, "b": 150}, chosen)
 }
+
+// TestCutProcessStepsDown checks that a process that has lost the engines of a service leaves
+// its coordination to a peer.
+func TestCutProcessStepsDown(t *testing.T) {
+	a, b, _ := newHop(t, &hopServers{})
+	logged, logs := observer.New(zap.InfoLevel)
+	a.Broker.Log = zap.New(logged)
+	config := strings.Replace(hopConfig, `"MaxConnections":96`, `"MaxConnections":96,"Engine":{"Slots":8}`, 1)
+	(&tableView{a}).Change(page(store.Object{Key: "config/main", Value: []byte(strings.Replace(config, `"Version":3`, `"Version":4`, 1))}))
+	a.peers.Set(peers.Member{Name: "a", Cores: 2})
+	message, _ := b.composeStatus()
+	a.handleStatus(message)
+	a.Broker.Tick(time.Now())
+	assert.Zero(t, logs.FilterMessage("coordinator changed").FilterField(zap.String("Process", "b")).Len(), "it has more cores")
+	server, _ := a.roster.Find("i-1", 1)
+	a.usage.MarkUnreachable(time.Now(), server)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	a.Broker.Servers = &hopServers{connect: errors.ErrUnsupported}
+	_ = a.Broker.Reconnect(ctx)
+	a.Broker.Tick(time.Now())
+	assert.Equal(t, 1, logs.FilterMessage("coordinator changed").FilterField(zap.String("Process", "b")).Len())
+}
