peers, broker: a process without links to a service does not coordinate it

Processes that say that they have lost a service are no candidates for its coordinator, and this process is none while it has lost it; without a candidate each process decides by itself, as before.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -341,9 +341,9 @@
 }
 
 // Coordinator returns the name of the coordinator for a key, which may be this
-// process: of the live members that are not stopping, the one with the most
-// cores; rendezvous hashing decides between equals. stopping says whether this
-// process is stopping. Processes with the same live peers get the same result.
+// process: of the live members that are not stopping and have not lost the service
+// with the hash key, the one with the most cores; rendezvous hashing decides between
+// equals. stopping says whether this process is not eligible. Processes with the same live peers get the same result.
 // Without a candidate it is this process.
 func (t *Table) Coordinator(key uint64, stopping bool) string {
 	if names := t.Coordinators(key, stopping, 1); len(names) > 0 {
@@ -372,7 +372,7 @@
 		consider(t.Self)
 	}
 	for name, p := range t.peers {
-		if !p.stopping {
+		if !p.stopping && !slices.Contains(p.lost, key) {
 			consider(name)
 		}
 	}
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -288,7 +288,7 @@
 		}
 		coordinator := ""
 		if b.Peers.Live() > 1 {
-			coordinator = b.Peers.Coordinator(xxhash.Sum64String(name), b.shutdown.Load() != nil)
+			coordinator = b.Peers.Coordinator(xxhash.Sum64String(name), b.shutdown.Load() != nil || !b.Reaches(name))
 		}
 		if coordinator == b.Name {
 			coordinator = ""
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -121,7 +121,7 @@
 
 // maxLost bounds the lost services in a status message. If there are more, all count as
 // lost.
-const maxLost = 4
+const maxLost = 8
 
 // lostTold returns the hashes of the services of which this process reaches no backend
 // server.
