broker: a cut is no end of servers

A refused connection no longer proves that a server has ended while this process reaches no server of its service and a live peer says that it does: after a refusal the process waits 400 ms, by when it knows that, and then drops the requests. The ends that matter are reported by the peers, which reach the servers.

--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -155,6 +155,12 @@
 // Reaches reports whether this process can serve requests to the service for others.
 func (b *Broker) Reaches(service string) bool { return !b.cutOff(service, software{}) }
 
+// cutAlone reports whether this process reaches no backend server of the service while a
+// peer does: its links are cut, and the servers have not ended.
+func (b *Broker) cutAlone(service string) bool {
+	return b.Carrier != nil && b.cutOff(service, software{}) && b.Carrier.Choose(service, nil) != ""
+}
+
 // canCarry reports whether a request that waits at a stalled backend server could go on at
 // a peer. b.mu must be held.
 func (b *Broker) canCarry(n need) bool {
--- a/internal/node/broker/ended.go
+++ b/internal/node/broker/ended.go
@@ -14,8 +14,13 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 )
 
-// endedCheckTimeout bounds the check whether a backend server has ended.
-const endedCheckTimeout = time.Second
+const (
+	// endedCheckTimeout bounds the check whether a backend server has ended.
+	endedCheckTimeout = time.Second
+	// cutKnown is how long after a connection was refused it is known whether the links of
+	// this process are cut.
+	cutKnown = 400 * time.Millisecond
+)
 
 // recordBroken records that a backend server broke off a request, and finds out whether it
 // has ended.
@@ -36,10 +41,14 @@
 func (b *Broker) checkEnded(server roster.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), endedCheckTimeout)
 	defer cancel()
-	err := b.Servers.Connect(ctx, server, 0)
+	refused := errors.Is(b.Servers.Connect(ctx, server, 0), syscall.ECONNREFUSED)
+	if refused && b.Carrier != nil {
+		time.Sleep(cutKnown)
+		refused = !b.cutAlone(server.Service)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	requests := b.endings.Checked(time.Now(), usage.Incarnation{ID: server.ID, Born: server.Born}, errors.Is(err, syscall.ECONNREFUSED))
+	requests := b.endings.Checked(time.Now(), usage.Incarnation{ID: server.ID, Born: server.Born}, refused)
 	if len(requests) > 0 {
 		b.markEnded(server, requests)
 	}
