--- a/internal/node/broker/carry_test.go
+++ b/internal/node/broker/carry_test.go
@@ -15,6 +15,7 @@
 
 	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 	"ebonyscale.example/ebonyscale/internal/route/retry"
@@ -407,3 +408,30 @@
 		assert.Equal(t, 502, f.serve(t.Context(), newRequest("/write/x")).replies[0].Status)
 	})
 }
+
+// TestPrefillEnginesAloneDoNotServe checks prompts of a process that reaches the prefill
+// engines of a service but no decode engine, and the other way round.
+func TestPrefillEnginesAloneDoNotServe(t *testing.T) {
+	for _, c := range []struct {
+		lost    string
+		carried int
+	}{{"d", 1}, {"p", 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			peer := newFixture(t)
+			peer.addVersion("d", "v1")
+			peer.fleet.scripted["d"] = []behavior{events(1, 2, true)}
+			f, h := newCutFixture(t, map[string]peerBehavior{"p1": servedBy(peer)})
+			f.addServer("p", "model", roster.Prefill)
+			f.fleet.fallback = events(1, 2, true)
+			for _, i := range f.Usage.Unreachable() {
+				f.Usage.MarkReachable(time.Now(), i)
+			}
+			server, _ := f.roster.Find(c.lost, 1)
+			f.Usage.MarkUnreachable(time.Now(), server)
+			got := f.serve(t.Context(), newPromptRequest("/chat/x", 9000, 5))
+			assert.True(t, got.ended)
+			assert.Len(t, h.used, c.carried)
+			assert.Equal(t, c.carried == 0, len(f.fleet.sent) > 0, "no prompt is prefilled in vain")
+		})
+	}
+}
