broker: the bound on buffered responses holds at every moment

Callers saw nothing of it: the bytes of a response were added to the sum before it was compared with the bound, so that for a moment it was over it.

--- a/internal/node/broker/buffer.go
+++ b/internal/node/broker/buffer.go
@@ -24,12 +24,16 @@
 // when the request has ended.
 func (j *job) reserve(n int) error {
 	b := j.broker
-	if b.buffered.Add(int64(n)) > b.MaxBuffered && b.MaxBuffered > 0 {
-		b.buffered.Add(-int64(n))
-		return errBuffersFull
+	for {
+		before := b.buffered.Load()
+		if b.MaxBuffered > 0 && before+int64(n) > b.MaxBuffered {
+			return errBuffersFull
+		}
+		if b.buffered.CompareAndSwap(before, before+int64(n)) {
+			j.reserved += n
+			return nil
+		}
 	}
-	j.reserved += n
-	return nil
 }
 
 // freeBuffers frees what the request has reserved.
