broker: only a process without any server hands waiting requests to peers

Callers of a service of which half of the servers have ended would have waited twice: a request whose wait grew too long was handed to a peer, which serves it from the same queues. Now that happens only once connections to all servers of the service fail. TestWaitingRequestGoesToPeer plays both: 200 through a peer once the last server is lost, 503 at once while another is there. go test ./internal/node/broker: ok.

--- a/internal/node/broker/carry_test.go
+++ b/internal/node/broker/carry_test.go
@@ -435,3 +435,36 @@
 		})
 	}
 }
+
+// TestWaitingRequestGoesToPeer checks a request that waits in the queue while the last server
+// is lost, and one that waits too long while another server is there.
+func TestWaitingRequestGoesToPeer(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			f.Carrier = &hops{names: []string{"p1"}, behaviors: map[string]peerBehavior{"p1": servedBy(newFixture(t))}}
+			ctx, cancel := context.WithCancel(t.Context())
+			var tasks sync.WaitGroup
+			tasks.Go(func() { f.tick(ctx) })
+			f.fleet.fallback = hangs
+			for i := range 24 {
+				tasks.Go(func() {
+					r := newRequest("/once/x")
+					r.ID = fmt.Sprint("h", i)
+					f.serve(ctx, r)
+				})
+			}
+			time.Sleep(5 * tick)
+			time.AfterFunc(tick, func() {
+				if lost {
+					f.cutAll()
+				}
+			})
+			c := f.serve(t.Context(), newRequest("/write/x"))
+			want := map[bool]int{true: 200, false: 503}[lost]
+			assert.Equal(t, want, c.replies[0].Status)
+			cancel()
+			tasks.Wait()
+		})
+	}
+}
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -313,7 +313,7 @@
 	case errors.Is(cause, errNoServer):
 		j.reject(noServer)
 	case errors.Is(cause, errOverloaded):
-		if j.mostlyCut() && j.mayMove() && j.carry() {
+		if j.cutOff() && j.mayMove() && j.carry() {
 			return
 		}
 		j.reject(overloaded)
