broker: a process's own limit of connections is no cut

Callers of a process that has as many connections to the servers as it may would have been served by a peer, at the cost of the peer's own: a full pool fails like a refused connection, before a byte is sent. Now only refused and timed out connections hand a request over. TestOwnLimitOfConnectionsIsNoCut failed on the code before (200 through the peer instead of 503) and passes; go test ./internal/node/broker: ok.

--- a/internal/node/broker/carry_test.go
+++ b/internal/node/broker/carry_test.go
@@ -468,3 +468,24 @@
 		})
 	}
 }
+
+// TestOwnLimitOfConnectionsIsNoCut checks a process that has as many connections to all
+// servers as it may: peers get none of its requests.
+func TestOwnLimitOfConnectionsIsNoCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.RetryLimit = quota.Limit{Window: time.Second}
+		for i := range maxDialFailures + 1 {
+			f.addServer(fmt.Sprint("s", i), "plain", "")
+		}
+		h := &hops{names: []string{"p1"}, behaviors: map[string]peerBehavior{"p1": servedBy(newFixture(t))}}
+		f.Carrier = h
+		f.fleet.fallback = func(_ context.Context, s *sent) (*Response, error) {
+			s.lost = true
+			return nil, &call.Error{Stage: call.StageDialing, Err: call.ErrBusy}
+		}
+		assert.Equal(t, 503, f.serve(t.Context(), newRequest("/write/x")).replies[0].Status)
+		assert.Empty(t, h.used)
+		assert.Empty(t, f.Lost())
+	})
+}
--- a/internal/node/broker/failure.go
+++ b/internal/node/broker/failure.go
@@ -26,6 +26,10 @@
 	dialFailed bool
 }
 
+// unreachable reports whether the backend server did not accept a connection, other than
+// because this process has as many there as it may.
+func (f *failure) unreachable() bool { return f.dialFailed && !errors.Is(f.err, call.ErrBusy) }
+
 // errStalled is the cancellation cause of an attempt whose backend server has
 // stalled.
 var errStalled = errors.New("the backend server is stalled")
@@ -124,7 +128,7 @@
 // server is relayed.
 func (j *job) fail(f *failure) {
 	switch {
-	case f.dialFailed && j.mayMove() && j.carry():
+	case f.unreachable() && j.mayMove() && j.carry():
 	case j.failedReply != nil:
 		j.end(*j.failedReply, serverFailed, f.err)
 	case j.outcome == retry.NotRun:
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -288,9 +288,9 @@
 	}
 	if f.dialFailed {
 		j.attempts--
-		if j.carry() {
-			return
-		}
+	}
+	if f.unreachable() && j.carry() {
+		return
 	}
 	j.logEnd(0, f.reason, f.err)
 }
