broker: the request that finds the last server lost goes to a peer

Callers whose idempotent request met the cut first, on a kept connection that hung, could get 502: whether all servers were lost was looked up only once the task Reach had listed them, up to 20 ms later, and a request without a free server was given up before. Now the failed connection itself counts at once, and a request that has failed to connect is handed over while half of the servers refuse.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -274,7 +274,8 @@
 
 	shutdown atomic.Pointer[shutdown]
 	buffered atomic.Int64
-	// undialable is how many backend servers could not be connected to at the last check.
+	// undialable is how many backend servers could not be connected to at the last check, or
+	// 1 if none was and one has failed since.
 	undialable atomic.Int64
 
 	// mu guards the fields below.
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -255,6 +255,9 @@
 		j.excluded = map[string]bool{}
 	}
 	j.excluded[server.ID] = true
+	if f.unreachable() {
+		j.broker.undialable.CompareAndSwap(0, 1)
+	}
 	if !f.dialFailed {
 		j.failedAt = append(j.failedAt, server.ID)
 	}
@@ -313,7 +316,7 @@
 	case errors.Is(cause, errNoServer):
 		j.reject(noServer)
 	case errors.Is(cause, errOverloaded):
-		if j.cutOff() && j.mayMove() && j.carry() {
+		if (j.cutOff() || j.dialFailures > 0 && j.mostlyCut()) && j.mayMove() && j.carry() {
 			return
 		}
 		j.reject(overloaded)
