--- a/internal/node/broker/buffer.go
+++ b/internal/node/broker/buffer.go
@@ -26,7 +26,7 @@
 	b := j.broker
 	for {
 		before := b.buffered.Load()
-		if before+int64(n) > b.MaxBuffered && b.MaxBuffered > 0 {
+		if b.MaxBuffered > 0 && before+int64(n) > b.MaxBuffered {
 			return errBuffersFull
 		}
 		if b.buffered.CompareAndSwap(before, before+int64(n)) {
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -55,8 +55,8 @@
 // errStoreBack means that records may have been lost since the defaults were heard of.
 var errStoreBack = errors.New("the store has come back from an older copy")
 
-// errTooMany means that the records can't all be remembered.
-var errTooMany = errors.New("the store has too many records of streams")
+// errManyRecords means that the records can't all be remembered.
+var errManyRecords = errors.New("the store has too many records of streams")
 
 func newRecall(n *Node) *recall {
 	return &recall{node: n, wake: make(chan struct{}, 1), seen: map[string]sighting{}}
@@ -85,7 +85,7 @@
 // Run lists the records until ctx ends and returns its error.
 func (r *recall) Run(ctx context.Context) error {
 	for !r.node.streamsListed.Load() {
-		if err := r.list(ctx); err == nil || errors.Is(err, errTooMany) {
+		if err := r.list(ctx); err == nil || errors.Is(err, errManyRecords) {
 			r.node.streamsListed.Store(true)
 			break
 		}
@@ -140,7 +140,7 @@
 		}
 		all = append(all, records...)
 		if len(all) > maxRecalled {
-			return errTooMany
+			return errManyRecords
 		}
 	}
 	latest := origin.Latest(all)
--- a/internal/node/core/stop.go
+++ b/internal/node/core/stop.go
@@ -37,18 +37,18 @@
 	server.Drain()
 	n.Log.Info("stopping", zap.Int("Active", server.Active()), zap.Int("Connections", server.Connections()), zap.Duration("Grace", grace))
 	timer.Wait(ctx, min(balancerWait, grace/2))
-	awaitEnd(ctx, server, end)
+	n.awaitEnd(ctx, server, end)
 	server.Refuse()
-	awaitEnd(ctx, server, time.Now().Add(lastWait))
+	n.awaitEnd(ctx, server, time.Now().Add(lastWait))
 	n.Log.Info("stopped", zap.Int("Active", server.Active()), zap.Duration("Took", time.Since(began)))
 }
 
-// awaitEnd waits until there is neither a request nor a connection, or until a time or the
-// end of ctx.
-func awaitEnd(ctx context.Context, server *httpd.Server, until time.Time) {
+// awaitEnd waits until there is neither a request, also none of a peer, nor a connection, or
+// until a time or the end of ctx.
+func (n *Node) awaitEnd(ctx context.Context, server *httpd.Server, until time.Time) {
 	for time.Now().Before(until) {
 		server.CloseIdle()
-		if server.Active() == 0 && server.Connections() == 0 || !timer.Wait(ctx, stopPollInterval) {
+		if server.Active() == 0 && server.Connections() == 0 && n.carrier.serving.Load() == 0 || !timer.Wait(ctx, stopPollInterval) {
 			return
 		}
 	}
