scene: the test of the stand-in engines has addresses of its own

Its addresses are fixed, so that two runs on one machine, such as of two work trees, fail. Shown by two processes of the test at the same time, three times each: 3 of 6 red. Change: the addresses follow from the process ID, as in the soak. No check is changed. Conclusion: a fault of the test, not of the program.

--- a/internal/stand/scene/contract_test.go
+++ b/internal/stand/scene/contract_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +48,12 @@
 Service = s
 `
 
+// ownFiles returns the files with addresses that no other run at the same time has.
+func ownFiles() []byte {
+	pid := os.Getpid()
+	return []byte(strings.ReplaceAll(files, "127.0.63.", fmt.Sprintf("127.%d.%d.", 128+pid>>8&63, pid&255)))
+}
+
 // read reads the body of a response.
 func read(t *testing.T, response *engine.Response) (string, error) {
 	defer response.Body.Close()
@@ -58,7 +66,7 @@
 func TestContract(t *testing.T) {
 	for _, network := range []bool{false, true} {
 		t.Run(map[bool]string{false: "direct", true: "network"}[network], func(t *testing.T) {
-			d, err := spec.Parse([]spec.File{{Name: "d.ini", Data: []byte(files)}})
+			d, err := spec.Parse([]spec.File{{Name: "d.ini", Data: ownFiles()}})
 			require.NoError(t, err)
 			s := &scene.Scene{Deployment: d, Vendor: "Instant"}
 			var api servers = s
@@ -155,7 +163,7 @@
 func TestPlainContract(t *testing.T) {
 	for _, network := range []bool{false, true} {
 		t.Run(map[bool]string{false: "direct", true: "network"}[network], func(t *testing.T) {
-			d, err := spec.Parse([]spec.File{{Name: "d.ini", Data: []byte(files)}})
+			d, err := spec.Parse([]spec.File{{Name: "d.ini", Data: ownFiles()}})
 			require.NoError(t, err)
 			s := &scene.Scene{Deployment: d}
 			var api servers = s
