broker: an accepted prefill is not taken as refused by an earlier refusal

What callers saw: 503 although a prefill engine had accepted their prompt, if a faulty engine writes an earlier refusal once more. The refusal of the first attempt came again, with the request's ID, before the handle of the second one at the same address; the attempts were used up, and the KV cache was computed and never taken. Shown on the code before: TestPrefillRefusalOnceMore: "expected []int{200, 1}, actual []int{503, 1}", 3 of 3, and no request at the decode engine. Change: a prefill uses a new connection if the request has been sent before, and a kept one otherwise, as before. Measured: go test ./platform -count=5 -run 'TestPrefillRefusal|TestEndToEnd' and go test ./internal/node/broker pass.

--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -253,6 +253,8 @@
 func (j *job) prefill(p *permit) (KVSource, *failure) {
 	start := time.Now()
 	c := j.newCall()
+	// Prefills may be repeated, but see newCall for the attempts after the first.
+	c.NewConnection = j.attempts+j.dialFailures > 0
 	c.Fetch = j.fetchSource(p)
 	j.broker.Log.Info("prefill placed", zap.String("Request", j.request.ID), zap.String("Route", j.route.Name),
 		zap.Uint64("Version", j.table.Version), zap.String("Server", p.server.ID), zap.Int64("Born", p.server.Born),
