loose: finding the parts allocates less

Cause: a list of 500 entries took longer to decode entry by entry than as a whole, since each value that was passed over allocated a stack for its brackets and each name went through package json. Change: a stack of 32 brackets needs no allocation, names without a backslash are taken as they are, and the end of a number is found by a plain loop. No result changes. Measured: FuzzItems 8 s, 354,940 runs, no failing input (it compares with package json on valid texts); go test ./internal/state/loose and the list tests of ./platform pass.

--- a/internal/state/loose/loose.go
+++ b/internal/state/loose/loose.go
@@ -36,10 +36,7 @@
 			if length < 0 {
 				return
 			}
-			var name string
-			if json.Unmarshal(rest[:length], &name) != nil {
-				name = ""
-			}
+			name := nameOf(rest[:length])
 			if rest, ok = after(rest[length:], ':'); !ok {
 				return
 			}
@@ -52,6 +49,18 @@
 	}
 }
 
+// nameOf decodes the name of a field, which is empty if it can't be read.
+func nameOf(text []byte) string {
+	if bytes.IndexByte(text, '\\') < 0 {
+		return string(text[1 : len(text)-1])
+	}
+	var name string
+	if json.Unmarshal(text, &name) != nil {
+		return ""
+	}
+	return name
+}
+
 // Items returns the values of an array, in their order. It returns none if the text does
 // not begin like an array.
 func Items(text []byte) iter.Seq[[]byte] {
@@ -104,7 +113,8 @@
 // end returns the length of the value at the beginning of the text, -1 if it has no end.
 // open has the closing bracket of each value that contains the current position.
 func end(text []byte) int {
-	var open []byte
+	var few [32]byte
+	open := few[:0]
 	for i := 0; i < len(text); i++ {
 		switch c := text[i]; c {
 		case '"':
@@ -149,8 +159,11 @@
 
 // endOfScalar returns the length of the number or word at the beginning of the text.
 func endOfScalar(text []byte) int {
-	if length := bytes.IndexAny(text, ",:]}[{\""+space); length >= 0 {
-		return length
+	for i, c := range text {
+		switch c {
+		case ',', ':', ']', '}', '[', '{', '"', ' ', '\t', '\r', '\n':
+			return i
+		}
 	}
 	return len(text)
 }
