--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -130,7 +130,7 @@
 	}
 	current, err := origin.ParseDefaults(o.Value)
 	if err != nil {
-		d.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
+		d.node.logInvalid(o, err)
 		current = suspended(d.current)
 	}
 	d.current = current
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -135,7 +135,7 @@
 	for _, o := range chunks {
 		records, err := origin.ParseRecords(o.Value)
 		if err != nil {
-			r.node.Log.Info("invalid store entry is skipped over", zap.String("Key", o.Key), zap.Uint64("Revision", store.Revision(o.Version)), zap.Error(err))
+			r.node.logInvalid(o, err)
 			continue
 		}
 		all = append(all, records...)
