--- a/internal/fleet/origin/defaults.go
+++ b/internal/fleet/origin/defaults.go
@@ -101,23 +101,31 @@
 	return best, found && r.Service != ""
 }
 
+// mostly reports whether at least half of the backend servers have a version.
+func (r Route) mostly(version string) bool {
+	all := 0
+	for _, count := range r.Versions {
+		all += count
+	}
+	return r.Versions[version] > 0 && 2*r.Versions[version] >= all
+}
+
 // Keeper decides how the defaults change. The zero value has seen nothing. A Keeper is
 // used by one goroutine.
 type Keeper struct {
-	// suspended has since when the defaults of routes have been seen suspended, unusual
-	// since when most servers have had another version.
-	suspended, unusual map[string]time.Time
+	// suspended has since when the defaults of routes have been seen suspended.
+	suspended map[string]time.Time
 }
 
 // Next returns the defaults that follow the current ones, and whether they differ. hold is
 // how long a stream may be resumed after it has begun, or after it has been resumed.
 //
-// A default whose servers have gone, or to which the route leads no more, is suspended for
-// hold before another one takes its place: until then streams may be resumed that have
-// begun at it and have no record.
+// A default is suspended when less than half of the servers have its version, or the route
+// leads there no more, and for hold before another one takes its place: until then streams
+// may be resumed that have begun at it and have no record.
 func (k *Keeper) Next(now time.Time, era uint64, current Defaults, routes []Route, hold time.Duration) (Defaults, bool) {
 	if k.suspended == nil {
-		k.suspended, k.unusual = map[string]time.Time{}, map[string]time.Time{}
+		k.suspended = map[string]time.Time{}
 	}
 	next := Defaults{Era: era}
 	configured := make(map[string]bool, len(routes))
@@ -155,29 +163,19 @@
 			return fresh, true
 		}
 		return d, true
-	case !sameEra, d.Service != r.Service, r.Versions[d.Version] == 0, d.Version != usual && k.unusualFor(now, r.Key, hold):
+	case !sameEra, d.Service != r.Service, !r.mostly(d.Version):
 		d.Suspended = true
 		k.suspended[r.Key] = now
-	case d.Version == usual:
-		delete(k.unusual, r.Key)
 	}
 	return d, true
 }
 
+// suspendedFor reports whether the default of a route has been seen suspended for a time,
+// and records when it was first seen.
 func (k *Keeper) suspendedFor(now time.Time, route string, hold time.Duration) bool {
-	return seenFor(k.suspended, now, route, hold)
-}
-
-func (k *Keeper) unusualFor(now time.Time, route string, hold time.Duration) bool {
-	return seenFor(k.unusual, now, route, hold)
-}
-
-// seenFor reports whether something has been seen of a route for a time, and records
-// when it was first seen.
-func seenFor(since map[string]time.Time, now time.Time, route string, hold time.Duration) bool {
-	first, seen := since[route]
+	first, seen := k.suspended[route]
 	if !seen {
-		since[route] = now
+		k.suspended[route] = now
 	}
 	return seen && now.Sub(first) >= hold
 }
@@ -189,8 +187,4 @@
 		state[d.Route] = d.Suspended
 	}
 	maps.DeleteFunc(k.suspended, func(route string, _ time.Time) bool { return !state[route] })
-	maps.DeleteFunc(k.unusual, func(route string, _ time.Time) bool {
-		suspended, known := state[route]
-		return !known || suspended
-	})
 }
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -234,9 +234,12 @@
 	// attempt counts the backend servers to which it was sent before. The result is nil if nothing has to be recorded,
 	// else it is closed once that is done. It does not block.
 	Place(request, host, prefix string, o origin.Origin, attempt int) <-chan struct{}
-	// Begin is called before the first event of the stream is sent to the client, with the
-	// result of Place. It waits for a moment until the record has been made.
-	Begin(ctx context.Context, request string, o origin.Origin, recorded <-chan struct{})
+	// Await waits for a moment for the result of Place, and reports whether the origin will
+	// be known also after all processes have ended.
+	Await(ctx context.Context, recorded <-chan struct{}) bool
+	// Begin is called before the first event of the stream is sent to the client. It does
+	// not block.
+	Begin(request string, o origin.Origin)
 	// Find returns the origin of the stream that the request with the ID began. The ID is
 	// empty if the client does not name the request. The source is origin.Unknown if the
 	// origin can't be found in a moment.
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -35,6 +35,7 @@
 	notDelivered    Reason = "NotDelivered"  // sending to the client failed
 	originUnknown   Reason = "OriginUnknown" // nobody knows who began the stream
 	quarantined     Reason = "Quarantined"   // the request crashes backend servers
+	notRecorded     Reason = "NotRecorded"   // the stream begins again elsewhere
 )
 
 // errTimeout is the cancellation cause of a request whose deadline has passed.
--- a/internal/node/broker/origin.go
+++ b/internal/node/broker/origin.go
@@ -87,12 +87,19 @@
 }
 
 // beginStream binds the stream to the version of the backend server that has sent its
-// first event, before the client gets that.
-func (j *job) beginStream(server roster.Server) {
+// first event, before the client gets that. It returns false if the origin is not recorded
+// and the stream can begin where it need not be: it has to begin again there.
+func (j *job) beginStream(server roster.Server) bool {
 	if j.beginsStream() {
-		j.broker.Origins.Begin(j.ctx, j.request.ID, origin.Origin{Service: j.service.Name, Version: server.Version}, j.recorded)
+		if !j.broker.Origins.Await(j.ctx, j.recorded) && j.attempts < j.route.Attempts && j.ctx.Err() == nil {
+			if j.restrict(); j.software.restricted && !j.software.accepts(server) {
+				return false
+			}
+		}
+		j.broker.Origins.Begin(j.request.ID, origin.Origin{Service: j.service.Name, Version: server.Version})
 	}
 	j.software = software{bound: true, version: server.Version}
+	return true
 }
 
 // bind restricts a need to the backend servers that can go on with the stream.
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -154,13 +154,11 @@
 // held.
 func (b *Broker) admit(w *waiter) {
 	q := b.queue(w.need.key)
-	if w.need.software.restricted {
-		if b.admitRestricted(q, w) {
-			return
-		}
+	v := b.views(w.since, w)
+	if w.need.software.restricted && (v.first.usable == 0 || v.first.ejected) {
 		w.unrestrict()
+		v = b.views(w.since, w)
 	}
-	v := b.views(w.since, w)
 	if v.first.usable == 0 {
 		if b.pauseEnds(w) {
 			q.waiting = append(q.waiting, w)
@@ -186,20 +184,6 @@
 	q.waiting = append(q.waiting, w)
 }
 
-// admitRestricted issues a permit at a backend server of the version at which a new stream
-// should begin. It returns false if there is none at once. b.mu must be held.
-func (b *Broker) admitRestricted(q *queue, w *waiter) bool {
-	v := b.views(w.since, w)
-	if v.first.usable == 0 || v.first.ejected || q.hasAhead(w.need) {
-		return false
-	}
-	p := b.tryAcquire(w.since, w, v)
-	if p != nil {
-		w.deliver(p, nil)
-	}
-	return p != nil
-}
-
 // unrestrict allows backend servers of any version.
 func (w *waiter) unrestrict() {
 	w.need.software = software{}
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -165,8 +165,11 @@
 			j.measureGap(time.Now())
 		}
 		if err == nil && !started {
+			if !j.beginStream(p.server) {
+				p.release(usage.Result{})
+				return &failure{outcome: retry.Unknown, reason: notRecorded, err: errNotRecorded}
+			}
 			started = true
-			j.beginStream(p.server)
 			j.broker.clearAbort(p)
 			p.endPrefill()
 			if c.Source.Handle != "" {
@@ -185,6 +188,9 @@
 	}
 }
 
+// errNotRecorded is the error of a stream that begins again elsewhere.
+var errNotRecorded = errors.New("the origin of the stream could not be recorded")
+
 // measureGap records the time of an event.
 func (j *job) measureGap(now time.Time) {
 	if !j.lastEvent.IsZero() {
--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -78,28 +78,34 @@
 }
 
 // Begin implements broker.Origins.
-func (s *origins) Begin(ctx context.Context, request string, o origin.Origin, recorded <-chan struct{}) {
+func (s *origins) Begin(request string, o origin.Origin) {
 	key := origin.Key(request)
 	s.table.Record(time.Now(), key, o)
 	message := &wire.News{Streams: []*wire.StreamOrigin{{Stream: key, Service: o.Service, Version: o.Version}}}
 	for _, name := range s.node.peers.Nearest(key, originHolders) {
 		s.node.coordination.push(name, message)
 	}
+}
+
+// Await implements broker.Origins.
+func (s *origins) Await(ctx context.Context, recorded <-chan struct{}) bool {
 	if recorded == nil {
-		return
+		return true
 	}
+	wait := recordTimeout
 	if s.recorder.fails(time.Now()) {
-		s.node.Meters.Add("StreamsBegunUnrecorded", 1)
-		return
+		wait = 0
 	}
-	timeout := time.NewTimer(recordTimeout)
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
 	case <-recorded:
+		return true
 	case <-ctx.Done():
 	case <-timeout.C:
 		s.node.Meters.Add("StreamsBegunUnrecorded", 1)
 	}
+	return false
 }
 
 // resumedAttempt is the attempt of a stream that has begun, which no failed one follows.
