--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -175,6 +175,9 @@
 		Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted, Ejected: snapshot.Ejected, Excluded: n.excluded[s.ID],
 	}
 	c.SameWork = c.Running
+	if b.connectionsUsed(s.Service, snapshot) {
+		c.Limit = min(c.Limit, c.Running)
+	}
 	if n.key.work == usage.Long {
 		c.SameWork = snapshot.Long + peerLoad.Long
 		c.SameWorkLimit = min(limit, scaled(float64(s.Slots)-b.reserved(n.key, s.Slots), share))
@@ -182,6 +185,17 @@
 	return c
 }
 
+// connectionsUsed reports whether this process has as many requests at a backend server as
+// it may have connections. b.mu must be held.
+func (b *Broker) connectionsUsed(service string, snapshot usage.Snapshot) bool {
+	t := b.Table()
+	if t == nil {
+		return false
+	}
+	most := b.maxConnections(t.Services[service])
+	return most > 0 && snapshot.Running >= most
+}
+
 // withoutGrants subtracts from the peers' load the permits that a coordinator
 // granted to them. Unless another process is the coordinator, this process
 // granted them and counts them itself. b.mu must be held.
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -40,7 +40,7 @@
 	// count on: less behind a slow link, or if silent peers may use the engine.
 	throughput float64
 	// throttled is set while this process has used its share of the engine's rate
-	// limit.
+	// limit, or of its connections.
 	throttled bool
 	// fetchable is set if KV caches can be fetched from the engine.
 	fetchable bool
@@ -115,7 +115,7 @@
 	granted := b.grantedByEngine[key]
 	e := &engineState{
 		server: s, began: b.progress[key], running: snapshot.Running + peerLoad.Running + granted.Requests,
-		limit: scaled(decodePerSlot*float64(s.Slots), share), throughput: share, fetchable: !snapshot.Unreachable && !snapshot.Stalled, throttled: snapshot.Throttled,
+		limit: scaled(decodePerSlot*float64(s.Slots), share), throughput: share, fetchable: !snapshot.Unreachable && !snapshot.Stalled, throttled: snapshot.Throttled || b.connectionsUsed(s.Service, snapshot),
 		engine: assign.Engine{
 			Key: key, Hash: xxhash.Sum64String(s.ID),
 			Backlog:  max(snapshot.PrefillTokens+peerLoad.PrefillTokens+granted.Tokens, 0),
--- a/internal/node/broker/share_test.go
+++ b/internal/node/broker/share_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/origin"
 )
 
@@ -141,3 +142,39 @@
 		assert.Equal(t, 20*50*time.Millisecond, c.endedAt.Sub(began))
 	})
 }
+
+// TestResumedStreamsWaitForConnections checks that a stream whose engines have as many requests
+// of this process as it may have connections waits for one, and is not refused for it.
+func TestResumedStreamsWaitForConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newVersions(t, false)
+		f.Peers = noPeers{processes: 24}
+		f.Origins = beganAt{origin: origin.Origin{Service: "model", Version: "v1"}}
+		open := map[string]int{}
+		var mu sync.Mutex
+		f.fleet.fallback = func(ctx context.Context, s *sent) (*Response, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if open[s.server] >= s.call.MaxConnections {
+				s.lost = true
+				return nil, &call.Error{Stage: call.StageDialing, Err: call.ErrBusy}
+			}
+			open[s.server]++
+			time.AfterFunc(275*time.Millisecond, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				open[s.server]--
+			})
+			return paced(11, 25*time.Millisecond)(ctx, s)
+		}
+		go f.tick(t.Context())
+		resumed := f.offer(t.Context(), 30, 3*time.Second, func(i int) *Request {
+			r := newPromptRequest("/talk/", 100, 80)
+			r.ID, r.After, r.Origin = fmt.Sprint("resumed", i), "0", "r0"
+			return r
+		})
+		t.Logf("%d of %d resumed streams went on, %d attempts", resumed.begun, resumed.all, len(f.fleet.sent))
+		// Eight connections for 0.275 s each are enough for 0.97 of them.
+		assert.GreaterOrEqual(t, resumed.ratio(), 0.95)
+	})
+}
