broker: the test of connections counts what was sent without one (LOST)

Change: the fake frees a connection when the body is closed, half of the capacity is used, all streams must go on, and at most one in ten requests may be sent without a connection.

Conclusion: the test holds the cause, not the load.

--- a/internal/node/broker/share_test.go
+++ b/internal/node/broker/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -143,29 +144,41 @@
 	})
 }
 
+// closing is a body that calls closed when it is closed.
+type closing struct {
+	io.Reader
+	closed func()
+}
+
+func (c closing) Close() error {
+	c.closed()
+	return nil
+}
+
 // TestResumedStreamsWaitForConnections checks that a stream whose engines have as many requests
-// of this process as it may have connections waits for one, and is not refused for it.
+// of this process as it may have connections waits for one, and is not sent without.
 func TestResumedStreamsWaitForConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, _ := newVersions(t, false)
 		f.Peers = noPeers{processes: 24}
 		f.Origins = beganAt{origin: origin.Origin{Service: "model", Version: "v1"}}
-		open := map[string]int{}
+		open, busy := map[string]int{}, 0
 		var mu sync.Mutex
 		f.fleet.fallback = func(ctx context.Context, s *sent) (*Response, error) {
 			mu.Lock()
 			defer mu.Unlock()
 			if open[s.server] >= s.call.MaxConnections {
-				s.lost = true
+				busy++
 				return nil, &call.Error{Stage: call.StageDialing, Err: call.ErrBusy}
 			}
 			open[s.server]++
-			time.AfterFunc(275*time.Millisecond, func() {
+			response, err := paced(10, 25*time.Millisecond)(ctx, s)
+			response.Body = closing{response.Body, func() {
 				mu.Lock()
 				defer mu.Unlock()
 				open[s.server]--
-			})
-			return paced(11, 25*time.Millisecond)(ctx, s)
+			}}
+			return response, err
 		}
 		go f.tick(t.Context())
 		resumed := f.offer(t.Context(), 30, 3*time.Second, func(i int) *Request {
@@ -173,8 +186,7 @@
 			r.ID, r.After, r.Origin = fmt.Sprint("resumed", i), "0", "r0"
 			return r
 		})
-		t.Logf("%d of %d resumed streams went on, %d attempts", resumed.begun, resumed.all, len(f.fleet.sent))
-		// Eight connections for 0.275 s each are enough for 0.97 of them.
-		assert.GreaterOrEqual(t, resumed.ratio(), 0.95)
+		assert.Equal(t, resumed.all, resumed.begun)
+		assert.LessOrEqual(t, busy, resumed.all/10, "the permit of a stream ends a moment before its connection")
 	})
 }
