broker: a peer with an older configuration serves what it would treat alike

The service is chosen by the newer configuration of the process that took the request, and the kind of the route, whether the request may run more than once, and its attempts travel along: a peer with an older one refuses only if its own route differs in these.

--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -56,6 +56,11 @@
 	// the request has reached.
 	Attempts int
 	Failed   []string
+	// Kind is the kind of the route, Repeatable is set if the request may run more than
+	// once, and MaxAttempts is how often it may be tried.
+	Kind        table.Kind
+	Repeatable  bool
+	MaxAttempts int
 	// Bound is set if the stream goes on at servers of the version Software only.
 	Bound    bool
 	Software string
@@ -232,7 +237,7 @@
 	}
 	return Carried{
 		Request: &r, Service: j.service.Name, TableVersion: j.table.Version, Attempts: j.attempts, Failed: j.failedAt,
-		Bound: j.software.bound, Software: j.software.version,
+		Bound: j.software.bound, Software: j.software.version, Kind: j.route.Kind, Repeatable: j.route.Repeatable(), MaxAttempts: j.route.Attempts,
 	}
 }
 
@@ -343,8 +348,8 @@
 }
 
 // ServeCarried serves a request for a peer and returns once the response has ended. It
-// refuses one that this process would treat by an older configuration, or cannot serve by
-// itself.
+// refuses one that this process would treat otherwise by an older configuration, or cannot
+// serve by itself.
 func (b *Broker) ServeCarried(ctx context.Context, c Carried, out CarriedOutput) {
 	t, r := b.Table(), c.Request
 	r.content = r.contentHash()
@@ -356,7 +361,7 @@
 	defer j.freeBuffers()
 	defer j.finishHop()
 	b.Meters.Add("CarriedForPeers", 1)
-	if t == nil || t.Version < c.TableVersion {
+	if t == nil {
 		j.reject(noConfiguration)
 		return
 	}
@@ -365,6 +370,10 @@
 		j.reject(noRoute)
 		return
 	}
+	if t.Version < c.TableVersion && (route.Kind != c.Kind || route.Repeatable() != c.Repeatable || route.Attempts != c.MaxAttempts) {
+		j.reject(noConfiguration)
+		return
+	}
 	j.route, j.service = route, t.Services[c.Service]
 	if !b.Reaches(c.Service) {
 		j.reject(noServer)
--- a/internal/node/core/carrywire.go
+++ b/internal/node/core/carrywire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/node/broker"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
@@ -31,6 +32,7 @@
 		AgeMicroseconds: now.Sub(r.Arrived).Microseconds(), LeftMicroseconds: r.Deadline.Sub(now).Microseconds(),
 		PromptTokens: uint64(max(r.PromptTokens, 0)), MaxOutputTokens: uint64(max(r.MaxOutputTokens, 0)), After: r.After, Origin: r.Origin,
 		Service: c.Service, TableVersion: c.TableVersion, Attempts: uint32(c.Attempts), Failed: c.Failed, Bound: c.Bound, Software: c.Software,
+		Kind: string(c.Kind), Repeatable: c.Repeatable, MaxAttempts: uint32(c.MaxAttempts),
 	}
 	for _, p := range r.Parts {
 		q.Parts = append(q.Parts, &wire.PromptPart{ID: p.ID, Tokens: uint32(max(p.Tokens, 0))})
@@ -50,6 +52,7 @@
 	}
 	return broker.Carried{
 		Request: r, Service: q.Service, TableVersion: q.TableVersion, Attempts: int(q.Attempts), Failed: q.Failed, Bound: q.Bound, Software: q.Software,
+		Kind: table.Kind(q.Kind), Repeatable: q.Repeatable, MaxAttempts: int(q.MaxAttempts),
 	}
 }
 
