core: records of streams are listed within the rate of a large system's store

Change: the pause between two lists is 8 ms for each process at least. Where that is over half a second the latest list counts until the next may begin.

Result: TestUnknownStreamsStayWithinTheStoresRate: 300 processes, 400 unknown streams a second after all were killed: all known, under 1.5 lists a second for each process with its watch.

--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -29,6 +29,7 @@
 	// down makes all calls fail, writes counts those that did not.
 	down   bool
 	writes int
+	lists  int
 }
 
 const memoryStoreDelay = 4 * time.Millisecond
@@ -48,6 +49,7 @@
 		return store.Page{}, err
 	}
 	defer m.mu.Unlock()
+	m.lists++
 	page := store.Page{Revision: store.Version(m.era, m.revision)}
 	for _, key := range slices.Sorted(maps.Keys(m.objects)) {
 		if strings.HasPrefix(key, kind+"/") {
@@ -107,6 +109,13 @@
 	return m.writes
 }
 
+// listCount returns the number of lists.
+func (m *memoryStore) listCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lists
+}
+
 // keys returns the keys of all objects.
 func (m *memoryStore) keys() []string {
 	m.mu.Lock()
@@ -425,3 +434,31 @@
 	now := time.Unix(1000, 0)
 	assert.Less(t, r.nextChunk(now), r.nextChunk(now.Add(-time.Hour)))
 }
+
+// TestUnknownStreamsStayWithinTheStoresRate checks that many processes which were killed at
+// once, and to which clients come with streams that nobody remembers, list the records
+// seldom and know the streams nevertheless.
+func TestUnknownStreamsStayWithinTheStoresRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 300
+		s := &system{store: &memoryStore{}}
+		s.start(t, size, "v1", "v1", "v2")
+		for i := range 20 {
+			s.begin(s.cluster[i], fmt.Sprint("new", i), "v2")
+		}
+		s.restart(t, "v1", "v1", "v2")
+		lists := s.store.listCount()
+		const length = 10 * time.Second
+		for began := time.Now(); time.Since(began) < length; time.Sleep(50 * time.Millisecond) {
+			for i := range 20 {
+				version, _ := s.found(s.cluster[100+i], fmt.Sprint("new", i))
+				assert.Equal(t, "v2", version)
+				version, _ = s.found(s.cluster[200+i], fmt.Sprint("old", i))
+				assert.Equal(t, "v1", version)
+			}
+		}
+		perProcess := float64(s.store.listCount()-lists) / size / length.Seconds()
+		assert.Less(t, perProcess, 1.5, "lists per process and second, its watch included")
+		s.end()
+	})
+}
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -22,11 +22,13 @@
 	node *Node
 	wake chan struct{}
 
-	// mu guards waiting, the requests that wait for the next list, and recorded, which has
-	// the streams of the latest list and is not changed.
+	// mu guards waiting, the requests that wait for the next list, recorded, which has the
+	// streams of the latest list and is not changed, and listed.
 	mu       sync.Mutex
 	waiting  []chan error
 	recorded map[uint64]origin.Record
+	// listed is when the latest list began.
+	listed time.Time
 	// seen has the entries by key and since when each has had its version. Only the task
 	// uses it.
 	seen map[string]sighting
@@ -43,8 +45,10 @@
 	maxRecalled = 1 << 18
 	// recallTimeout bounds the wait of a request for the records in the store.
 	recallTimeout = time.Second
-	// recallPause is the least pause between two lists.
-	recallPause = 100 * time.Millisecond
+	// recallPause is the least pause between two lists, recallPerProcess that for each
+	// process of the system: all may list at once after a mass restart, a megabyte each.
+	recallPause      = 100 * time.Millisecond
+	recallPerProcess = 8 * time.Millisecond
 	// recallRetry is the mean pause after a list that failed before the first succeeded.
 	recallRetry = 150 * time.Millisecond
 	// sweepPerLife is how many times within the life of a stream one process looks for
@@ -62,10 +66,22 @@
 	return &recall{node: n, wake: make(chan struct{}, 1), seen: map[string]sighting{}}
 }
 
-// await waits for a list that begins after the call. An error means that there is none.
+// pause returns the pause between two lists.
+func (r *recall) pause() time.Duration {
+	return max(recallPause, recallPerProcess*time.Duration(r.node.peers.Members()))
+}
+
+// await waits for a list that begins after the call. In a large system the latest one
+// counts until the next may begin: what has been recorded since is remembered by the
+// processes that were told. An error means that there is no list.
 func (r *recall) await(ctx context.Context) error {
 	done := make(chan error, 1)
+	pause := r.pause()
 	r.mu.Lock()
+	if pause > recallTimeout/2 && time.Since(r.listed) < pause {
+		r.mu.Unlock()
+		return nil
+	}
 	r.waiting = append(r.waiting, done)
 	r.mu.Unlock()
 	select {
@@ -99,7 +115,7 @@
 		select {
 		case <-r.wake:
 			r.serve(ctx)
-			timer.Wait(ctx, recallPause)
+			timer.Wait(ctx, r.pause())
 		case <-sweep.C:
 			r.sweep(ctx)
 			sweep.Reset(r.node.streamLife() / sweepPerLife)
@@ -126,6 +142,7 @@
 
 // list reads all records.
 func (r *recall) list(ctx context.Context) error {
+	began := time.Now()
 	chunks, err := r.read(ctx)
 	if err != nil {
 		r.node.Log.Info("records of streams can't be read", zap.Error(err))
@@ -145,7 +162,7 @@
 	}
 	latest := origin.Latest(all)
 	r.mu.Lock()
-	r.recorded = latest
+	r.recorded, r.listed = latest, began
 	r.mu.Unlock()
 	r.node.Meters.Add("StreamsRecalled", int64(len(latest)))
 	return nil
