--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -20,20 +20,11 @@
 package peers
 
 import (
-	"cmp"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"maps"
-	"net/netip"
-	"slices"
 	"sort"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ebonyscale.example/ebonyscale/internal/fleet/gone"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 )
@@ -75,49 +66,6 @@
 	return max(HeartbeatTimeout, missedHeartbeats*HeartbeatInterval(peers))
 }
 
-// Member is a process as described by its entry in the store.
-type Member struct {
-	Name             string
-	AvailabilityZone string
-	Address          netip.AddrPort
-	// Incarnation grows with each start.
-	Incarnation uint64
-	// Cores is the number of processor cores of the VM, which may be a
-	// fraction; 0 if not known.
-	Cores float64
-	// Doubted is set by another process if this one seems to have ended. One that runs
-	// writes its entry again.
-	Doubted bool `json:",omitempty"`
-}
-
-// ErrInvalidEntry means that an entry does not describe a process.
-var ErrInvalidEntry = errors.New("entry describes no process")
-
-// Parse decodes a process's entry in the store. Its errors wrap ErrInvalidEntry.
-func Parse(data []byte) (Member, error) {
-	var m Member
-	if err := json.Unmarshal(data, &m); err != nil {
-		return Member{}, fmt.Errorf("%w: %w", ErrInvalidEntry, err)
-	}
-	switch ip := m.Address.Addr(); {
-	case m.Name == "" || !m.Address.IsValid():
-		return Member{}, fmt.Errorf("%w: name or address is missing", ErrInvalidEntry)
-	case max(len(m.Name), len(m.AvailabilityZone)) > maxName:
-		return Member{}, fmt.Errorf("%w: name or availability zone is too long", ErrInvalidEntry)
-	case ip.IsUnspecified() || ip.IsMulticast() || m.Address.Port() == 0:
-		return Member{}, fmt.Errorf("%w: nothing can be sent to its address", ErrInvalidEntry)
-	case m.Cores < 0 || m.Cores > maxCores:
-		return Member{}, fmt.Errorf("%w: cores out of range", ErrInvalidEntry)
-	}
-	return m, nil
-}
-
-// maxName bounds the names in an entry, in bytes, maxCores the cores of a VM.
-const (
-	maxName  = 256
-	maxCores = 1 << 16
-)
-
 // Load counts requests of one process, or of several together, at one backend
 // server or in one queue. The unit in the queues of prefills is prompt tokens.
 type Load struct {
@@ -457,127 +405,6 @@
 	return t.queues[key]
 }
 
-// Coordinator returns the name of the coordinator for a key, which may be this
-// process: of the live members that are not stopping and have not lost the service
-// with the hash key, the one with the most cores; rendezvous hashing decides between
-// equals. stopping says whether this process is not eligible. Processes with the same live peers get the same result.
-// Without a candidate it is this process.
-func (t *Table) Coordinator(key uint64, stopping bool) string {
-	if names := t.Coordinators(key, stopping, 1); len(names) > 0 {
-		return names[0]
-	}
-	return t.Self
-}
-
-// Coordinators returns up to count candidates for the coordinator, in the order in
-// which they would replace each other.
-func (t *Table) Coordinators(key uint64, stopping bool, count int) []string {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	type candidate struct {
-		name  string
-		cores float64
-		score uint64
-	}
-	candidates := make([]candidate, 0, len(t.peers)+1)
-	consider := func(name string) {
-		if m, ok := t.members[name]; ok {
-			candidates = append(candidates, candidate{name, m.Cores, rendezvous(name, key)})
-		}
-	}
-	if !stopping {
-		consider(t.Self)
-	}
-	for name, p := range t.peers {
-		if !p.stopping && !slices.Contains(p.lost, key) {
-			consider(name)
-		}
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.score, b.score)) })
-	names := make([]string, 0, count)
-	for _, c := range candidates[:min(count, len(candidates))] {
-		names = append(names, c.name)
-	}
-	return names
-}
-
-// Reacher is a live member that reaches backend servers of a service.
-type Reacher struct {
-	Member
-	// Running is the number of its requests in progress.
-	Running int
-}
-
-// LostAll stands for all services among those of which a process reaches no backend
-// server.
-const LostAll = 0
-
-// Reachers returns the live peers that reach backend servers of the service with the hash
-// key and are not stopping, up to MaxFresh of them: the first in the rendezvous order for
-// this process's name.
-func (t *Table) Reachers(key uint64) []Reacher {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var list []Reacher
-	for name, p := range t.peers {
-		m, ok := t.members[name]
-		if ok && !p.stopping && !p.hasLost(key) {
-			list = append(list, Reacher{m, p.running})
-		}
-	}
-	if len(list) <= MaxFresh {
-		return list
-	}
-	own := xxhash.Sum64String(t.Self)
-	slices.SortFunc(list, func(a, b Reacher) int { return cmp.Compare(rendezvous(a.Name, own), rendezvous(b.Name, own)) })
-	return list[:MaxFresh]
-}
-
-// hasLost reports whether the process reaches no backend server of the service.
-func (p *peer) hasLost(key uint64) bool {
-	return slices.Contains(p.lost, key) || slices.Contains(p.lost, LostAll)
-}
-
-// Rank returns the position of this process, from 0, in the rendezvous order of all
-// members for a key, and their number. Silent members count, since they may still run.
-// While others may have removed this process's entry, it is the last: they share out all.
-func (t *Table) Rank(key uint64) (rank, members int) {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	own := rendezvous(t.Self, key)
-	members = 1
-	for name := range t.members {
-		if name == t.Self {
-			continue
-		}
-		members++
-		if rendezvous(name, key) < own {
-			rank++
-		}
-	}
-	if t.uncounted {
-		return members, members
-	}
-	return rank, members
-}
-
-// Nearest returns up to count live peers, the first in the rendezvous order for a key.
-func (t *Table) Nearest(key uint64, count int) []string {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	names := make([]string, 0, len(t.peers))
-	for name := range t.peers {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rendezvous(a, key), rendezvous(b, key)) })
-	return names[:min(count, len(names))]
-}
-
-// rendezvous returns the score of a process for a key. The lowest comes first.
-func rendezvous(name string, key uint64) uint64 {
-	return xxhash.Sum64String(name + "/" + strconv.FormatUint(key, 16))
-}
-
 // Member returns the member with the name.
 func (t *Table) Member(name string) (Member, bool) {
 	t.mu.RLock()
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -26,7 +26,6 @@
 import (
 	"context"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,65 +46,6 @@
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 )
 
-// Part is one part of a prompt. Requests whose prompts begin with parts of the
-// same IDs share a prefix.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
-// Request is a client's request.
-type Request struct {
-	ID, Host, Method string
-	// Path is the path with its query.
-	Path   string
-	Fields []call.Field
-	Body   []byte
-	// Arrived is when the request had been read completely, Deadline when the
-	// client stops waiting; Deadline is zero if the client does not set one.
-	Arrived, Deadline time.Time
-	// Parts lists the parts of the prompt in order. PromptTokens is the number
-	// of prompt tokens and MaxOutputTokens the maximum number of output tokens;
-	// each is 0 if unknown.
-	Parts                         []Part
-	PromptTokens, MaxOutputTokens int
-	// After is the ID of the last event that the client has received, if it
-	// resumes a stream, and Origin the ID of its request that brought the first one.
-	After, Origin string
-
-	// content is the hash of contentHash. Body must not be read after the response,
-	// so that it is computed when the request arrives.
-	content uint64
-}
-
-// pathOnly returns the path without its query.
-func (r *Request) pathOnly() string {
-	path, _, _ := strings.Cut(r.Path, "?")
-	return path
-}
-
-// Reply is a complete response to the client.
-type Reply struct {
-	Status int
-	Fields []call.Field
-	Body   []byte
-	// RetryAfter is how long the client should wait before it retries; 0 sets
-	// no Retry-After header.
-	RetryAfter time.Duration
-}
-
-// Output sends the response to the client: either one call of Respond, or
-// Begin, any number of calls of Event, and End. Calls are never concurrent, and
-// the text of an event is valid only during the call. If Serve returns without a
-// call of Respond or End, the response has to be aborted, so that the client
-// notices that it is truncated.
-type Output interface {
-	Respond(reply Reply) error
-	Begin(status int, fields []call.Field) error
-	Event(text []byte) error
-	End() error
-}
-
 // KVSource locates the KV cache of a prompt that a prefill engine has computed.
 type KVSource struct {
 	Address netip.AddrPort
--- a/internal/node/core/carry.go
+++ b/internal/node/core/carry.go
@@ -10,12 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/peers"
 	"ebonyscale.example/ebonyscale/internal/node/broker"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/route/retry"
-	"github.com/cespare/xxhash/v2"
 )
 
 // carrier hands requests to peers. It implements broker.Carrier and is safe for concurrent
