httpd: the pause before a listener is closed ends with the stop

Server.Refuse slept for 50 ms without a context, while Node.Stop says that it returns when its context ends. It takes that context now and waits by base/timer; with a live context nothing changes, and the planned stop passes the one of the whole process, which SIGTERM does not end. The sleep of broker.checkEnded stays, with a line that says why it does not use the context beside it: that one bounds the connection. The test passes its own context; its checks are unchanged.

--- a/internal/node/broker/ended.go
+++ b/internal/node/broker/ended.go
@@ -43,6 +43,7 @@
 	defer cancel()
 	refused := errors.Is(b.Servers.Connect(ctx, server, 0), syscall.ECONNREFUSED)
 	if refused && b.Carrier != nil {
+		// ctx is for the connection: what is left of it may be shorter.
 		time.Sleep(cutKnown)
 		refused = !b.cutAlone(server.Service)
 	}
--- a/internal/node/core/stop.go
+++ b/internal/node/core/stop.go
@@ -38,7 +38,7 @@
 	n.Log.Info("stopping", zap.Int("Active", server.Active()), zap.Int("Connections", server.Connections()), zap.Duration("Grace", grace))
 	timer.Wait(ctx, min(balancerWait, grace/2))
 	n.awaitEnd(ctx, server, end)
-	server.Refuse()
+	server.Refuse(ctx)
 	n.awaitEnd(ctx, server, time.Now().Add(lastWait))
 	n.Log.Info("stopped", zap.Int("Active", server.Active()), zap.Duration("Took", time.Since(began)))
 }
--- a/internal/node/httpd/refuse.go
+++ b/internal/node/httpd/refuse.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"ebonyscale.example/ebonyscale/internal/base/timer"
 )
 
 // Listen opens the listener of a Server. Multipath TCP is off: its sockets take no filter,
@@ -30,9 +32,9 @@
 
 // Refuse closes the listener, so that new connections are refused, and returns once those
 // that were accepted are known. They are served. The kernel resets connections that wait to be
-// accepted at that moment; therefore it takes no new ones for handshakeTime before: their
-// clients try again and are refused.
-func (s *Server) Refuse() {
+// accepted at that moment; therefore it takes no new ones for handshakeTime before, or until
+// ctx ends: their clients try again and are refused.
+func (s *Server) Refuse(ctx context.Context) {
 	s.mu.Lock()
 	listener := s.listener
 	s.mu.Unlock()
@@ -42,7 +44,7 @@
 	if err := dropHandshakes(listener); err != nil {
 		s.logger().Info("connections that wait to be accepted may be reset", zap.Error(err))
 	}
-	time.Sleep(handshakeTime)
+	timer.Wait(ctx, handshakeTime)
 	listener.Close()
 	s.accepting.Wait()
 }
--- a/internal/node/httpd/refuse_test.go
+++ b/internal/node/httpd/refuse_test.go
@@ -30,7 +30,7 @@
 			})
 		}
 		time.Sleep(5 * time.Millisecond)
-		s.Refuse()
+		s.Refuse(t.Context())
 		close(ended)
 		clients.Wait()
 		s.Close()
