core: the tests of the recorder and the recall share their steps

The loop is system.countLate now, the entry memoryStore.addChunk. Rates, numbers of streams and the assertions are the same; the log line of the slow store prints its 1000 by the number passed.

--- a/internal/node/core/recall_test.go
+++ b/internal/node/core/recall_test.go
@@ -26,6 +26,15 @@
 	return count
 }
 
+// addChunk adds an entry of another process, which takes no time.
+func (m *memoryStore) addChunk(number int, records []origin.Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := fmt.Sprintf("streams/other.%x", number)
+	m.revision++
+	m.objects[key] = store.Object{Key: key, Value: origin.EncodeRecords(records), Version: store.Version(m.era, m.revision)}
+}
+
 // TestRecordOfPlacementThatNeverBeganIsNoOrigin guards against a stream that goes on at the
 // version of an attempt that failed, as its record was read before the next attempt.
 func TestRecordOfPlacementThatNeverBeganIsNoOrigin(t *testing.T) {
@@ -91,13 +100,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &system{store: &memoryStore{}}
 		s.start(t, 1, "v1", "v1", "v2")
-		s.store.mu.Lock()
 		for i := range 1000 {
-			key := fmt.Sprintf("streams/other.%x", i+1)
-			s.store.revision++
-			s.store.objects[key] = store.Object{Key: key, Value: origin.EncodeRecords([]origin.Record{{Stream: uint64(i)}}), Version: store.Version(s.store.era, s.store.revision)}
+			s.store.addChunk(i+1, []origin.Record{{Stream: uint64(i)}})
 		}
-		s.store.mu.Unlock()
 		unknown := 0
 		for range 300 {
 			time.Sleep(500 * time.Millisecond)
@@ -116,17 +121,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &system{store: &memoryStore{}}
 		s.start(t, 1, "v1", "v1", "v2")
-		s.store.mu.Lock()
 		for i := range 1 << 10 {
 			var records []origin.Record
 			for k := range chunkRecords {
 				records = append(records, origin.Record{Stream: origin.Key(fmt.Sprint(i, "/", k)), Origin: origin.Origin{Service: "s", Version: "v2"}})
 			}
-			key := fmt.Sprintf("streams/other.%x", i+1)
-			s.store.revision++
-			s.store.objects[key] = store.Object{Key: key, Value: origin.EncodeRecords(records), Version: store.Version(s.store.era, s.store.revision)}
+			s.store.addChunk(i+1, records)
 		}
-		s.store.mu.Unlock()
 		version, _ := s.found(s.cluster[0], "0/0")
 		assert.NotEqual(t, "v1", version)
 		s.end()
--- a/internal/node/core/recorder_test.go
+++ b/internal/node/core/recorder_test.go
@@ -62,25 +62,31 @@
 		const perSecond, length = 500, 10 * time.Second
 		s := &system{store: &memoryStore{}}
 		s.start(t, size, "v1", "v1", "v2")
-		var late atomic.Int64
-		var group sync.WaitGroup
-		for i := range int(perSecond * length.Seconds()) {
-			group.Go(func() {
-				began := time.Now()
-				s.begin(s.cluster[i%size], fmt.Sprint("r", i), "v2")
-				if time.Since(began) >= recordTimeout {
-					late.Add(1)
-				}
-			})
-			time.Sleep(time.Second / perSecond)
-		}
-		group.Wait()
-		t.Logf("%d of %d streams began without a record", late.Load(), int(perSecond*length.Seconds()))
-		assert.Zero(t, late.Load())
+		assert.Zero(t, s.countLate(t, int(perSecond*length.Seconds()), time.Second/perSecond))
 		s.end()
 	})
 }
 
+// countLate begins streams at an interval, at all processes in turn, and returns how many
+// waited as long as a client waits for the record.
+func (s *system) countLate(t *testing.T, streams int, interval time.Duration) int64 {
+	var late atomic.Int64
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() {
+			began := time.Now()
+			s.begin(s.cluster[i%len(s.cluster)], fmt.Sprint("r", i), "v2")
+			if time.Since(began) >= recordTimeout {
+				late.Add(1)
+			}
+		})
+		time.Sleep(interval)
+	}
+	group.Wait()
+	t.Logf("%d of %d streams began without a record", late.Load(), streams)
+	return late.Load()
+}
+
 // slowStore is a store whose writing calls take the platform's longest time.
 type slowStore struct{ *memoryStore }
 
@@ -98,21 +104,7 @@
 		for _, n := range s.cluster {
 			n.Store = slowStore{s.store}
 		}
-		var late atomic.Int64
-		var group sync.WaitGroup
-		for i := range 1000 {
-			group.Go(func() {
-				began := time.Now()
-				s.begin(s.cluster[i%6], fmt.Sprint("r", i), "v2")
-				if time.Since(began) >= recordTimeout {
-					late.Add(1)
-				}
-			})
-			time.Sleep(10 * time.Millisecond)
-		}
-		group.Wait()
-		t.Logf("%d of 1000 streams began without a record", late.Load())
-		assert.Zero(t, late.Load())
+		assert.Zero(t, s.countLate(t, 1000, 10*time.Millisecond))
 		s.end()
 	})
 }
