usage, peers, broker: one word for one thing

The comment of recorder.written named a constant recordLife that does not exist and promised an age; it says what the field has, and the type says how a record passes from delegated or pending through a batch into a chunk. recall.find says what counts when a process remembers more, the usage of package gone calls no method that does not exist, two comments of over 100 columns are broken. servePrompt takes its need from decodeNeedAfter. No behaviour changes.

--- a/internal/fleet/gone/gone.go
+++ b/internal/fleet/gone/gone.go
@@ -18,7 +18,8 @@
 //	var w gone.Watch
 //	switch w.See(now, gone.Sight{Name: name, Version: object.Version, Heard: heard, Doubted: m.Doubted}) {
 //	case gone.Doubt:
-//		write(object.Version, m.WithDoubt())
+//		m.Doubted = true
+//		write(object.Version, m)
 //	case gone.Remove:
 //		remove(object.Version)
 //	}
--- a/internal/fleet/peers/choose.go
+++ b/internal/fleet/peers/choose.go
@@ -11,8 +11,8 @@
 // Coordinator returns the name of the coordinator for a key, which may be this
 // process: of the live members that are not stopping and have not lost the service
 // with the hash key, the one with the most cores; rendezvous hashing decides between
-// equals. stopping says whether this process is not eligible. Processes with the same live peers get the same result.
-// Without a candidate it is this process.
+// equals. stopping says whether this process is not eligible. Processes with the same
+// live peers get the same result. Without a candidate it is this process.
 func (t *Table) Coordinator(key uint64, stopping bool) string {
 	if names := t.Coordinators(key, stopping, 1); len(names) > 0 {
 		return names[0]
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -125,9 +125,9 @@
 	// silent has the time of the last status message of each process that
 	// Expire removed from peers, for silentRetention.
 	silent map[string]time.Time
-	// lost has the members without an entry in the store, which stay while they may
+	// unlisted has the members without an entry in the store, which stay while they may
 	// still run.
-	lost map[string]bool
+	unlisted map[string]bool
 	// heard is when the last status message of each member came.
 	heard map[string]time.Time
 	// confirmed is when this process last saw its own entry in the store; zero if never.
@@ -142,15 +142,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.members
-	t.members, t.lost = make(map[string]Member, len(members)), map[string]bool{}
+	t.members, t.unlisted = make(map[string]Member, len(members)), map[string]bool{}
 	for name := range t.peers {
 		if m, ok := before[name]; ok {
-			t.members[name], t.lost[name] = m, true
+			t.members[name], t.unlisted[name] = m, true
 		}
 	}
 	for _, m := range members {
 		t.members[m.Name] = m
-		delete(t.lost, m.Name)
+		delete(t.unlisted, m.Name)
 	}
 	maps.DeleteFunc(t.heard, func(name string, _ time.Time) bool {
 		_, ok := t.members[name]
@@ -166,7 +166,7 @@
 		t.members = map[string]Member{}
 	}
 	t.members[m.Name] = m
-	delete(t.lost, m.Name)
+	delete(t.unlisted, m.Name)
 }
 
 // Remove removes a member, once it is silent.
@@ -178,17 +178,17 @@
 		return
 	}
 	if _, ok := t.members[name]; ok {
-		if t.lost == nil {
-			t.lost = map[string]bool{}
+		if t.unlisted == nil {
+			t.unlisted = map[string]bool{}
 		}
-		t.lost[name] = true
+		t.unlisted[name] = true
 	}
 }
 
 // drop removes a member. The caller must hold mu.
 func (t *Table) drop(name string) {
 	delete(t.members, name)
-	delete(t.lost, name)
+	delete(t.unlisted, name)
 	delete(t.heard, name)
 }
 
@@ -363,7 +363,7 @@
 	for name, last := range t.silent {
 		if now.Sub(last) > silentRetention {
 			delete(t.silent, name)
-			if t.lost[name] {
+			if t.unlisted[name] {
 				t.drop(name)
 			}
 		}
--- a/internal/fleet/usage/reach.go
+++ b/internal/fleet/usage/reach.go
@@ -15,9 +15,9 @@
 	r.lastActive, r.heardAt, r.unreachable = now, now, false
 }
 
-// Unreachable returns the backend servers that could not be connected to, in no
-// particular order, also those that answer over connections that are open.
-func (t *Table) Unreachable() []Incarnation {
+// Undialable returns the backend servers to which the latest connection could not be made,
+// in no particular order, also those that answer over connections that are open.
+func (t *Table) Undialable() []Incarnation {
 	return t.list(func(r *record) bool { return r.undialable })
 }
 
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -17,7 +17,7 @@
 // ejected until it sends something or a connection succeeds. The caller tries to
 // connect in the background:
 //
-//	for _, i := range table.Unreachable() {
+//	for _, i := range table.Undialable() {
 //		if connect(i) == nil {
 //			table.MarkReachable(now, i)
 //		}
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -171,8 +171,8 @@
 	// anywhere. It does not block.
 	Restrict(host, prefix string) (origin.Origin, bool)
 	// Place is called before a request that begins a stream is sent to a backend server.
-	// attempt counts the backend servers to which it was sent before. The result is nil if nothing has to be recorded,
-	// else it is closed once that is done. It does not block.
+	// attempt counts the backend servers to which it was sent before. The result is nil if
+	// nothing has to be recorded, else it is closed once that is done. It does not block.
 	Place(request, host, prefix string, o origin.Origin, attempt int) <-chan struct{}
 	// Await waits for a moment for the result of Place, and reports whether the origin will
 	// be known also after all processes have ended.
--- a/internal/node/broker/carry_test.go
+++ b/internal/node/broker/carry_test.go
@@ -118,7 +118,7 @@
 			f.Usage.MarkUnreachable(time.Now(), s)
 		}
 	}
-	f.undialable.Store(int64(len(f.Usage.Unreachable())))
+	f.undialable.Store(int64(len(f.Usage.Undialable())))
 }
 
 // TestCutProcessServesThroughPeer checks that whole responses and streams come through
@@ -234,7 +234,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, _ := newCutFixture(t, nil)
 		f.Carrier = &hops{names: []string{"p1"}, behaviors: map[string]peerBehavior{"p1": func(ctx context.Context, c Carried, out Relay) error {
-			for _, i := range f.Usage.Unreachable() {
+			for _, i := range f.Usage.Undialable() {
 				f.Usage.MarkReachable(time.Now(), i)
 			}
 			return breaksStream(2)(ctx, c, out)
@@ -424,7 +424,7 @@
 			f, h := newCutFixture(t, map[string]peerBehavior{"p1": servedBy(peer)})
 			f.addServer("p", "model", roster.Prefill)
 			f.fleet.fallback = events(1, 2, true)
-			for _, i := range f.Usage.Unreachable() {
+			for _, i := range f.Usage.Undialable() {
 				f.Usage.MarkReachable(time.Now(), i)
 			}
 			server, _ := f.roster.Find(c.lost, 1)
--- a/internal/node/broker/reconnect.go
+++ b/internal/node/broker/reconnect.go
@@ -33,11 +33,11 @@
 		if b.Table() == nil {
 			continue
 		}
-		unreachable := b.Usage.Unreachable()
-		b.undialable.Store(int64(len(unreachable)))
-		r.logChanges(unreachable)
+		undialable := b.Usage.Undialable()
+		b.undialable.Store(int64(len(undialable)))
+		r.logChanges(undialable)
 		r.logLost()
-		for _, i := range unreachable {
+		for _, i := range undialable {
 			if server, ok := b.Roster.Find(i.ID, i.Born); ok && !b.Usage.Get(time.Now(), server).Paused && r.reserve(i) {
 				r.attempts.Go(func() { r.connect(ctx, i, server) })
 			}
@@ -51,8 +51,8 @@
 type reconnector struct {
 	broker   *Broker
 	attempts sync.WaitGroup
-	// unreachable has the backend servers of the last list.
-	unreachable map[usage.Incarnation]bool
+	// undialable has the backend servers of the last list.
+	undialable map[usage.Incarnation]bool
 	// probed is until when each probe of a backend server that seemed silent is not repeated.
 	probed map[probe]time.Time
 	// lost has the services of which no backend server can be reached.
@@ -67,17 +67,17 @@
 // logChanges logs each backend server that has become unreachable, is reachable
 // again, or has left while unreachable.
 func (r *reconnector) logChanges(list []usage.Incarnation) {
-	if len(list) == 0 && len(r.unreachable) == 0 {
+	if len(list) == 0 && len(r.undialable) == 0 {
 		return
 	}
 	current := make(map[usage.Incarnation]bool, len(list))
 	for _, i := range list {
 		current[i] = true
-		if !r.unreachable[i] {
+		if !r.undialable[i] {
 			r.broker.Log.Info("backend server cannot be reached", zap.String("Server", i.ID), zap.Int64("Born", i.Born))
 		}
 	}
-	for i := range r.unreachable {
+	for i := range r.undialable {
 		if current[i] {
 			continue
 		}
@@ -87,7 +87,7 @@
 		}
 		r.broker.Log.Info(message, zap.String("Server", i.ID), zap.Int64("Born", i.Born))
 	}
-	r.unreachable = current
+	r.undialable = current
 }
 
 // reserve registers an attempt to connect. It returns false if the backend server
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -38,12 +38,7 @@
 		}
 		var err error
 		if p == nil {
-			n := j.decodeNeed()
-			if source.Handle != "" {
-				// A rejection would waste the prefill.
-				n.maxWait = time.Until(j.deadline)
-			}
-			p, err = j.broker.acquire(j.ctx, n, nil)
+			p, err = j.broker.acquire(j.ctx, j.decodeNeedAfter(source), nil)
 		}
 		if err != nil {
 			j.releaseKV(source)
@@ -77,6 +72,17 @@
 	}
 }
 
+// decodeNeedAfter returns the need for a permit at a decode engine after a prefill, whose
+// source has no handle if there was none.
+func (j *job) decodeNeedAfter(source KVSource) need {
+	n := j.decodeNeed()
+	if source.Handle != "" {
+		// A rejection would waste the prefill.
+		n.maxWait = time.Until(j.deadline)
+	}
+	return n
+}
+
 // decodeNeed returns the need for a permit at a decode engine. Long requests
 // may wait longer.
 func (j *job) decodeNeed() need {
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -151,8 +151,8 @@
 	return nil
 }
 
-// find returns the recorded origin of a stream, as of the latest list. A stream of which a
-// process remembers the beginning may have begun elsewhere since.
+// find returns the recorded origin of a stream, as of the latest list. It is where the
+// request was sent: if a process remembers where the stream began, that counts instead.
 func (r *recall) find(key uint64) (origin.Origin, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -23,6 +23,10 @@
 // processes. One call writes all records that wait, and a few processes, the writers, write
 // those of all. A process that gets no response from its writer writes by itself, which
 // does no harm if both do. It is safe for concurrent use.
+//
+// A record is delegated to the writer, or pending here until a task takes it into a batch;
+// a batch is added to the task's current chunk. It is then written, and its client gets
+// the first event.
 type recorder struct {
 	node *Node
 	wake chan struct{}
@@ -32,8 +36,8 @@
 	pending []*recording
 	// delegated are the records that the writer has been asked to write.
 	delegated map[recordKey]*recording
-	// written are the records of the last recordLife, oldest first; they are written again
-	// if the store has lost them.
+	// written are the latest records in the store, oldest first; they are written again if
+	// the store has lost them.
 	written []written
 	// failed is when the last write failed, zero if it did not, failingSince when the first
 	// one did since a write succeeded.
@@ -150,7 +154,7 @@
 	return own.done
 }
 
-// takeBack queues a record that the writer has not written in time.
+// takeBack queues a record here that the writer has not written in time.
 func (r *recorder) takeBack(own *recording) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
