broker: the first event of a stream is recorded in a function of its own

What is done at the first event of a stream (the permit is no longer aborted, its prefill has ended, the KV transfer and the time to the first event are recorded) is recordStart now, with the same calls in the same order; whether the stream may begin stays in relayStream, as it ends the attempt.

--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -176,12 +176,7 @@
 				return &failure{outcome: retry.Unknown, reason: notRecorded, err: errNotRecorded}
 			}
 			started = true
-			j.broker.clearAbort(p)
-			p.endPrefill()
-			if c.Source.Handle != "" {
-				j.broker.Usage.RecordTransfer(time.Now(), j.prefilledBy, time.Since(p.since))
-			}
-			j.stages = append(j.stages, zap.Duration("First", time.Since(j.request.Arrived)))
+			j.recordStart(p, c)
 		}
 		if err != nil {
 			return j.handleBroken(p, r, err)
@@ -194,6 +189,17 @@
 	}
 }
 
+// recordStart records the first event of a stream that is relayed from the backend server of
+// the permit.
+func (j *job) recordStart(p *permit, c Call) {
+	j.broker.clearAbort(p)
+	p.endPrefill()
+	if c.Source.Handle != "" {
+		j.broker.Usage.RecordTransfer(time.Now(), j.prefilledBy, time.Since(p.since))
+	}
+	j.stages = append(j.stages, zap.Duration("First", time.Since(j.request.Arrived)))
+}
+
 // errNotRecorded is the error of a stream that begins again elsewhere.
 var errNotRecorded = errors.New("the origin of the stream could not be recorded")
 
