core: records that the writer confirms are bounded

What callers would see: nothing; a process that only delegates its records kept each of them for as long as it ran, and would have grown to its memory's limit during releases.

Cause: only settle trimmed the list, which a process whose writer confirms all records never calls.

Change: the list is trimmed where it grows.

Conclusion: what is remembered of records is bounded in every process.

--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -202,6 +202,16 @@
 		close(record.done)
 	}
 	r.written = append(r.written, written{record.Record, now})
+	r.trim(now)
+}
+
+// trim forgets the records that need not be written again. r.mu must be held.
+func (r *recorder) trim(now time.Time) {
+	life, expired := r.node.streamLife(), max(len(r.written)-maxWritten, 0)
+	for expired < len(r.written) && now.Sub(r.written[expired].at) > life {
+		expired++
+	}
+	r.written = r.written[expired:]
 }
 
 func (r *recorder) wakeUp() {
@@ -396,9 +406,4 @@
 			r.node.coordination.push(peer, &wire.News{Recorded: part})
 		}
 	}
-	expired := max(len(r.written)-maxWritten, 0)
-	for expired < len(r.written) && now.Sub(r.written[expired].at) > r.node.streamLife() {
-		expired++
-	}
-	r.written = r.written[expired:]
 }
--- a/internal/node/core/recorder_test.go
+++ b/internal/node/core/recorder_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/origin"
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
@@ -133,3 +134,16 @@
 		s.end()
 	})
 }
+
+// TestConfirmedRecordsAreBounded guards against records that a process whose writer confirms
+// each of them keeps for ever.
+func TestConfirmedRecordsAreBounded(t *testing.T) {
+	n := newNode(t)
+	now := time.Now()
+	for i := range uint64(3 * maxWritten) {
+		r := n.origins.recorder
+		r.delegated[recordKey{stream: i}] = &recording{Record: origin.Record{Stream: i}, done: make(chan struct{})}
+		r.handle(now, &wire.News{Recorded: []*wire.StreamRecord{{Stream: i}}})
+	}
+	assert.LessOrEqual(t, len(n.origins.recorder.written), maxWritten)
+}
