--- a/internal/fleet/peers/choose.go
+++ b/internal/fleet/peers/choose.go
@@ -8,21 +8,37 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Coordinator returns the name of the coordinator for a key, which may be this
-// process: of the live members that are not stopping and have not lost the service
-// with the hash key, the one with the most cores; rendezvous hashing decides between
-// equals. stopping says whether this process is not eligible. Processes with the same
-// live peers get the same result. Without a candidate it is this process.
+// Coordinator returns the name of the coordinator of the service with the hash key, which
+// may be this process: the first of the Coordinators that have not lost the service.
+// stopping says whether this process is not eligible. Processes with the same live peers
+// get the same result. Without a candidate it is this process.
 func (t *Table) Coordinator(key uint64, stopping bool) string {
-	if names := t.Coordinators(key, stopping, 1); len(names) > 0 {
-		return names[0]
+	return t.first(t.candidates(key, stopping, 1, func(p *peer) bool { return p.hasLost(key) }))
+}
+
+// Chosen returns the name of the process that has the duty with a key for all, the first of
+// the Coordinators.
+func (t *Table) Chosen(key uint64, stopping bool) string {
+	return t.first(t.Coordinators(key, stopping, 1))
+}
+
+// first returns the first name, that of this process if there is none.
+func (t *Table) first(names []string) string {
+	if len(names) == 0 {
+		return t.Self
 	}
-	return t.Self
+	return names[0]
 }
 
-// Coordinators returns up to count candidates for the coordinator, in the order in
+// Coordinators returns up to count of the live members that are not stopping, those with the
+// most cores first; rendezvous hashing by the key decides between equals. It is the order in
 // which they would replace each other.
 func (t *Table) Coordinators(key uint64, stopping bool, count int) []string {
+	return t.candidates(key, stopping, count, func(*peer) bool { return false })
+}
+
+// candidates is Coordinators without the peers that are excluded.
+func (t *Table) candidates(key uint64, stopping bool, count int, excluded func(*peer) bool) []string {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	type candidate struct {
@@ -40,7 +56,7 @@
 		consider(t.Self)
 	}
 	for name, p := range t.peers {
-		if !p.stopping && !slices.Contains(p.lost, key) {
+		if !p.stopping && !excluded(p) {
 			consider(name)
 		}
 	}
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -370,4 +370,7 @@
 	assert.NotEqual(t, "b", table.Coordinator(key, false))
 	assert.Equal(t, "c", table.Coordinator(key, true), "this process is cut off too")
 	assert.Equal(t, "b", table.Coordinator(other, false))
+	assert.Equal(t, "b", table.Chosen(key, false), "duties need no backend server")
+	table.Apply(now, &wire.News{From: "b", Incarnation: 1, Sequence: 9, Lost: []uint64{LostAll}})
+	assert.NotEqual(t, "b", table.Coordinator(other, false), "it has lost more services than a message names")
 }
--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -52,7 +52,7 @@
 
 // keepsOrigins reports whether this process keeps the entries about streams for all.
 func (n *Node) keepsOrigins() bool {
-	return n.peers.Coordinator(originsKey, n.stopping.Load()) == n.Name
+	return n.peers.Chosen(originsKey, n.stopping.Load()) == n.Name
 }
 
 // streamLife returns how long after its beginning a stream may be resumed.
--- a/internal/node/core/gone.go
+++ b/internal/node/core/gone.go
@@ -52,7 +52,7 @@
 // removes reports whether this process removes entries: one of those that are live does, if
 // half of all are. A smaller part of the processes may be what is cut off.
 func (n *Node) removes() bool {
-	chosen := n.peers.Coordinator(removalKey, n.stopping.Load()) == n.Name
+	chosen := n.peers.Chosen(removalKey, n.stopping.Load()) == n.Name
 	return chosen && n.announced.Load() && !n.stopping.Load() && n.peers.Half() && !n.health.Outage(time.Now())
 }
 
--- a/internal/node/core/quarantine.go
+++ b/internal/node/core/quarantine.go
@@ -170,7 +170,7 @@
 
 // writesToStore reports whether this process writes the entries in the store.
 func (q *quarantine) writesToStore() bool {
-	return q.node.peers.Coordinator(collectorKey, q.node.stopping.Load()) == q.node.Name
+	return q.node.peers.Chosen(collectorKey, q.node.stopping.Load()) == q.node.Name
 }
 
 // sendReports sends the reports that are due to the collectors. q.mu must be held.
