--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -25,7 +25,6 @@
 	id, service, version string
 	address              string
 	born                 int64
-	listener             net.Listener
 	server               *http.Server
 	// answer, if set, answers a request that the runner runs.
 	answer func(w http.ResponseWriter, q run)
@@ -36,19 +35,19 @@
 }
 
 func newRunner(id, service string) *runner {
-	return startRunner(id, service, "v1", "127.0.0.1:0")
+	r := &runner{id: id, service: service, version: "v1", address: "127.0.0.1:0", born: time.Now().UnixMilli()}
+	r.listen()
+	return r
 }
 
-// startRunner starts a runner at an address.
-func startRunner(id, service, version, address string) *runner {
-	listener, err := net.Listen("tcp4", address)
+// listen begins to accept connections at the runner's address.
+func (r *runner) listen() {
+	listener, err := net.Listen("tcp4", r.address)
 	if err != nil {
 		cannot("listen: %v", err)
 	}
-	r := &runner{id: id, service: service, version: version, address: listener.Addr().String(), born: time.Now().UnixMilli(), listener: listener}
-	r.server = &http.Server{Handler: r}
+	r.address, r.server = listener.Addr().String(), &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(listener) }()
-	return r
 }
 
 // end ends the runner as a crash does: its connections are closed, and new ones refused.
@@ -88,9 +87,10 @@
 	n := run{time.Now(), r.id, attempt, q.Method, q.RequestURI, q.Header.Clone(), body}
 	r.mu.Lock()
 	r.runs = append(r.runs, n)
+	respond := r.answer
 	r.mu.Unlock()
-	if r.answer != nil {
-		r.answer(w, n)
+	if respond != nil {
+		respond(w, n)
 		return
 	}
 	answer(w, 200, "done by "+r.id+" for "+attempt)
