Review: requests go on from the handle of another request

A prefill runner crashes and starts again while requests whose prompts it has read wait for a busy decode runner.

--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -25,6 +26,9 @@
 	id, service, version string
 	address              string
 	born                 int64
+	// role is that of an engine, slots how many requests it serves at once, 8 if it is 0.
+	role  string
+	slots int
 	server               *http.Server
 	// answer, if set, answers a request that the runner runs.
 	answer func(w http.ResponseWriter, q run)
@@ -58,10 +62,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sequence++
-	return map[string]any{
-		"Service": r.service, "Address": r.address, "AvailabilityZone": "north", "Version": r.version, "Slots": 8,
+	e := map[string]any{
+		"Service": r.service, "Address": r.address, "AvailabilityZone": "north", "Version": r.version, "Slots": cmp.Or(r.slots, 8),
 		"State": state, "ColdLeftMs": 0, "Sequence": r.sequence, "born": r.born,
 	}
+	if r.role != "" {
+		e["Role"], e["Models"] = r.role, []any{map[string]any{"Name": "m", "Version": 1, "adapters": []any{}}}
+	}
+	return e
 }
 
 // ServeHTTP implements http.Handler.
