--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -27,9 +27,9 @@
 	address              string
 	born                 int64
 	// role is that of an engine, slots how many requests it serves at once, 8 if it is 0.
-	role  string
-	slots int
-	server               *http.Server
+	role   string
+	slots  int
+	server *http.Server
 	// answer, if set, answers a request that the runner runs.
 	answer func(w http.ResponseWriter, q run)
 
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -71,14 +71,6 @@
 	return time.Now()
 }
 
-// remove removes an object and returns the time of the acknowledgement.
-func (s *store) remove(kind, name string) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.drop(kind, name)
-	return time.Now()
-}
-
 func (s *store) write(kind, name string, spec json.RawMessage) object {
 	s.revision++
 	o := object{name, s.revision, spec}
