Review: streams go on at another software version after a route was added

A release is under way, the operator adds a route within the prefix of another, and all processes are killed once.

--- a/review/stand/case_upgrade.go
+++ b/review/stand/case_upgrade.go
@@ -24,11 +24,14 @@
 
 // stream answers with a stream, each of whose events names the software version that made
 // it, and goes on after the event that the request names.
-func (r *runner) stream(a http.ResponseWriter, n run) {
+func (r *runner) stream(a http.ResponseWriter, n run) { r.streamOf(a, n, streamEvents) }
+
+// streamOf is stream with so many events.
+func (r *runner) streamOf(a http.ResponseWriter, n run, events int) {
 	after, _ := strconv.Atoi(n.header.Get("Last-Event-Id"))
 	a.Header()["x-server-seal"] = []string{"seal"}
 	a.Header().Set("Content-Type", "text/event-stream")
-	for i := after + 1; i <= streamEvents; i++ {
+	for i := after + 1; i <= events; i++ {
 		time.Sleep(eventGap)
 		if _, err := fmt.Fprintf(a, "id: %d\ndata: %s\n\n", i, r.version); err != nil {
 			return
@@ -47,10 +50,13 @@
 }
 
 // follow begins a stream and takes it up again, at the next machine, if it breaks off.
-func follow(machines []*process, at int) seen {
+func follow(machines []*process, at int) seen { return followOf(machines, at, "/chat/1", streamEvents) }
+
+// followOf is follow for a path whose streams have so many events.
+func followOf(machines []*process, at int, path string, events int) seen {
 	var s seen
 	last := 0
-	for s.tries < 3 && !s.complete {
+	for s.tries < 4 && !s.complete {
 		attempt := newAttempt()
 		var fields []string
 		if last > 0 {
@@ -64,8 +70,8 @@
 		if err != nil {
 			continue
 		}
-		_ = conn.SetDeadline(time.Now().Add(8 * time.Second))
-		_, _ = conn.Write([]byte(head("GET", "/chat/1", attempt, 7000, fields...)))
+		_ = conn.SetDeadline(time.Now().Add(16 * time.Second))
+		_, _ = conn.Write([]byte(head("GET", path, attempt, 15000, fields...)))
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			s.statuses = append(s.statuses, 0)
@@ -87,10 +93,10 @@
 					}
 				}
 			}
-			s.complete = lines.Err() == nil && last == streamEvents
+			s.complete = lines.Err() == nil && last == events
 		}
 		conn.Close()
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(400 * time.Millisecond)
 	}
 	return s
 }
