--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/ebonyscale ] && [ -x target/review-stand ] || { echo "build the product and review/build.sh first"; exit 2; }
-exec target/review-stand handle review/5/record.txt
+exec target/review-stand release review/5/record.txt
--- a/review/stand/case_upgrade.go
+++ b/review/stand/case_upgrade.go
@@ -56,7 +56,7 @@
 func followOf(machines []*process, at int, path string, events int) seen {
 	var s seen
 	last := 0
-	for s.tries < 4 && !s.complete {
+	for s.tries < 24 && !s.complete {
 		attempt := newAttempt()
 		var fields []string
 		if last > 0 {
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -80,3 +81,34 @@
 	defer conn.Close()
 	return exchange(conn, reader, attempt, request, wait)
 }
+
+// readEvents sends a request and reads events until the stream ends or stop is closed. It
+// returns the id of the last one, 0 if there was none.
+func readEvents(address, request string, stop <-chan struct{}) int {
+	conn, reader, err := connect(address)
+	if err != nil {
+		return 0
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
+	if stop != nil {
+		go func() {
+			<-stop
+			conn.Close()
+		}()
+	}
+	if _, err := io.WriteString(conn, request); err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil || response.StatusCode != 200 {
+		return 0
+	}
+	last := 0
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if text, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			last, _ = strconv.Atoi(text)
+		}
+	}
+	return last
+}
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -36,10 +36,36 @@
 	revision uint64
 	objects  map[string]object
 	history  []change
-	// cutAfter, if set, is how long a watch may wait before its connection is closed.
-	cutAfter time.Duration
-	cuts     int
 	address  string
+	// silent, if set, is closed when the store answers again.
+	silent chan struct{}
+}
+
+// setSilent begins or ends a time in which the store answers nothing.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if silent {
+		s.silent = make(chan struct{})
+		return
+	}
+	close(s.silent)
+	s.silent = nil
+}
+
+// await waits while the store is silent. What was asked meanwhile is lost.
+func (s *store) await(r *http.Request) {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent == nil {
+		return
+	}
+	select {
+	case <-silent:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
 }
 
 func newStore() *store {
@@ -71,6 +97,14 @@
 	return time.Now()
 }
 
+// remove removes an object and returns the time of the acknowledgement.
+func (s *store) remove(kind, name string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(kind, name)
+	return time.Now()
+}
+
 func (s *store) write(kind, name string, spec json.RawMessage) object {
 	s.revision++
 	o := object{name, s.revision, spec}
@@ -108,6 +142,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.await(r)
 	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	query := r.URL.Query()
 	switch {
@@ -157,13 +192,6 @@
 		return
 	}
 	end := time.After(time.Duration(wait) * time.Millisecond)
-	s.mu.Lock()
-	cutAfter := s.cutAfter
-	s.mu.Unlock()
-	var cut <-chan time.Time
-	if cutAfter > 0 {
-		cut = time.After(cutAfter)
-	}
 	ended := false
 	for {
 		s.mu.Lock()
@@ -176,6 +204,7 @@
 		body, changed := fmt.Sprintf(`{"events":[%s],"AsOf":%d}`, strings.Join(events, ","), s.revision), s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || ended {
+			s.await(r)
 			reply(w, 200, body)
 			return
 		}
@@ -185,11 +214,6 @@
 			ended = true
 		case <-r.Context().Done():
 			return
-		case <-cut:
-			s.mu.Lock()
-			s.cuts++
-			s.mu.Unlock()
-			panic(http.ErrAbortHandler)
 		}
 	}
 }
