--- a/review/stand/case_release.go
+++ b/review/stand/case_release.go
@@ -24,7 +24,10 @@
 	broken := make(chan struct{})
 	add := func(id, version string) {
 		r := &runner{id: id, service: "chat", version: version, address: "127.0.0.1:0", born: time.Now().UnixMilli()}
-		r.answer = func(a http.ResponseWriter, n run) { r.streamOf(a, n, 100) }
+		r.answer = func(a http.ResponseWriter, n run) {
+			w.detail("%s of %s runs %s after %q", r.id, r.version, n.attempt, n.header.Get("last-event-id"))
+			r.streamOf(a, n, 100)
+		}
 		r.listen()
 		w.list(r)
 	}
--- a/review/stand/case_upgrade.go
+++ b/review/stand/case_upgrade.go
@@ -158,6 +158,9 @@
 		w.log("%s has started again with v2", after.id)
 		time.Sleep(upFor)
 		w.log("%s crashes; %d requests have run there", after.id, len(after.all()))
+		for _, n := range after.all() {
+			w.detail("%s with v2 has run %s", after.id, n.attempt)
+		}
 		after.end()
 	}
 	time.Sleep(4 * time.Second)
--- a/review/stand/case_upload.go
+++ b/review/stand/case_upload.go
@@ -95,6 +95,7 @@
 						unanswered = append(unanswered, r)
 					} else {
 						answered++
+						w.detail("short request %s to %s: answered %d", r.attempt, m.process.name, r.status)
 					}
 					mu.Unlock()
 				}
