--- a/internal/fleet/call/body.go
+++ b/internal/fleet/call/body.go
@@ -2,20 +2,12 @@
 
 import (
 	"bufio"
-	"bytes"
-	"errors"
-	"fmt"
 	"io"
-	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
-)
-
-// maxTrailers limits the trailer lines, with the blank line that ends them.
-const maxTrailers = 16
 
-// errTrailer means that the trailer has more than maxTrailers lines.
-var errTrailer = errors.New("trailer is not valid")
+	"ebonyscale.example/ebonyscale/internal/base/chunk"
+)
 
 // body reads the body of one response from a connection. It returns io.EOF only
 // after the complete body.
@@ -39,7 +31,7 @@
 	case length >= 0:
 		return body{reader: reader, remaining: int64(length)}
 	case length == -1:
-		return body{reader: reader, chunked: httputil.NewChunkedReader(reader)}
+		return body{reader: reader, chunked: chunk.NewReader(reader)}
 	}
 	return body{reader: reader, untilClose: true}
 }
@@ -51,13 +43,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	switch {
 	case b.chunked != nil:
-		n, err := b.chunked.Read(p)
-		if err == io.EOF {
-			if trailerErr := b.skipTrailers(); trailerErr != nil {
-				return n, trailerErr
-			}
-		}
-		return n, err
+		return b.chunked.Read(p)
 	case b.untilClose:
 		return b.reader.Read(p)
 	case b.remaining == 0:
@@ -73,17 +59,3 @@
 	}
 	return n, err
 }
-
-// skipTrailers reads up to the blank line that ends a chunked body.
-func (b *body) skipTrailers() error {
-	for range maxTrailers {
-		line, err := b.reader.ReadSlice('\n')
-		if err != nil {
-			return fmt.Errorf("read trailer: %w", io.ErrUnexpectedEOF)
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
-	return errTrailer
-}
--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -24,6 +24,7 @@
 package call
 
 import (
+	"bufio"
 	"bytes"
 	"cmp"
 	"context"
@@ -230,28 +231,40 @@
 	if !deadline.IsZero() && !time.Now().Before(deadline) {
 		return context.DeadlineExceeded
 	}
-	send := func() error {
-		if err := request.Write(conn.writer); err != nil {
-			return fmt.Errorf("write: %w", err)
-		}
-		if err := conn.writer.Flush(); err != nil {
-			return fmt.Errorf("flush: %w", err)
-		}
-		return nil
-	}
 	if len(request.Body()) < longRequestBytes {
-		err := send()
+		err := request.Write(conn.writer)
+		if err == nil {
+			err = conn.writer.Flush()
+		}
 		x.written <- err
 		return err
 	}
 	// Do may return before the request is written; the caller may then reuse it.
-	clone := fasthttp.AcquireRequest()
-	request.CopyTo(clone)
-	request = clone
-	go func() { x.written <- send() }()
+	encoded, err := encode(request)
+	if err != nil {
+		return err
+	}
+	go func() {
+		_, err := conn.Write(encoded)
+		x.written <- err
+	}()
 	return nil
 }
 
+// encode returns the bytes of a request.
+func encode(request *fasthttp.Request) ([]byte, error) {
+	var encoded bytes.Buffer
+	encoded.Grow(len(request.Body()) + longRequestBytes)
+	w := bufio.NewWriter(&encoded)
+	if err := request.Write(w); err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	if err := w.Flush(); err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	return encoded.Bytes(), nil
+}
+
 // bytesSent returns the number of bytes of the request that were written.
 func (x *Exchange) bytesSent() int64 { return x.connection.written.Load() }
 
--- a/internal/node/entry/server.go
+++ b/internal/node/entry/server.go
@@ -68,6 +68,8 @@
 		// Header names are normalized: plain services receive the canonical
 		// form, not the client's spelling.
 		DisableHeaderNamesNormalizing: false,
+		// The library would write a form that it has parsed anew.
+		DisablePreParseMultipartForm: true,
 	}
 }
 
--- a/internal/node/httpd/conn.go
+++ b/internal/node/httpd/conn.go
@@ -139,12 +139,12 @@
 	x := &Exchange{conn: c}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	reserved, err := c.read(request, limits)
+	body, reserved, err := c.read(&request.Header, limits)
 	defer c.server.release(reserved)
 	if err != nil {
 		return c.reject(x, err)
 	}
-	x.Header, x.Body, x.ReceivedAt = &request.Header, request.Body(), time.Now()
+	x.Header, x.Body, x.ReceivedAt = &request.Header, body, time.Now()
 	c.server.active.Add(1)
 	defer c.server.active.Add(-1)
 	ctx, cancel := context.WithCancelCause(context.Background())
--- a/internal/node/httpd/httpd.go
+++ b/internal/node/httpd/httpd.go
@@ -1,10 +1,11 @@
 // Package httpd is the HTTP/1.1 server for clients.
 //
-// It uses fasthttp to parse and write headers and bodies, but manages the
-// connections itself, because it needs three things that the library's server
-// does not offer: to detect that a client disconnects while its request is being
-// served, to abort the connection of an incomplete response, and to close a
-// connection that is between two requests.
+// It uses fasthttp to parse and write headers, but manages the connections itself,
+// because it needs three things that the library's server does not offer: to detect
+// that a client disconnects while its request is being served, to abort the
+// connection of an incomplete response, and to close a connection that is between two
+// requests. It also reads the bodies of requests itself, so that they are forwarded
+// as they were sent.
 //
 // # Usage
 //
--- a/internal/node/httpd/read.go
+++ b/internal/node/httpd/read.go
@@ -5,10 +5,13 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"ebonyscale.example/ebonyscale/internal/base/chunk"
 )
 
 // Errors of requests that do not reach the handler.
@@ -22,40 +25,44 @@
 // maxHeaderBytes is the largest header if Limits sets no bound.
 const maxHeaderBytes = 64 << 10
 
-// read reads one request. It returns how many bytes of MaxBuffered the body has
-// reserved, also on error; the caller must release them.
-func (c *conn) read(request *fasthttp.Request, limits Limits) (int64, error) {
-	if err := c.readHeader(&request.Header, limits); err != nil {
-		return 0, err
+// read reads one request and returns its body, as it was sent. It returns how many bytes of
+// MaxBuffered the body has reserved, also on error; the caller must release them.
+func (c *conn) read(header *fasthttp.RequestHeader, limits Limits) (body []byte, reserved int64, err error) {
+	if err := c.readHeader(header, limits); err != nil {
+		return nil, 0, err
 	}
-	if err := checkHeader(&request.Header); err != nil {
-		return 0, err
+	if err := checkHeader(header); err != nil {
+		return nil, 0, err
 	}
-	length := request.Header.ContentLength()
-	if length == 0 || length == -2 {
-		return 0, nil
+	length := header.ContentLength()
+	if length == 0 || length == noLength {
+		return nil, 0, nil
 	}
 	if limits.BodyBytes > 0 && length > limits.BodyBytes {
-		return 0, fasthttp.ErrBodyTooLarge
+		return nil, 0, fasthttp.ErrBodyTooLarge
 	}
 	// The length of a chunked body is only known after it was read, and is
 	// reserved then.
-	reserved := int64(max(length, 0))
+	reserved = int64(max(length, 0))
 	if !c.server.reserve(reserved) {
-		return 0, errBodyMemory
+		return nil, 0, errBodyMemory
 	}
-	if err := c.readBody(request, limits); err != nil {
-		return reserved, err
+	body, err = c.readBody(header, limits)
+	if err != nil {
+		return nil, reserved, err
 	}
-	if extra := int64(len(request.Body())) - reserved; extra > 0 {
+	if extra := int64(len(body)) - reserved; extra > 0 {
 		if !c.server.reserve(extra) {
-			return reserved, errBodyMemory
+			return nil, reserved, errBodyMemory
 		}
 		reserved += extra
 	}
-	return reserved, nil
+	return body, reserved, nil
 }
 
+// noLength is the content length of a header that announces no body.
+const noLength = -2
+
 // readHeader reads the header of a request. It enlarges the read buffer to the limit
 // for a header that does not fit into it.
 func (c *conn) readHeader(header *fasthttp.RequestHeader, limits Limits) error {
@@ -78,23 +85,49 @@
 }
 
 // readBody reads the body of a request, after a 100 Continue if the client waits for
-// one.
-func (c *conn) readBody(request *fasthttp.Request, limits Limits) error {
-	if request.MayContinue() {
-		if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return fmt.Errorf("write 100 Continue: %w", err)
-		}
-		if err := c.writer.Flush(); err != nil {
-			return fmt.Errorf("write 100 Continue: %w", err)
+// one. The HTTP library is not used for it, as that parses forms and writes them anew.
+func (c *conn) readBody(header *fasthttp.RequestHeader, limits Limits) ([]byte, error) {
+	if bytes.EqualFold(header.Peek(fasthttp.HeaderExpect), []byte("100-continue")) {
+		if err := c.sendContinue(); err != nil {
+			return nil, fmt.Errorf("write 100 Continue: %w", err)
 		}
 	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return fmt.Errorf("set read deadline: %w", err)
+		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
-	if err := request.ContinueReadBody(c.reader, limits.BodyBytes); err != nil {
-		return fmt.Errorf("read body: %w", err)
+	var body []byte
+	var err error
+	if length := header.ContentLength(); length >= 0 {
+		body = make([]byte, length)
+		_, err = io.ReadFull(c.reader, body)
+	} else {
+		body, err = readChunks(c.reader, limits.BodyBytes)
 	}
-	return nil
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	return body, nil
+}
+
+// sendContinue tells the client to send the body.
+func (c *conn) sendContinue() error {
+	if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// readChunks reads a body in chunks of at most limit bytes; 0 means no bound.
+func readChunks(r *bufio.Reader, limit int) ([]byte, error) {
+	var chunks io.Reader = chunk.NewReader(r)
+	if limit > 0 {
+		chunks = io.LimitReader(chunks, int64(limit)+1)
+	}
+	body, err := io.ReadAll(chunks)
+	if limit > 0 && len(body) > limit {
+		return nil, fasthttp.ErrBodyTooLarge
+	}
+	return body, err
 }
 
 // checkHeader rejects headers that violate the protocol or that two parsers could
