origin: what is known of a stream does not depend on the route that matches it now

Cause: streams without a record are taken to have begun at the default of the route that matches their request when it is taken up again. A new route got a default at once, and streams that had begun on the route around it, at another default, were taken for its own. Removing a route had the same fault the other way round.

Change: defaults are looked up by path, in the entry of the longest prefix that the store has, whatever is configured. A new route takes over the default that its paths had, suspended, so that its streams are recorded until those before have ended.

--- a/internal/fleet/origin/defaults.go
+++ b/internal/fleet/origin/defaults.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,9 +36,11 @@
 var ErrInvalid = errors.New("entry says nothing of streams")
 
 const (
-	// maxRoutes bounds the routes of an entry, maxNameBytes the names in it.
+	// maxRoutes bounds the routes of an entry, maxNameBytes the names in it, maxSlashes the
+	// prefixes of a path that are looked up.
 	maxRoutes    = 1 << 14
 	maxNameBytes = 1 << 10
+	maxSlashes   = 64
 )
 
 // RouteKey returns the key of the route with a host and a path prefix.
@@ -45,6 +48,16 @@
 	return strconv.FormatUint(xxhash.Sum64String(host+"\x00"+prefix), 36)
 }
 
+// Keys returns the keys of all routes that may match a path of a host, those with longer
+// prefixes first.
+func Keys(host, path string) []string {
+	var keys []string
+	for slash := strings.LastIndexByte(path, '/'); slash >= 0 && len(keys) < maxSlashes; slash = strings.LastIndexByte(path[:slash], '/') {
+		keys = append(keys, RouteKey(host, path[:slash+1]))
+	}
+	return keys
+}
+
 // ParseDefaults decodes an entry of the store. Its errors wrap ErrInvalid.
 func ParseDefaults(data []byte) (Defaults, error) {
 	var d Defaults
@@ -65,13 +78,25 @@
 // Valid reports whether the names can be those of a service and a version.
 func (o Origin) Valid() bool { return len(o.Service) <= maxNameBytes && len(o.Version) <= maxNameBytes }
 
-// Find returns where the streams of a route begin without a record, false if that is not
-// known in an era of the store.
-func (d Defaults) Find(era uint64, route string) (Origin, bool) {
-	found, ok := d.entry(route)
+// Find returns where the streams of a path of a host begin without a record, false if that
+// is not known in an era of the store. The configuration is not asked, as another one may
+// have been active when a stream began: of the routes here, which are kept for as long as
+// their streams may go on, that with the longest prefix counts.
+func (d Defaults) Find(era uint64, host, path string) (Origin, bool) {
+	found, ok := d.first(Keys(host, path))
 	return found.Origin, ok && d.Era == era && !found.Suspended
 }
 
+// first returns the default of the first of the routes that has one.
+func (d Defaults) first(routes []string) (Default, bool) {
+	for _, route := range routes {
+		if found, ok := d.entry(route); ok {
+			return found, true
+		}
+	}
+	return Default{}, false
+}
+
 func (d Defaults) entry(route string) (Default, bool) {
 	i := slices.IndexFunc(d.Routes, func(r Default) bool { return r.Route == route })
 	if i < 0 {
@@ -82,8 +107,9 @@
 
 // Route is a route whose streams can be resumed.
 type Route struct {
-	// Key is the RouteKey.
-	Key string
+	// Keys are the Keys of its prefix: its own, then those of the routes that match its
+	// requests where it isn't configured.
+	Keys []string
 	// Service is empty if the route leads to several.
 	Service string
 	// Versions has the number of the service's backend servers by version.
@@ -122,7 +148,9 @@
 //
 // A default is suspended when less than half of the servers have its version, or the route
 // leads there no more, and for hold before another one takes its place: until then streams
-// may be resumed that have begun at it and have no record.
+// may be resumed that have begun at it and have no record. The default of a new route begins
+// as suspended, unless the system is new: its requests may have had another route, with
+// another default, or streams that could not be resumed.
 func (k *Keeper) Next(now time.Time, era uint64, current Defaults, routes []Route, hold time.Duration) (Defaults, bool) {
 	if k.suspended == nil {
 		k.suspended = map[string]time.Time{}
@@ -130,7 +158,7 @@
 	next := Defaults{Era: era}
 	configured := make(map[string]bool, len(routes))
 	for _, r := range routes {
-		configured[r.Key] = true
+		configured[r.Keys[0]] = true
 		if d, ok := k.next(now, current, current.Era == era, r, hold); ok {
 			next.Routes = append(next.Routes, d)
 		}
@@ -150,22 +178,25 @@
 
 // next returns the next default of a route; false if there is none yet.
 func (k *Keeper) next(now time.Time, current Defaults, sameEra bool, r Route, hold time.Duration) (Default, bool) {
-	d, known := current.entry(r.Key)
+	key := r.Keys[0]
+	d, known := current.entry(key)
 	usual, ok := r.usual()
-	fresh := Default{Route: r.Key, Origin: Origin{Service: r.Service, Version: usual}}
+	fresh := Default{Route: key, Origin: Origin{Service: r.Service, Version: usual}}
 	switch {
-	case !known && (sameEra || len(current.Routes) == 0):
+	case len(current.Routes) == 0:
 		return fresh, ok
 	case !known:
-		return Default{Route: r.Key, Suspended: true}, true
+		before, _ := current.first(r.Keys)
+		k.suspended[key] = now
+		return Default{Route: key, Origin: before.Origin, Suspended: true}, true
 	case d.Suspended:
-		if k.suspendedFor(now, r.Key, hold) && ok && sameEra {
+		if k.suspendedFor(now, key, hold) && ok && sameEra {
 			return fresh, true
 		}
 		return d, true
 	case !sameEra, d.Service != r.Service, !r.mostly(d.Version):
 		d.Suspended = true
-		k.suspended[r.Key] = now
+		k.suspended[key] = now
 	}
 	return d, true
 }
--- a/internal/fleet/origin/defaults_test.go
+++ b/internal/fleet/origin/defaults_test.go
@@ -15,8 +15,8 @@
 	const hold = time.Minute
 	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
 	type versions = map[string]int
-	inForce := func(o Origin) []Default { return []Default{{Route: "r", Origin: o}} }
-	isSuspended := func(o Origin) []Default { return []Default{{Route: "r", Origin: o, Suspended: true}} }
+	inForce := func(o Origin) []Default { return []Default{{Route: RouteKey("h", "/r/"), Origin: o}} }
+	isSuspended := func(o Origin) []Default { return []Default{{Route: RouteKey("h", "/r/"), Origin: o, Suspended: true}} }
 	type step struct {
 		at       time.Duration
 		era      uint64
@@ -73,15 +73,15 @@
 		var current Defaults
 		start := time.Unix(1000, 0)
 		for _, s := range c.steps {
-			next, changed := keeper.Next(start.Add(s.at), s.era, current, []Route{{"r", s.service, s.versions}}, hold)
+			next, changed := keeper.Next(start.Add(s.at), s.era, current, []Route{{Keys("h", "/r/"), s.service, s.versions}}, hold)
 			assert.Equal(t, s.want, next.Routes, "%s at %v", c.name, s.at)
 			assert.Equal(t, changed, !assert.ObjectsAreEqual(current, next), "%s at %v", c.name, s.at)
-			o, known := next.Find(s.era, "r")
+			o, known := next.Find(s.era, "h", "/r/1")
 			assert.Equal(t, len(s.want) == 1 && !s.want[0].Suspended, known, "%s at %v", c.name, s.at)
 			if known {
 				assert.Equal(t, s.want[0].Origin, o)
 			}
-			_, known = next.Find(s.era+1, "r")
+			_, known = next.Find(s.era+1, "h", "/r/1")
 			assert.False(t, known, "records may have been lost")
 			current = next
 		}
@@ -93,10 +93,10 @@
 func TestKeeperKeepsRemovedRoutes(t *testing.T) {
 	var keeper Keeper
 	now := time.Unix(1000, 0)
-	route := Route{"r", "s", map[string]int{"v1": 1}}
+	route := Route{Keys("h", "/r/"), "s", map[string]int{"v1": 1}}
 	current, _ := keeper.Next(now, 1, Defaults{}, []Route{route}, time.Minute)
 	current, _ = keeper.Next(now, 1, current, nil, time.Minute)
-	assert.Equal(t, []Default{{Route: "r", Origin: Origin{"s", "v1"}, Suspended: true}}, current.Routes)
+	assert.Equal(t, []Default{{Route: RouteKey("h", "/r/"), Origin: Origin{"s", "v1"}, Suspended: true}}, current.Routes)
 	route.Versions = map[string]int{"v2": 1}
 	again, _ := keeper.Next(now.Add(time.Second), 1, current, []Route{route}, time.Minute)
 	assert.True(t, again.Routes[0].Suspended)
--- a/internal/fleet/origin/origin.go
+++ b/internal/fleet/origin/origin.go
@@ -12,7 +12,7 @@
 //	table.Record(now, origin.Key(request), origin.Origin{Service: "chat", Version: "v1.2"})
 //	o, known := table.Find(now, origin.Key(request))
 //	if !known {
-//		o, known = defaults.Find(era, origin.RouteKey(host, prefix))
+//		o, known = defaults.Find(era, host, path)
 //	}
 //
 // The zero value of each type is empty and ready to use. A Table is safe for concurrent
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -164,16 +164,16 @@
 	Succeeded(content uint64, parts []string)
 }
 
-// Origins knows where streams began. It must be safe for concurrent use. host and prefix
-// are those of the stream's route.
+// Origins knows where streams began. It must be safe for concurrent use. host is that of the
+// stream's route, path that of the request.
 type Origins interface {
 	// Restrict returns where new streams should begin, if they can; false if they may begin
 	// anywhere. It does not block.
-	Restrict(host, prefix string) (origin.Origin, bool)
+	Restrict(host, path string) (origin.Origin, bool)
 	// Place is called before a request that begins a stream is sent to a backend server.
 	// attempt counts the backend servers to which it was sent before. The result is nil if
 	// nothing has to be recorded, else it is closed once that is done. It does not block.
-	Place(request, host, prefix string, o origin.Origin, attempt int) <-chan struct{}
+	Place(request, host, path string, o origin.Origin, attempt int) <-chan struct{}
 	// Await waits for a moment for the result of Place, and reports whether the origin will
 	// be known also after all processes have ended.
 	Await(ctx context.Context, recorded <-chan struct{}) bool
@@ -183,7 +183,7 @@
 	// Find returns the origin of the stream that the request with the ID began. The ID is
 	// empty if the client does not name the request. The source is origin.Unknown if the
 	// origin can't be found in a moment.
-	Find(ctx context.Context, request, host, prefix string) (origin.Origin, origin.Source)
+	Find(ctx context.Context, request, host, path string) (origin.Origin, origin.Source)
 }
 
 // Broker serves requests. The exported fields are set before the first call of a
--- a/internal/node/broker/origin.go
+++ b/internal/node/broker/origin.go
@@ -45,7 +45,7 @@
 		return false
 	}
 	start := time.Now()
-	o, source := j.broker.Origins.Find(j.ctx, j.request.Origin, j.route.Host, j.route.Prefix)
+	o, source := j.broker.Origins.Find(j.ctx, j.request.Origin, j.route.Host, j.request.pathOnly())
 	j.originFrom = source
 	j.stages = append(j.stages, zap.Duration("OriginTook", time.Since(start)))
 	if source == origin.Unknown {
@@ -66,7 +66,7 @@
 	if !j.beginsStream() {
 		return
 	}
-	o, ok := j.broker.Origins.Restrict(j.route.Host, j.route.Prefix)
+	o, ok := j.broker.Origins.Restrict(j.route.Host, j.request.pathOnly())
 	if !ok || o.Service != j.service.Name {
 		return
 	}
@@ -82,7 +82,7 @@
 		return
 	}
 	o := origin.Origin{Service: j.service.Name, Version: server.Version}
-	j.recorded = j.broker.Origins.Place(j.request.ID, j.route.Host, j.route.Prefix, o, j.placed)
+	j.recorded = j.broker.Origins.Place(j.request.ID, j.route.Host, j.request.pathOnly(), o, j.placed)
 	j.placed++
 }
 
--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -71,15 +71,15 @@
 // resumable reports whether clients may resume streams of the route.
 func resumable(r *table.Route) bool { return r.Kind == table.Stream && r.Resumable }
 
-// find returns where the streams of a route begin without a record, false if that is not
+// find returns where the streams of a path begin without a record, false if that is not
 // known.
-func (d *defaults) find(now time.Time, route string) (origin.Origin, bool) {
+func (d *defaults) find(now time.Time, host, path string) (origin.Origin, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now.Sub(d.heard) > defaultsTrust {
 		return origin.Origin{}, false
 	}
-	return d.current.Find(d.era, route)
+	return d.current.Find(d.era, host, path)
 }
 
 // Replace implements follow.View.
@@ -151,7 +151,7 @@
 func unknownDefaults(era uint64, routes []origin.Route) origin.Defaults {
 	d := origin.Defaults{Era: era}
 	for _, r := range routes {
-		d.Routes = append(d.Routes, origin.Default{Route: r.Key, Suspended: true})
+		d.Routes = append(d.Routes, origin.Default{Route: r.Keys[0], Suspended: true})
 	}
 	return d
 }
@@ -218,7 +218,7 @@
 		if !resumable(r) {
 			continue
 		}
-		route := origin.Route{Key: origin.RouteKey(r.Host, r.Prefix)}
+		route := origin.Route{Keys: origin.Keys(r.Host, r.Prefix)}
 		if len(r.Targets) == 1 {
 			route.Service = r.Targets[0].Service
 			if versions[route.Service] == nil {
--- a/internal/node/core/defaults_test.go
+++ b/internal/node/core/defaults_test.go
@@ -69,7 +69,7 @@
 		time.Sleep(2 * minStreamLife)
 		n.stopping.Store(false)
 		time.Sleep(5 * time.Second)
-		_, known := n.origins.defaults.find(time.Now(), origin.RouteKey("h", "/talk/"))
+		_, known := n.origins.defaults.find(time.Now(), "h", "/talk/")
 		assert.False(t, known, "this process has kept the entry for 7 s only")
 		s.end()
 	})
@@ -106,3 +106,50 @@
 		s.end()
 	})
 }
+
+// withRoute returns the configuration talk with another route, at a later version.
+func withRoute(version int, prefix, service string) string {
+	route := strings.NewReplacer(`"talk"`, `"more"`, "/talk/", prefix, `"Service":"s"`, fmt.Sprintf(`"Service":%q`, service))
+	first, _, _ := strings.Cut(talk[strings.Index(talk, `{"Name":"talk"`):], "]")
+	config := strings.Replace(talk, first, first+","+route.Replace(first), 1)
+	config = strings.Replace(config, `"Services":[`, `"Services":[{"Name":"other","Engine":{"Slots":8}},`, 1)
+	return strings.Replace(config, `"Version":1`, fmt.Sprintf(`"Version":%d`, version), 1)
+}
+
+// TestStreamsOfRouteThatWasSplitAreNotGuessedFromTheNewOne guards against streams that go on at
+// the default of a route that was added within theirs after they began.
+func TestStreamsOfRouteThatWasSplitAreNotGuessedFromTheNewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{store: &memoryStore{}}
+		s.start(t, 3, "v1", "v1")
+		s.begin(s.cluster[0], "old", "v1")
+		for _, n := range s.cluster {
+			s.setVersions(n, []string{"v1", "v2", "v2"})
+		}
+		s.configure(withRoute(2, "/talk/shop/", "s"))
+		time.Sleep(2500 * time.Millisecond)
+		s.restart(t, "v1", "v2", "v2")
+		version, _ := s.foundAt(s.cluster[1], "old", "/talk/shop/1")
+		assert.NotEqual(t, "v2", version)
+		s.end()
+	})
+}
+
+// TestStreamsOfRemovedRouteAreNotGuessedFromAnother guards against streams that go on at the
+// default of a route around theirs after theirs was removed.
+func TestStreamsOfRemovedRouteAreNotGuessedFromAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{store: &memoryStore{}, config: withRoute(1, "/talk/shop/", "other")}
+		s.start(t, 3, "v1", "v1")
+		s.beginAt(s.cluster[0], "old", "/talk/shop/1", origin.Origin{Service: "other", Version: "v7"})
+		s.configure(strings.Replace(talk, `"Version":1`, `"Version":2`, 1))
+		time.Sleep(3 * time.Second)
+		s.beginAt(s.cluster[1], "new", "/talk/shop/1", origin.Origin{Service: "s", Version: "v1"})
+		s.restart(t, "v1", "v1")
+		version, _ := s.foundAt(s.cluster[1], "old", "/talk/shop/1")
+		assert.NotEqual(t, "v1", version)
+		version, _ = s.foundAt(s.cluster[1], "new", "/talk/shop/1")
+		assert.Equal(t, "v1", version)
+		s.end()
+	})
+}
--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -153,6 +154,8 @@
 	cluster
 	store *memoryStore
 	stop  context.CancelFunc
+	// config, if set, is used instead of talk.
+	config string
 	// drop, if set, says which datagrams are lost.
 	drop atomic.Pointer[func(from, to string) bool]
 }
@@ -166,7 +169,7 @@
 	s.cluster = newCluster(t, size)
 	for _, n := range s.cluster {
 		n.Feed, n.Store, n.StoreWrites, n.Log = s.store, s.store, 400, zap.NewNop()
-		n.activate([]byte(talk), "test")
+		n.activate([]byte(cmp.Or(s.config, talk)), "test")
 		n.quarantineListed.Store(true)
 		s.setVersions(n, versions)
 		go func() { _ = n.follower(n.Keys.OriginsKind, n.origins.defaults, s.poll, nil).Run(ctx) }()
@@ -229,18 +232,35 @@
 
 // begin begins a stream at a process.
 func (s *system) begin(n *Node, request, version string) {
-	o := origin.Origin{Service: "s", Version: version}
-	recorded := n.origins.Place(request, "h", "/talk/", o, 0)
+	s.beginAt(n, request, "/talk/", origin.Origin{Service: "s", Version: version})
+}
+
+// beginAt begins a stream of a path at a process.
+func (s *system) beginAt(n *Node, request, path string, o origin.Origin) {
+	recorded := n.origins.Place(request, "h", path, o, 0)
 	n.origins.Await(context.Background(), recorded)
 	n.origins.Begin(request, o)
 }
 
 // found returns the version that the process finds for a stream, and how.
 func (s *system) found(n *Node, request string) (string, origin.Source) {
-	o, source := n.origins.Find(context.Background(), request, "h", "/talk/")
+	return s.foundAt(n, request, "/talk/")
+}
+
+// foundAt is found for a stream of a path.
+func (s *system) foundAt(n *Node, request, path string) (string, origin.Source) {
+	o, source := n.origins.Find(context.Background(), request, "h", path)
 	return o.Version, source
 }
 
+// configure activates a configuration at all processes, also at those that start later.
+func (s *system) configure(config string) {
+	s.config = config
+	for _, n := range s.cluster {
+		n.activate([]byte(config), "test")
+	}
+}
+
 // TestOriginsOutliveAllProcesses checks that streams go on at the versions that began them
 // after all processes were killed at the moment at which the clients got the first events.
 func TestOriginsOutliveAllProcesses(t *testing.T) {
--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -59,18 +59,18 @@
 }
 
 // Restrict implements broker.Origins.
-func (s *origins) Restrict(host, prefix string) (origin.Origin, bool) {
+func (s *origins) Restrict(host, path string) (origin.Origin, bool) {
 	now := time.Now()
 	if s.recorder.works(now) {
 		return origin.Origin{}, false
 	}
-	return s.defaults.find(now, origin.RouteKey(host, prefix))
+	return s.defaults.find(now, host, path)
 }
 
 // Place implements broker.Origins.
-func (s *origins) Place(request, host, prefix string, o origin.Origin, attempt int) <-chan struct{} {
+func (s *origins) Place(request, host, path string, o origin.Origin, attempt int) <-chan struct{} {
 	now := time.Now()
-	if byDefault, known := s.defaults.find(now, origin.RouteKey(host, prefix)); known && byDefault == o && attempt == 0 {
+	if byDefault, known := s.defaults.find(now, host, path); known && byDefault == o && attempt == 0 {
 		return nil
 	}
 	record := origin.Record{Stream: origin.Key(request), Origin: o, Attempt: uint8(min(attempt, resumedAttempt-1))}
@@ -112,12 +112,12 @@
 const resumedAttempt = math.MaxUint8
 
 // Find implements broker.Origins.
-func (s *origins) Find(ctx context.Context, request, host, prefix string) (origin.Origin, origin.Source) {
+func (s *origins) Find(ctx context.Context, request, host, path string) (origin.Origin, origin.Source) {
 	if request == "" {
-		return s.findUnnamed(ctx, host, prefix)
+		return s.findUnnamed(ctx, host, path)
 	}
 	key := origin.Key(request)
-	o, source := s.findNamed(ctx, key, host, prefix)
+	o, source := s.findNamed(ctx, key, host, path)
 	if source == origin.Remembered || source == origin.Recorded {
 		// Its client may resume it again, for as long after as if it began now.
 		s.recorder.record(time.Now(), origin.Record{Stream: key, Origin: o, Attempt: resumedAttempt})
@@ -126,7 +126,7 @@
 }
 
 // findNamed returns the origin of the stream with the key.
-func (s *origins) findNamed(ctx context.Context, key uint64, host, prefix string) (origin.Origin, origin.Source) {
+func (s *origins) findNamed(ctx context.Context, key uint64, host, path string) (origin.Origin, origin.Source) {
 	if o, known := s.table.Find(time.Now(), key); known {
 		return o, origin.Remembered
 	}
@@ -143,16 +143,16 @@
 	if o, known := s.recall.find(key); known {
 		return o, origin.Recorded
 	}
-	return s.byDefault(host, prefix)
+	return s.byDefault(host, path)
 }
 
 // findUnnamed returns the default of the route if no stream has begun elsewhere: the client
 // does not say which one it resumes.
-func (s *origins) findUnnamed(ctx context.Context, host, prefix string) (origin.Origin, origin.Source) {
+func (s *origins) findUnnamed(ctx context.Context, host, path string) (origin.Origin, origin.Source) {
 	if err := s.recall.await(ctx); err != nil {
 		return origin.Origin{}, origin.Unknown
 	}
-	o, source := s.byDefault(host, prefix)
+	o, source := s.byDefault(host, path)
 	if source == origin.ByDefault && (!s.table.Only(time.Now(), o) || !s.recall.only(o)) {
 		return origin.Origin{}, origin.Unknown
 	}
@@ -160,8 +160,8 @@
 }
 
 // byDefault returns where the streams of a route begin without a record.
-func (s *origins) byDefault(host, prefix string) (origin.Origin, origin.Source) {
-	o, known := s.defaults.find(time.Now(), origin.RouteKey(host, prefix))
+func (s *origins) byDefault(host, path string) (origin.Origin, origin.Source) {
+	o, known := s.defaults.find(time.Now(), host, path)
 	if !known {
 		return origin.Origin{}, origin.Unknown
 	}
