origin: a suspended default still says where streams began that have no record

Cause: the suspended default said nothing of streams without a record. But each stream that began elsewhere has a record, so that one without has begun at it, unless records may have been lost.

Change: the entry says with Complete that none is missing; it is not set after the store has come back from an older copy, and for the last 10 s before the next default. A process that takes a stream up while a default is suspended reads the entry with the records.

The walk found that streams were guessed if the store went back during a suspension; the time is counted anew then.

--- a/internal/fleet/origin/defaults.go
+++ b/internal/fleet/origin/defaults.go
@@ -28,10 +28,24 @@
 	Route string
 	Origin
 	// Suspended is set after a change for as long as streams may go on that began at the
-	// default before. All streams are recorded then, and nothing is assumed of others.
+	// default before. All streams are recorded then.
 	Suspended bool `json:",omitempty"`
+	// Complete is set with Suspended if each stream that began elsewhere has a record, so
+	// that one without has begun here. It is not if records may have been lost.
+	Complete bool `json:",omitempty"`
 }
 
+// suspend returns the default as it is after a change. lossless is set if no record can have
+// been lost.
+func (d Default) suspend(lossless bool) Default {
+	d.Complete = lossless && d.known()
+	d.Suspended = true
+	return d
+}
+
+// known reports whether streams without a record have begun here.
+func (d Default) known() bool { return !d.Suspended || d.Complete }
+
 // ErrInvalid means that an entry of the store can't be read.
 var ErrInvalid = errors.New("entry says nothing of streams")
 
@@ -78,15 +92,22 @@
 // Valid reports whether the names can be those of a service and a version.
 func (o Origin) Valid() bool { return len(o.Service) <= maxNameBytes && len(o.Version) <= maxNameBytes }
 
-// Find returns where the streams of a path of a host begin without a record, false if that
-// is not known in an era of the store. The configuration is not asked, as another one may
-// have been active when a stream began: of the routes here, which are kept for as long as
-// their streams may go on, that with the longest prefix counts.
-func (d Defaults) Find(era uint64, host, path string) (Origin, bool) {
+// Begin returns where streams of a path of a host may begin without a record now, false if
+// all have to be recorded in an era of the store.
+func (d Defaults) Begin(era uint64, host, path string) (Origin, bool) {
 	found, ok := d.first(Keys(host, path))
 	return found.Origin, ok && d.Era == era && !found.Suspended
 }
 
+// Find returns where the streams of a path of a host have begun that have no record, false
+// if that is not known in an era of the store. The configuration is not asked, as another
+// one may have been active when a stream began: of the routes here, which are kept for as
+// long as their streams may go on, that with the longest prefix counts.
+func (d Defaults) Find(era uint64, host, path string) (Origin, bool) {
+	found, ok := d.first(Keys(host, path))
+	return found.Origin, ok && d.Era == era && found.known()
+}
+
 // first returns the default of the first of the routes that has one.
 func (d Defaults) first(routes []string) (Default, bool) {
 	for _, route := range routes {
@@ -151,10 +172,17 @@
 // may be resumed that have begun at it and have no record. The default of a new route begins
 // as suspended, unless the system is new: its requests may have had another route, with
 // another default, or streams that could not be resumed.
+//
+// A reader may see an entry late. For the last completeGap of hold a suspended default is not
+// complete any more, so that no reader takes the streams of the next one for its own.
 func (k *Keeper) Next(now time.Time, era uint64, current Defaults, routes []Route, hold time.Duration) (Defaults, bool) {
 	if k.suspended == nil {
 		k.suspended = map[string]time.Time{}
 	}
+	if era != current.Era {
+		// Records of streams that may go on for hold from now may have been lost.
+		clear(k.suspended)
+	}
 	next := Defaults{Era: era}
 	configured := make(map[string]bool, len(routes))
 	for _, r := range routes {
@@ -167,8 +195,7 @@
 		if configured[d.Route] {
 			continue
 		}
-		d.Suspended = true
-		if !k.suspendedFor(now, d.Route, hold) {
+		if d, kept := k.hold(now, d.suspend(current.Era == era), hold); kept {
 			next.Routes = append(next.Routes, d)
 		}
 	}
@@ -186,29 +213,31 @@
 	case len(current.Routes) == 0:
 		return fresh, ok
 	case !known:
-		before, _ := current.first(r.Keys)
-		k.suspended[key] = now
-		return Default{Route: key, Origin: before.Origin, Suspended: true}, true
-	case d.Suspended:
-		if k.suspendedFor(now, key, hold) && ok && sameEra {
-			return fresh, true
-		}
+		d, known = current.first(r.Keys)
+		d.Route, d.Suspended = key, d.Suspended || !known
+	case !d.Suspended && sameEra && d.Service == r.Service && r.mostly(d.Version):
 		return d, true
-	case !sameEra, d.Service != r.Service, !r.mostly(d.Version):
-		d.Suspended = true
-		k.suspended[key] = now
+	}
+	d, kept := k.hold(now, d.suspend(sameEra), hold)
+	if !kept && ok && sameEra {
+		return fresh, true
 	}
 	return d, true
 }
 
-// suspendedFor reports whether the default of a route has been seen suspended for a time,
-// and records when it was first seen.
-func (k *Keeper) suspendedFor(now time.Time, route string, hold time.Duration) bool {
-	first, seen := k.suspended[route]
+// completeGap is how old an entry may be that is read together with the records.
+const completeGap = 10 * time.Second
+
+// hold returns a suspended default as it is after the time for which it has been seen
+// suspended, and whether that is less than hold.
+func (k *Keeper) hold(now time.Time, d Default, hold time.Duration) (Default, bool) {
+	first, seen := k.suspended[d.Route]
 	if !seen {
-		k.suspended[route] = now
+		first = now
+		k.suspended[d.Route] = now
 	}
-	return seen && now.Sub(first) >= hold
+	d.Complete = d.Complete && now.Sub(first) < hold-completeGap
+	return d, now.Sub(first) < hold
 }
 
 // forget forgets what was seen of the routes that are not so any more.
--- a/internal/node/core/defaults.go
+++ b/internal/node/core/defaults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -71,15 +73,56 @@
 // resumable reports whether clients may resume streams of the route.
 func resumable(r *table.Route) bool { return r.Kind == table.Stream && r.Resumable }
 
-// find returns where the streams of a path begin without a record, false if that is not
-// known.
+// begin returns where streams of a path may begin without a record, false if all have to be
+// recorded.
+func (d *defaults) begin(now time.Time, host, path string) (origin.Origin, bool) {
+	current, era := d.trusted(now)
+	return current.Begin(era, host, path)
+}
+
+// find returns where the streams of a path have begun that have no record, false if that is
+// not known.
 func (d *defaults) find(now time.Time, host, path string) (origin.Origin, bool) {
+	current, era := d.trusted(now)
+	return current.Find(era, host, path)
+}
+
+// trusted returns the entry, which is empty if it may not be current, and the era of the
+// store.
+func (d *defaults) trusted(now time.Time) (origin.Defaults, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now.Sub(d.heard) > defaultsTrust {
-		return origin.Origin{}, false
+		return origin.Defaults{}, d.era
+	}
+	return d.current, d.era
+}
+
+// refresh reads the entry if a default is suspended: another one may be in force by now, as
+// what is told of it comes late. An error means that the entry may not be current.
+func (d *defaults) refresh(ctx context.Context) error {
+	d.mu.Lock()
+	stable := !slices.ContainsFunc(d.current.Routes, func(r origin.Default) bool { return r.Suspended })
+	d.mu.Unlock()
+	if stable {
+		return nil
+	}
+	o, err := d.node.Store.Get(ctx, d.node.Keys.OriginsKind+"/"+defaultsName)
+	if errors.Is(err, store.ErrAbsent) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read the defaults of streams: %w", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case store.Era(o.Version) > d.era:
+		return errStoreBack
+	case o.Version > d.version:
+		d.apply(o)
 	}
-	return d.current.Find(d.era, host, path)
+	return nil
 }
 
 // Replace implements follow.View.
@@ -136,11 +179,11 @@
 	d.current = current
 }
 
-// suspended returns the defaults with none in force.
+// suspended returns the defaults with none in force and nothing known.
 func suspended(d origin.Defaults) origin.Defaults {
 	next := origin.Defaults{Era: d.Era, Routes: make([]origin.Default, len(d.Routes))}
 	for i, r := range d.Routes {
-		r.Suspended = true
+		r.Suspended, r.Complete = true, false
 		next.Routes[i] = r
 	}
 	return next
@@ -198,7 +241,7 @@
 	}
 	for _, r := range next.Routes {
 		if !slices.Contains(current.Routes, r) {
-			d.node.Log.Info("default of streams changed", zap.String("Route", r.Route), zap.String("Service", r.Service), zap.String("Software", r.Version), zap.Bool("Suspended", r.Suspended))
+			d.node.Log.Info("default of streams changed", zap.String("Route", r.Route), zap.String("Service", r.Service), zap.String("Software", r.Version), zap.Bool("Suspended", r.Suspended), zap.Bool("Complete", r.Complete))
 		}
 	}
 	// The watch brings the entry with its version; until then nothing is written.
--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -20,7 +20,8 @@
 // All of them may be gone. What outlives them is in the store: where the streams of a
 // route begin by default, and a record of each stream that begins elsewhere, written
 // before its client gets the first event. Thus a stream that nobody remembers and that is
-// not recorded has begun at the default.
+// not recorded has begun at the default, also if that is suspended by now, unless records
+// may have been lost.
 type origins struct {
 	node     *Node
 	table    origin.Table
@@ -70,7 +71,7 @@
 // Place implements broker.Origins.
 func (s *origins) Place(request, host, path string, o origin.Origin, attempt int) <-chan struct{} {
 	now := time.Now()
-	if byDefault, known := s.defaults.find(now, host, path); known && byDefault == o && attempt == 0 {
+	if byDefault, known := s.defaults.begin(now, host, path); known && byDefault == o && attempt == 0 {
 		return nil
 	}
 	record := origin.Record{Stream: origin.Key(request), Origin: o, Attempt: uint8(min(attempt, resumedAttempt-1))}
@@ -118,7 +119,8 @@
 	}
 	key := origin.Key(request)
 	o, source := s.findNamed(ctx, key, host, path)
-	if source == origin.Remembered || source == origin.Recorded {
+	_, inForce := s.defaults.begin(time.Now(), host, path)
+	if source != origin.Unknown && (source != origin.ByDefault || !inForce) {
 		// Its client may resume it again, for as long after as if it began now.
 		s.recorder.record(time.Now(), origin.Record{Stream: key, Origin: o, Attempt: resumedAttempt})
 	}
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -143,7 +143,11 @@
 // list reads all records.
 func (r *recall) list(ctx context.Context) error {
 	began := time.Now()
-	chunks, err := r.read(ctx)
+	err := r.node.origins.defaults.refresh(ctx)
+	var chunks []store.Object
+	if err == nil {
+		chunks, err = r.read(ctx)
+	}
 	if err != nil {
 		r.node.Log.Info("records of streams can't be read", zap.Error(err))
 		return err
