origins: the silence of peers is no answer

Cause: there the latest list of records counts for a while, as peers know what was recorded since. A process that reached no peer, or took up a stream that its client doesn't name (so that no peer can be asked), used that list all the same and took the stream for one of the default.

Evidence: TestProcessOutOfStepDoesNotGuessFromOldRecords (300 processes) fails before, 'Should not be: v1', and passes now.

--- a/internal/node/core/origins.go
+++ b/internal/node/core/origins.go
@@ -132,11 +132,11 @@
 	if o, known := s.table.Find(time.Now(), key); known {
 		return o, origin.Remembered
 	}
-	s.askPeers(ctx, key)
+	asked := s.askPeers(ctx, key)
 	if o, known := s.table.Find(time.Now(), key); known {
 		return o, origin.Remembered
 	}
-	if err := s.recall.await(ctx); err != nil {
+	if err := s.recall.await(ctx, asked); err != nil {
 		return origin.Origin{}, origin.Unknown
 	}
 	if o, known := s.table.Find(time.Now(), key); known {
@@ -151,7 +151,7 @@
 // findUnnamed returns the default of the route if no stream has begun elsewhere: the client
 // does not say which one it resumes.
 func (s *origins) findUnnamed(ctx context.Context, host, path string) (origin.Origin, origin.Source) {
-	if err := s.recall.await(ctx); err != nil {
+	if err := s.recall.await(ctx, false); err != nil {
 		return origin.Origin{}, origin.Unknown
 	}
 	o, source := s.byDefault(host, path)
@@ -170,17 +170,18 @@
 	return o, origin.ByDefault
 }
 
-// askPeers asks those peers that may know the stream.
-func (s *origins) askPeers(ctx context.Context, key uint64) {
+// askPeers asks those peers that may know the stream. It reports whether enough have
+// responded: a process that is cut off from the others learns nothing from their silence.
+func (s *origins) askPeers(ctx context.Context, key uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	if asked := s.node.peers.Nearest(key, originAsked); len(asked) > 0 {
-		s.ask(ctx, key, asked)
-	}
+	asked := s.node.peers.Nearest(key, originAsked)
+	return len(asked) > 0 && s.ask(ctx, key, asked) && len(asked) > originHolders
 }
 
-// ask asks peers until the origin of a stream is known, all have responded or ctx ends.
-func (s *origins) ask(ctx context.Context, key uint64, asked []string) {
+// ask asks peers until the origin of a stream is known, all have responded or ctx ends, and
+// reports whether it was not ctx.
+func (s *origins) ask(ctx context.Context, key uint64, asked []string) bool {
 	q := s.join(key, asked)
 	defer s.leave(key, q)
 	resend := time.NewTicker(originResend)
@@ -191,9 +192,9 @@
 		}
 		select {
 		case <-q.done:
-			return
+			return true
 		case <-ctx.Done():
-			return
+			return false
 		case <-resend.C:
 		}
 	}
--- a/internal/node/core/recall.go
+++ b/internal/node/core/recall.go
@@ -72,13 +72,13 @@
 }
 
 // await waits for a list that begins after the call. In a large system the latest one
-// counts until the next may begin: what has been recorded since is remembered by the
-// processes that were told. An error means that there is no list.
-func (r *recall) await(ctx context.Context) error {
+// counts until the next may begin, if peers were asked: what has been recorded since is
+// remembered by those that were told. An error means that there is no list.
+func (r *recall) await(ctx context.Context, peersAsked bool) error {
 	done := make(chan error, 1)
 	pause := r.pause()
 	r.mu.Lock()
-	if pause > recallTimeout/2 && time.Since(r.listed) < pause {
+	if peersAsked && pause > recallTimeout/2 && time.Since(r.listed) < pause {
 		r.mu.Unlock()
 		return nil
 	}
--- a/internal/node/core/recall_test.go
+++ b/internal/node/core/recall_test.go
@@ -152,3 +152,33 @@
 		s.end()
 	})
 }
+
+// TestProcessOutOfStepDoesNotGuessFromOldRecords guards against a stream that goes on at the
+// default because a process in a large system reaches no peer that knows it, and takes the
+// latest list of records for current. The same holds for a stream that its client doesn't name.
+func TestProcessOutOfStepDoesNotGuessFromOldRecords(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			const size = 300
+			s := &system{store: &memoryStore{}}
+			s.start(t, size, "v1", "v1", "v2")
+			n := s.cluster[100]
+			version, _ := s.found(n, "unknown")
+			assert.Equal(t, "v1", version)
+			if named {
+				s.lose(func(from, to string) bool { return from == n.Name || to == n.Name })
+			}
+			s.begin(s.cluster[0], "new", "v2")
+			request := ""
+			if named {
+				request = "new"
+			}
+			version, _ = s.found(n, request)
+			assert.NotEqual(t, "v1", version, "it began at v2")
+			time.Sleep(3 * n.origins.recall.pause())
+			version, _ = s.found(n, "new")
+			assert.Equal(t, "v2", version, "the next list has it")
+			s.end()
+		})
+	}
+}
