broker: the error of the next server does not get into a stream that has begun

Cause: a response with a status from 300 to 499 to a resumed stream was sent as a response of its own, into the body of the first; through a peer also one of 500 or above. A 200 of another type that had the form of an event was relayed.

Change: all responses that make up a stream have the status and media type of the first, and the first event after a resumption has an ID; anything else breaks the stream off. httpd refuses a whole response after the header of a streamed one.

--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -312,6 +312,9 @@
 
 // Respond implements Output.
 func (r *carryRelay) Respond(reply Reply) error {
+	if r.job.headerSent {
+		return errOtherResponse(&Response{Status: reply.Status})
+	}
 	r.ended = true
 	r.job.outcome = retry.Run
 	reason := answered
@@ -327,6 +330,9 @@
 
 // Begin implements Output.
 func (r *carryRelay) Begin(status int, fields []call.Field) error {
+	if !r.job.continues(status, fields) {
+		return errOtherResponse(&Response{Status: status})
+	}
 	return r.delivered(r.job.sendHeader(status, fields))
 }
 
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -64,8 +64,9 @@
 	outcome   retry.Outcome
 	attempted bool
 	// headerSent is set once the header of a stream has been sent to the
-	// client.
+	// client, which began is.
 	headerSent bool
+	began      streamHeader
 	// server is the ID of the latest backend server, waited the total time in
 	// queues.
 	server string
@@ -210,6 +211,11 @@
 		p.release(usage.Result{Verdict: j.verdict(f)})
 		return f
 	}
+	if !j.continues(response.Status, response.Fields) {
+		f := &failure{outcome: retry.Unknown, reason: serverFailed, err: errOtherResponse(response)}
+		p.release(usage.Result{Verdict: j.verdict(f)})
+		return f
+	}
 	if j.route.Kind == table.Stream && response.Status < 300 {
 		return j.relayStream(p, response, c)
 	}
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -170,6 +171,9 @@
 			j.broker.Usage.MarkActive(time.Now(), p.server)
 			j.measureGap(time.Now())
 		}
+		if err == nil && !started && c.After != "" && !e.HasID {
+			err = errNoID
+		}
 		if err == nil && !started {
 			if !j.beginStream(p.server) {
 				p.release(usage.Result{})
@@ -200,6 +204,38 @@
 	j.stages = append(j.stages, zap.Duration("First", time.Since(j.request.Arrived)))
 }
 
+// errNoID is the error of a resumed stream whose first event does not say where it goes on.
+var errNoID = errors.New("the stream goes on with an event without an ID")
+
+// streamHeader is what all responses that make up a stream have in common.
+type streamHeader struct {
+	status    int
+	mediaType string
+}
+
+func newStreamHeader(status int, fields []call.Field) streamHeader {
+	h := streamHeader{status: status}
+	for _, f := range fields {
+		if strings.EqualFold(f.Name, "Content-Type") {
+			mediaType, _, _ := strings.Cut(f.Value, ";")
+			h.mediaType = strings.ToLower(strings.TrimSpace(mediaType))
+		}
+	}
+	return h
+}
+
+// continues reports whether a response with the header may be relayed: any if the client has
+// got nothing of a stream, else only one of the same stream. The client would take the bytes
+// of another one for part of it.
+func (j *job) continues(status int, fields []call.Field) bool {
+	return !j.headerSent || newStreamHeader(status, fields) == j.began
+}
+
+// errOtherResponse returns the error of a response that does not continue the stream.
+func errOtherResponse(response *Response) error {
+	return fmt.Errorf("the response does not continue the stream: %w", newStatusError(response))
+}
+
 // errNotRecorded is the error of a stream that begins again elsewhere.
 var errNotRecorded = errors.New("the origin of the stream could not be recorded")
 
@@ -225,7 +261,7 @@
 	if j.headerSent {
 		return nil
 	}
-	j.headerSent = true
+	j.headerSent, j.began = true, newStreamHeader(status, fields)
 	j.bindHop()
 	if err := j.out.Begin(status, fields); err != nil {
 		return fmt.Errorf("send response header: %w", err)
--- a/internal/node/httpd/exchange.go
+++ b/internal/node/httpd/exchange.go
@@ -26,8 +26,9 @@
 	ReceivedAt time.Time
 
 	conn *conn
-	// finished is set once the response is complete.
-	finished bool
+	// begun is set once the header of a streamed response is written, finished once the
+	// response is complete.
+	begun, finished bool
 	// closeAfter is set if the connection is closed after this response.
 	closeAfter bool
 }
@@ -35,6 +36,9 @@
 // Respond writes a complete response. The body is not sent if the request's method
 // is HEAD.
 func (x *Exchange) Respond(status int, fields []call.Field, body []byte) error {
+	if x.begun {
+		return errBegun
+	}
 	if err := x.header(status, fields, len(body)); err != nil {
 		return err
 	}
@@ -50,6 +54,9 @@
 	return nil
 }
 
+// errBegun means that another response has begun.
+var errBegun = errors.New("a streamed response has begun")
+
 // headOnly reports whether the request's method is HEAD, so that the response must
 // not have a body.
 func (x *Exchange) headOnly() bool { return x.Header != nil && x.Header.IsHead() }
@@ -57,6 +64,7 @@
 // Begin writes the header of a streamed response, which has chunked encoding. Any
 // number of calls of Event follow, and then one of End.
 func (x *Exchange) Begin(status int, fields []call.Field) error {
+	x.begun = true
 	return x.header(status, fields, -1)
 }
 
--- a/internal/node/httpd/httpd_test.go
+++ b/internal/node/httpd/httpd_test.go
@@ -185,6 +185,11 @@
 		"in events": func(_ context.Context, x *Exchange) { _ = x.Begin(200, nil); _ = x.Event([]byte("one\n\n")) },
 		"panic":     func(_ context.Context, x *Exchange) { _ = x.Begin(200, nil); panic("no") },
 		"none":      func(context.Context, *Exchange) {},
+		"an error after events": func(_ context.Context, x *Exchange) {
+			_ = x.Begin(200, nil)
+			_ = x.Event([]byte("one\n\n"))
+			assert.Error(t, x.Respond(502, nil, []byte("0\r\n\r\n")))
+		},
 	} {
 		conn := start(t, &Server{Handler: h})
 		_, err := io.WriteString(conn, get)
