httpd: bodies in chunks are reserved while they are read

Cause: the memory of a body in chunks was reserved once it had been read completely, so that bodies that are being read were not bounded.

Change: its buffer is reserved before it grows; what doesn't fit is refused with 503.

--- a/internal/node/httpd/httpd_test.go
+++ b/internal/node/httpd/httpd_test.go
@@ -293,6 +293,41 @@
 	assert.Zero(t, s.buffered.Load())
 }
 
+// TestBodiesInChunksAreBoundedWhileTheyAreRead guards against bodies without a length that use
+// more memory than all bodies may have before they are complete.
+func TestBodiesInChunksAreBoundedWhileTheyAreRead(t *testing.T) {
+	const connections, half = 8, 12 << 10
+	s := &Server{Handler: handler(echo), MaxBuffered: 3 * 16 << 10}
+	conns := []net.Conn{start(t, s)}
+	for range connections - 1 {
+		conn, err := net.Dial("tcp4", conns[0].RemoteAddr().String())
+		require.NoError(t, err)
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	refused := 0
+	for _, conn := range conns {
+		_, err := fmt.Fprintf(conn, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", half, strings.Repeat("x", half))
+		require.NoError(t, err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.LessOrEqual(t, s.buffered.Load(), s.MaxBuffered)
+	assert.Positive(t, s.buffered.Load(), "what has been read is reserved")
+	for _, conn := range conns {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+		got, _ := readResponse(t, bufio.NewReader(conn))
+		if got == "503 " {
+			refused++
+			continue
+		}
+		assert.Equal(t, fmt.Sprint("200 POST /a ", half), got)
+	}
+	assert.Positive(t, refused)
+	assert.Less(t, refused, connections)
+	assert.Eventually(t, func() bool { return s.buffered.Load() == 0 }, time.Second, time.Millisecond)
+}
+
 func FuzzRequest(f *testing.F) {
 	f.Add([]byte(get))
 	f.Add([]byte("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
--- a/internal/node/httpd/read.go
+++ b/internal/node/httpd/read.go
@@ -41,23 +41,7 @@
 	if limits.BodyBytes > 0 && length > limits.BodyBytes {
 		return nil, 0, fasthttp.ErrBodyTooLarge
 	}
-	// The length of a chunked body is only known after it was read, and is
-	// reserved then.
-	reserved = int64(max(length, 0))
-	if !c.server.reserve(reserved) {
-		return nil, 0, errBodyMemory
-	}
-	body, err = c.readBody(header, limits)
-	if err != nil {
-		return nil, reserved, err
-	}
-	if extra := int64(len(body)) - reserved; extra > 0 {
-		if !c.server.reserve(extra) {
-			return nil, reserved, errBodyMemory
-		}
-		reserved += extra
-	}
-	return body, reserved, nil
+	return c.readBody(header, limits)
 }
 
 // noLength is the content length of a header that announces no body.
@@ -86,27 +70,32 @@
 
 // readBody reads the body of a request, after a 100 Continue if the client waits for
 // one. The HTTP library is not used for it, as that parses forms and writes them anew.
-func (c *conn) readBody(header *fasthttp.RequestHeader, limits Limits) ([]byte, error) {
+func (c *conn) readBody(header *fasthttp.RequestHeader, limits Limits) (body []byte, reserved int64, err error) {
+	length := header.ContentLength()
+	if length > 0 {
+		reserved = int64(length)
+		if !c.server.reserve(reserved) {
+			return nil, 0, errBodyMemory
+		}
+	}
 	if bytes.EqualFold(header.Peek(fasthttp.HeaderExpect), []byte("100-continue")) {
 		if err := c.sendContinue(); err != nil {
-			return nil, fmt.Errorf("write 100 Continue: %w", err)
+			return nil, reserved, fmt.Errorf("write 100 Continue: %w", err)
 		}
 	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, fmt.Errorf("set read deadline: %w", err)
+		return nil, reserved, fmt.Errorf("set read deadline: %w", err)
 	}
-	var body []byte
-	var err error
-	if length := header.ContentLength(); length >= 0 {
+	if length > 0 {
 		body = make([]byte, length)
 		_, err = io.ReadFull(c.reader, body)
 	} else {
-		body, err = readChunks(c.reader, limits.BodyBytes)
+		body, reserved, err = c.readChunks(limits.BodyBytes)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
+		return nil, reserved, fmt.Errorf("read body: %w", err)
 	}
-	return body, nil
+	return body, reserved, nil
 }
 
 // sendContinue tells the client to send the body.
@@ -117,19 +106,40 @@
 	return c.writer.Flush()
 }
 
-// readChunks reads a body in chunks of at most limit bytes; 0 means no bound.
-func readChunks(r *bufio.Reader, limit int) ([]byte, error) {
-	var chunks io.Reader = chunk.NewReader(r)
-	if limit > 0 {
-		chunks = io.LimitReader(chunks, int64(limit)+1)
-	}
-	body, err := io.ReadAll(chunks)
-	if limit > 0 && len(body) > limit {
-		return nil, fasthttp.ErrBodyTooLarge
+// readChunks reads a body in chunks of at most limit bytes; 0 means no bound. It reserves
+// the memory of its buffer before that grows.
+func (c *conn) readChunks(limit int) (body []byte, reserved int64, err error) {
+	chunks := chunk.NewReader(c.reader)
+	for {
+		if len(body) == cap(body) {
+			size := max(2*cap(body), minChunksBuffer)
+			if limit > 0 {
+				// One byte over the limit shows that the body is too long.
+				size = min(size, limit+1)
+			}
+			if !c.server.reserve(int64(size)) {
+				return nil, reserved, errBodyMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+			c.server.release(reserved)
+			reserved = int64(size)
+		}
+		n, err := chunks.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case limit > 0 && len(body) > limit:
+			return nil, reserved, fasthttp.ErrBodyTooLarge
+		case err == io.EOF:
+			return body, reserved, nil
+		case err != nil:
+			return nil, reserved, err
+		}
 	}
-	return body, err
 }
 
+// minChunksBuffer is the size of the first buffer for a body in chunks, in bytes.
+const minChunksBuffer = 2 << 10
+
 // checkHeader rejects headers that violate the protocol or that two parsers could
 // interpret differently, as in request smuggling.
 func checkHeader(header *fasthttp.RequestHeader) error {
