broker: a server that may have started anew waits for its entry

Cause: a server that could be connected to again was used at once, as the start that its old entry names.

--- a/internal/node/broker/reconnect_test.go
+++ b/internal/node/broker/reconnect_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 )
 
@@ -111,3 +112,53 @@
 		assert.Equal(t, 1, logs.FilterMessage("unreachable backend server has left").Len())
 	})
 }
+
+// TestServerThatMayHaveRestartedWaitsForItsEntry guards against streams that are taken for ones
+// of the version in the entry of a server that has started again under its ID with another
+// one: it gets none until the new entry is there, or would be.
+func TestServerThatMayHaveRestartedWaitsForItsEntry(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		entry  bool
+		others int
+		wait   time.Duration
+		used   bool
+	}{
+		{"before the entry", false, 3, entryDelay / 2, false},
+		{"with the new entry", true, 3, entryDelay / 2, true},
+		{"no new entry comes", false, 3, entryDelay + time.Second, true},
+		{"all could not be reached: the links were cut", false, 0, entryDelay / 2, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			f.addVersion("d", "v1")
+			for i := range c.others {
+				f.addVersion(fmt.Sprint("e", i), "v1")
+			}
+			server, _ := f.roster.Find("d", 1)
+			f.fleet.down = map[string]bool{"d": true}
+			f.Usage.MarkUnreachable(time.Now(), server)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() { _ = f.Reconnect(ctx) }()
+			time.Sleep(time.Second)
+			f.fleet.mu.Lock()
+			f.fleet.down = nil
+			f.fleet.mu.Unlock()
+			time.Sleep(2 * (reconnectInterval + reconnectPause))
+			if c.entry {
+				server.Born, server.Version = 2, "v2"
+				f.roster.Update(time.Now(), 2, []roster.Event{{Server: server}}, roster.Grace{})
+			}
+			time.Sleep(c.wait)
+			f.fleet.fallback = events(1, 3, true)
+			used := false
+			for range 12 {
+				c := f.serve(t.Context(), newPromptRequest("/talk/x", 100, 5))
+				assert.True(t, c.ended)
+				used = used || f.fleet.sent[len(f.fleet.sent)-1].server == "d"
+			}
+			assert.Equal(t, c.used, used, c.name)
+		})
+	}
+}
