recorder: a store that says nothing fails before the first event is due

Cause: until a write had failed by its time limit of 1 s, streams were sent to any version; they waited 0.4 s for the record and began without it. One without another attempt began so in any case.

Change: a write that takes over 0.3 s counts as failing; a stream whose record fails begins at the default or fails.

--- a/internal/node/broker/origin.go
+++ b/internal/node/broker/origin.go
@@ -88,10 +88,10 @@
 
 // beginStream binds the stream to the version of the backend server that has sent its
 // first event, before the client gets that. It returns false if the origin is not recorded
-// and the stream can begin where it need not be: it has to begin again there.
+// and streams can begin where it need not be: it has to begin again there, or fails.
 func (j *job) beginStream(server roster.Server) bool {
 	if j.beginsStream() {
-		if !j.broker.Origins.Await(j.ctx, j.recorded) && j.attempts < j.route.Attempts && j.ctx.Err() == nil {
+		if !j.broker.Origins.Await(j.ctx, j.recorded) && j.ctx.Err() == nil {
 			if j.restrict(); j.software.restricted && !j.software.accepts(server) {
 				return false
 			}
--- a/internal/node/broker/origin_test.go
+++ b/internal/node/broker/origin_test.go
@@ -226,3 +226,40 @@
 		assert.Less(t, c.endedAt.Sub(began), 1200*time.Millisecond)
 	})
 }
+
+// neverRecorded is a fake Origins whose records fail once streams have been placed: until then
+// they may begin anywhere.
+type neverRecorded struct {
+	originList
+	placed *int
+}
+
+func (n neverRecorded) Restrict(string, string) (origin.Origin, bool) {
+	return origin.Origin{Service: "model", Version: "v1"}, *n.placed > 0
+}
+
+func (n neverRecorded) Place(string, string, string, origin.Origin, int) <-chan struct{} {
+	*n.placed++
+	return make(chan struct{})
+}
+
+func (n neverRecorded) Await(context.Context, <-chan struct{}) bool { return false }
+
+// TestStreamWithoutRecordDoesNotBeginElsewhere guards against a stream that begins at another
+// version than the default without a record because it has no attempt left.
+func TestStreamWithoutRecordDoesNotBeginElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newVersions(t, false)
+		f.Origins = neverRecorded{originList{}, new(int)}
+		f.pause(time.Minute, "a1", "b1")
+		f.fleet.fallback = fails
+		for _, id := range []string{"a2", "b2", "c2"} {
+			f.fleet.scripted[id] = []behavior{losesResponse, events(1, 3, true)}
+		}
+		for i := range 6 {
+			c := f.serve(t.Context(), newStream(i))
+			assert.Empty(t, c.events.String())
+			assert.Len(t, c.replies, 1)
+		}
+	})
+}
--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -29,6 +29,8 @@
 	objects  map[string]store.Object
 	// down makes all calls fail, writes counts those that did not.
 	down   bool
+	// silent makes writes fail after their time limit.
+	silent atomic.Bool
 	writes int
 	lists  int
 }
@@ -82,6 +84,10 @@
 }
 
 func (m *memoryStore) Put(_ context.Context, o store.Object) (uint64, error) {
+	if m.silent.Load() {
+		time.Sleep(time.Second)
+		return 0, context.DeadlineExceeded
+	}
 	if err := m.enter(); err != nil {
 		return 0, err
 	}
@@ -381,6 +387,28 @@
 	})
 }
 
+// TestStreamsBeginAtTheDefaultWhileTheStoreIsSilent guards against streams that begin elsewhere
+// without a record until a write has failed by its time limit.
+func TestStreamsBeginAtTheDefaultWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{store: &memoryStore{}}
+		s.start(t, 1, "v1", "v1", "v2")
+		n := s.cluster[0]
+		s.store.silent.Store(true)
+		began := time.Now()
+		recorded := n.origins.Place("r", "h", "/talk/", origin.Origin{Service: "s", Version: "v2"}, 0)
+		assert.False(t, n.origins.Await(t.Context(), recorded))
+		assert.LessOrEqual(t, time.Since(began), recordTimeout)
+		_, restricted := n.origins.Restrict("h", "/talk/")
+		assert.True(t, restricted, "a stream that is not recorded has to begin again at the default")
+		s.store.silent.Store(false)
+		time.Sleep(3 * time.Second)
+		_, restricted = n.origins.Restrict("h", "/talk/")
+		assert.False(t, restricted)
+		s.end()
+	})
+}
+
 // TestStoreFromOlderCopyHasNoSayInUnknownStreams checks that a stream whose record the store
 // has lost is not taken for one of the default version.
 func TestStoreFromOlderCopyHasNoSayInUnknownStreams(t *testing.T) {
--- a/internal/node/core/recorder.go
+++ b/internal/node/core/recorder.go
@@ -42,6 +42,8 @@
 	// failed is when the last write failed, zero if it did not, failingSince when the first
 	// one did since a write succeeded.
 	failed, failingSince time.Time
+	// writing has when the calls in progress began.
+	writing map[*chunk]time.Time
 
 	// lastChunk is the number of the latest chunk.
 	lastChunk int64
@@ -115,10 +117,14 @@
 	// recordTimeout is how long a client waits for its first event until the origin is
 	// recorded.
 	recordTimeout = 400 * time.Millisecond
+	// recordLate is how long a write may take until records are taken not to reach the store.
+	// It is shorter than recordTimeout, so that a stream whose record is in that write does
+	// not begin without it.
+	recordLate = 300 * time.Millisecond
 )
 
 func newRecorder(n *Node) *recorder {
-	return &recorder{node: n, wake: make(chan struct{}, 1), delegated: map[recordKey]*recording{}}
+	return &recorder{node: n, wake: make(chan struct{}, 1), delegated: map[recordKey]*recording{}, writing: map[*chunk]time.Time{}}
 }
 
 // writers returns the processes that write the records of all.
@@ -227,6 +233,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	late := len(r.pending) > 0 && now.Sub(r.pending[0].added) > recordTimeout
+	for _, began := range r.writing {
+		late = late || now.Sub(began) > recordLate
+	}
 	return !late && (r.failed.IsZero() || now.Sub(r.failed) > recordPause)
 }
 
@@ -360,7 +369,9 @@
 	for _, p := range batch {
 		c.records = append(c.records, p.Record)
 	}
+	r.noteWriting(c, time.Now())
 	version, err := r.node.Store.Put(ctx, store.Object{Key: c.key, Value: origin.EncodeRecords(c.records), Version: c.version})
+	r.noteWriting(c, time.Time{})
 	if err != nil {
 		return &chunk{}, fmt.Errorf("record streams: %w", err)
 	}
@@ -368,6 +379,17 @@
 	return c, nil
 }
 
+// noteWriting records when a call began, or with the zero time that it has ended.
+func (r *recorder) noteWriting(c *chunk, began time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if began.IsZero() {
+		delete(r.writing, c)
+		return
+	}
+	r.writing[c] = began
+}
+
 // nextChunk returns the number of the next chunk. It grows also if the time of day goes
 // back, so that no number comes twice.
 func (r *recorder) nextChunk(now time.Time) int64 {
