--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -28,7 +28,7 @@
 	revision uint64
 	objects  map[string]store.Object
 	// down makes all calls fail, writes counts those that did not.
-	down   bool
+	down bool
 	// silent makes writes fail after their time limit.
 	silent atomic.Bool
 	writes int
