--- a/internal/fleet/call/head_test.go
+++ b/internal/fleet/call/head_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 )
 
@@ -19,17 +18,9 @@
 // them, and closes.
 func respondTo(t *testing.T, parts ...string) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
+	return startServer(t, func(_ int, conn *net.TCPConn) {
 		defer conn.Close()
-		var request fasthttp.Request
-		if request.Read(bufio.NewReader(conn)) != nil {
+		if _, err := readRequest(bufio.NewReader(conn)); err != nil {
 			return
 		}
 		for i, part := range parts {
@@ -38,19 +29,18 @@
 			}
 			_, _ = io.WriteString(conn, part)
 		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	})
 }
 
 // heads are heads of responses, each followed by the body that it announces.
 var heads = []struct{ head, body string }{
-	{"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 1234\r\nX-Server: s\r\n\r\n", strings.Repeat("b", 1234)},
-	{"HTTP/1.1 200 OK\r\nX-Server: s\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: r1\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n"},
-	{"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server: s\r\n\r\n", "body"},
-	{"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server: s\r\nContent-Length: 0\r\n\r\n", ""},
-	{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 4\r\n\r\n", "body"},
-	{"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n\r\n", "body"},
-	{"HTTP/1.1 204 No Content\r\nX-Attempt-Id: r1\r\nX-Server: s\r\n\r\n", ""},
+	{"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 1234\r\nX-Server: s\r\n\r\n", strings.Repeat("b", 1234)},
+	{"HTTP/1.1 200 OK\r\nX-Server: s\r\nTransfer-Encoding: chunked\r\nX-Id: r1\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n"},
+	{"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Server: s\r\n\r\n", "body"},
+	{"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Server: s\r\nContent-Length: 0\r\n\r\n", ""},
+	{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\n", "body"},
+	{"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n", "body"},
+	{"HTTP/1.1 204 No Content\r\nX-Id: r1\r\nX-Server: s\r\n\r\n", ""},
 }
 
 func sendTo(t *testing.T, address netip.AddrPort) (*Exchange, []byte, error) {
@@ -96,7 +86,7 @@
 				return
 			}
 			assert.Contains(t, []int{200, 204}, x.Status(), name)
-			assert.Equal(t, "r1", string(x.Header.Peek("X-Attempt-Id")), name)
+			assert.Equal(t, "r1", string(x.Header.Peek("X-Id")), name)
 			want := c.body
 			if strings.Contains(c.head, "chunked") {
 				want = "body"
