broker: a server whose end was checked is unreachable at once

Cause: the check after a request that broke off found the connection refused, but told only the evidence of crashes.

Change: a refused connection there marks the server as unreachable, as that of a request does.

--- a/internal/node/broker/ended.go
+++ b/internal/node/broker/ended.go
@@ -42,6 +42,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), endedCheckTimeout)
 	defer cancel()
 	refused := errors.Is(b.Servers.Connect(ctx, server, 0), syscall.ECONNREFUSED)
+	if refused {
+		// It must not be used, though no request needs a connection while it is down, before
+		// it is known which start accepts connections.
+		b.Usage.MarkUnreachable(time.Now(), server)
+	}
 	if refused && b.Carrier != nil {
 		// ctx is for the connection: what is left of it may be shorter.
 		time.Sleep(cutKnown)
--- a/internal/node/broker/ended_test.go
+++ b/internal/node/broker/ended_test.go
@@ -126,3 +126,20 @@
 		assert.Equal(t, []uint64{second.contentHash()}, q.crashedContents)
 	})
 }
+
+// TestServerThatEndedIsUnreachableAtOnce guards against a server that is used as soon as it
+// accepts connections again, as its end was seen by a request that broke off and no other
+// request was refused meanwhile.
+func TestServerThatEndedIsUnreachableAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.addVersion("d", "v1")
+		f.fleet.down = map[string]bool{"d": true}
+		f.fleet.scripted["d"] = []behavior{breaksOff}
+		f.serve(t.Context(), newRequest("/talk/"))
+		time.Sleep(time.Second)
+		server, _ := f.roster.Find("d", 1)
+		assert.True(t, f.Usage.Get(time.Now(), server).Unreachable)
+		assert.Equal(t, 1, f.fleet.connectCalls())
+	})
+}
