docs, wire, setup: specification of accounts, duties, scaling, shedding and store feeds

Two deployments join that need client accounts, duties at the platform, orders for backend servers, shedding by cost to callers and fewer calls to the store. The messages and settings that the parts share come first, so that the parts can be built side by side.

--- a/internal/config/setup/entry.go
+++ b/internal/config/setup/entry.go
@@ -15,6 +15,8 @@
 	Store     EntryStore
 	Machine   Machine
 	Bounds    Bounds
+	Admission Admission
+	Duties    Duties
 	Log       Log
 }
 
@@ -51,6 +53,10 @@
 	// WritesPerSecond is the number of writing calls per second that the store takes from
 	// all processes together.
 	WritesPerSecond float64 `validate:"gt=0"`
+	// Relays is the number of processes of each availability zone that read lists and
+	// changes from the store, from which the others get them; 0 if all do. It takes
+	// effect in systems of at least 24 processes.
+	Relays int64 `validate:"gte=0"`
 }
 
 // Machine is the share of the VM that the process may use.
@@ -75,21 +81,60 @@
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration `validate:"gt=0"`
+	// RevokeWithin is the time within which a key that was removed from the
+	// configuration must no longer be accepted.
+	RevokeWithin time.Duration `validate:"gt=0"`
+	// StrictRevoke is set if a process that could not confirm its configuration for
+	// RevokeWithin must accept no key. Otherwise it goes on with the keys that it knows.
+	StrictRevoke bool
+}
+
+// The policies of admission.
+const (
+	// PolicyArrival rejects arrivals whose predicted wait is too long.
+	PolicyArrival = "Arrival"
+	// PolicyCostToCallers delays and rejects first what costs callers least.
+	PolicyCostToCallers = "CostToCallers"
+)
+
+// Admission selects what is delayed and rejected if there is too little capacity.
+type Admission struct {
+	// Policy is Arrival or CostToCallers.
+	Policy string `validate:"oneof=Arrival CostToCallers"`
+}
+
+// Duties are calls to the platform that one process at a time makes for all.
+type Duties struct {
+	// Address is where the platform takes these calls. Without it there are none.
+	Address netip.AddrPort
+	// Perform lists the duties: UsageReports and ScalingOrders. Others are ignored.
+	Perform []string
+	// PerSecond is how many calls the platform takes per second from all processes.
+	PerSecond float64 `validate:"gt=0"`
+	// Lease is the time after a call within which no two other holders may follow each
+	// other.
+	Lease time.Duration `validate:"gt=0"`
+	// Window is the length of the windows of usage reports, ReportWithin the time after
+	// the end of a window within which its report is due.
+	Window       time.Duration `validate:"gt=0"`
+	ReportWithin time.Duration `validate:"gt=0"`
 }
 
 // DefaultEntry returns the settings with the defaults of absent keys.
 func DefaultEntry() Entry {
 	return Entry{
-		Store:   EntryStore{Timeout: time.Second, WatchFor: 2 * time.Second, WritesPerSecond: 200},
-		Machine: Machine{MemoryMB: 256, Descriptors: 4096, Cores: 1},
-		Bounds:  Bounds{StopGrace: 8 * time.Second, RetryShare: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10, LeaveWithin: 2 * time.Second},
-		Log:     Log{Level: "Info"},
+		Store:     EntryStore{Timeout: time.Second, WatchFor: 2 * time.Second, WritesPerSecond: 200},
+		Machine:   Machine{MemoryMB: 256, Descriptors: 4096, Cores: 1},
+		Bounds:    Bounds{StopGrace: 8 * time.Second, RetryShare: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10, LeaveWithin: 2 * time.Second, RevokeWithin: 5 * time.Second},
+		Admission: Admission{Policy: PolicyArrival},
+		Duties:    Duties{PerSecond: 10, Lease: 3 * time.Second, Window: 5 * time.Second, ReportWithin: 10 * time.Second},
+		Log:       Log{Level: "Info"},
 	}
 }
 
 // entrySections are the titles of the sections, for the nearest one to an unknown
 // title.
-var entrySections = []string{"Node", "Addresses", "Store", "Machine", "Bounds", "Log"}
+var entrySections = []string{"Node", "Addresses", "Store", "Machine", "Bounds", "Admission", "Duties", "Log"}
 
 // ParseEntry parses the settings file of an entry process. The name is used in
 // the error, a *keys.Error.
@@ -97,7 +142,7 @@
 	var faults keys.Faults
 	s := DefaultEntry()
 	targets := map[string]any{
-		"Node": &s.Node, "Addresses": &s.Addresses, "Store": &s.Store, "Machine": &s.Machine, "Bounds": &s.Bounds, "Log": &s.Log,
+		"Node": &s.Node, "Addresses": &s.Addresses, "Store": &s.Store, "Machine": &s.Machine, "Bounds": &s.Bounds, "Admission": &s.Admission, "Duties": &s.Duties, "Log": &s.Log,
 	}
 	present := decode(name, data, targets, entrySections, &faults)
 	requireSections(name, present, []string{"Node", "Addresses", "Store"}, &faults)
