--- a/internal/config/table/table.go
+++ b/internal/config/table/table.go
@@ -1,5 +1,6 @@
 // Package table parses the routing table of a configuration. The table maps
-// requests to services and sets the requests' timeouts, attempts and priorities.
+// requests to services and sets the requests' timeouts, attempts and priorities. It
+// also lists the client accounts whose requests may run.
 //
 // # Usage
 //
@@ -19,6 +20,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"ebonyscale.example/ebonyscale/internal/route/auth"
 )
 
 // Kind determines whether the requests of a route may be retried after they may
@@ -64,7 +67,9 @@
 	Prompted bool
 	// Resumable is set if a stream may be resumed at another backend server.
 	Resumable bool
-	Targets   []Target
+	// Public is set if requests need no key of a client account.
+	Public  bool
+	Targets []Target
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -133,6 +138,10 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts. AccountFaults has what is wrong with the list;
+	// nothing else of the table is affected by it.
+	Accounts      auth.Accounts
+	AccountFaults []auth.Fault
 
 	// routes maps host and prefix to the route.
 	routes map[string]*Route
@@ -165,6 +174,8 @@
 	Version  uint64
 	Routes   []documentRoute
 	Services []documentService
+	// Accounts is nil if the list is absent or null, so that no accounts are configured.
+	Accounts *[]json.RawMessage
 	Limits   struct {
 		HeaderBytes, BodyBytes         float64
 		HeaderTimeoutMs, IdleTimeoutMs float64
@@ -178,6 +189,7 @@
 	AimMs, GapMs        float64
 	Attempts, Priority  float64
 	Prompted, Resumable bool
+	Public              bool
 	Service             string
 	Split               []Target
 }
@@ -209,6 +221,9 @@
 		},
 		routes: make(map[string]*Route, len(d.Routes)),
 	}
+	if d.Accounts != nil {
+		t.Accounts, t.AccountFaults = parseAccounts(*d.Accounts)
+	}
 	for _, s := range d.Services {
 		t.Services[s.Name] = s.service()
 	}
@@ -260,7 +275,7 @@
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: r.Kind,
 		Timeout: milliseconds(r.TimeoutMs), LatencyTarget: milliseconds(r.AimMs), TokenGapTarget: milliseconds(r.GapMs),
 		Attempts: max(int(r.Attempts), 1), Priority: int(r.Priority),
-		Prompted: r.Prompted, Resumable: r.Resumable, Targets: r.Split,
+		Prompted: r.Prompted, Resumable: r.Resumable, Public: r.Public, Targets: r.Split,
 	}
 	if r.Kind != Idempotent && r.Kind != AtMostOnce && r.Kind != Stream {
 		return invalid(fmt.Sprintf("kind %q is not known", r.Kind))
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -8,7 +8,7 @@
 //	go b.Reconnect(ctx)
 //	b.Serve(ctx, &request, output)
 //
-// Serve matches the route, waits in a queue for a permit, sends the request to
+// Serve matches the route, finds the client account of the request's key, waits in a queue for a permit, sends the request to
 // the backend server of the permit, and relays the response or handles the
 // failure. A permit admits one request to one backend server of the route's
 // service. Queues depend on Tick, which the process calls every 20 ms.
@@ -59,6 +59,11 @@
 	Deadline time.Time
 	// After, if set, is the ID of the event after which the stream resumes.
 	After string
+	// Accounts is set if client accounts are configured: the fields in which a client names
+	// a key or an account are not forwarded then. Account is the name of the client
+	// account, empty if there is none.
+	Accounts bool
+	Account  string
 	// Source is set if a prefill engine has computed the prompt's KV cache.
 	Source KVSource
 	// Fetch, if valid, is another engine that may hold a longer part of the
@@ -221,6 +226,9 @@
 	RetryLimit quota.Limit
 	Meters     *meter.Set
 	Log        *zap.Logger
+	// Unconfirmed, if set, reports whether the accounts of the active configuration may be
+	// outdated, so that no key must be accepted. It does not block.
+	Unconfirmed func(now time.Time) bool
 	// Seed seeds the random choices, so that they can be reproduced.
 	Seed uint64
 
@@ -326,7 +334,6 @@
 // canceled when the client disconnects; the request is then aborted.
 func (b *Broker) Serve(ctx context.Context, r *Request, out Output) {
 	t := b.Table()
-	r.content = r.contentHash()
 	j := &job{broker: b, request: r, out: out, table: t}
 	defer j.freeBuffers()
 	if t == nil {
@@ -339,6 +346,9 @@
 		return
 	}
 	j.route = route
+	if !j.authenticate() {
+		return
+	}
 	j.service = t.Services[route.PickService(b.random())]
 	j.run(ctx)
 }
@@ -346,6 +356,7 @@
 // run serves the request once its route and service are known.
 func (j *job) run(ctx context.Context) {
 	b, r := j.broker, j.request
+	r.content = r.contentHash(j.account.Name)
 	j.deadline = r.Arrived.Add(j.route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(j.deadline) {
 		j.deadline = r.Deadline
--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -66,6 +66,13 @@
 	Software string
 	// Hops is the number of peers that the request has been handed to, this one included.
 	Hops int
+	// Authenticated is set if client accounts are configured at the process that hands the
+	// request over. It has checked the key then: Account is the client account, empty if
+	// the route is public and the client gave no known key, and Priority the one that holds
+	// for the request. The key is not part of it.
+	Authenticated bool
+	Account       string
+	Priority      int
 }
 
 // CarriedOutput sends the response to a carried request to the process that has handed it
@@ -246,7 +253,7 @@
 	return Carried{
 		Request: &r, Service: j.service.Name, TableVersion: j.table.Version, Attempts: j.attempts, Failed: j.failedAt,
 		Bound: j.software.bound, Software: j.software.version, Kind: j.route.Kind, Repeatable: j.route.Repeatable(), MaxAttempts: j.route.Attempts,
-		Hops: len(j.carriers),
+		Hops: len(j.carriers), Authenticated: j.accounts, Account: j.account.Name, Priority: j.account.Rank(j.route.Priority),
 	}
 }
 
@@ -367,7 +374,6 @@
 // serve by itself.
 func (b *Broker) ServeCarried(ctx context.Context, c Carried, out CarriedOutput) {
 	t, r := b.Table(), c.Request
-	r.content = r.contentHash()
 	j := &job{broker: b, request: r, out: out, hop: out, table: t, attempts: c.Attempts, excluded: map[string]bool{}, failedAt: c.Failed}
 	j.software = software{bound: c.Bound, version: c.Software}
 	j.placed = placesPerHop * c.Hops
@@ -391,6 +397,9 @@
 		return
 	}
 	j.route, j.service = route, t.Services[c.Service]
+	if !j.acceptAccount(c) {
+		return
+	}
 	if !b.Reaches(c.Service) {
 		j.reject(noServer)
 		return
--- a/internal/node/broker/content.go
+++ b/internal/node/broker/content.go
@@ -13,8 +13,9 @@
 // path with its query, the body and the client's identity. A client that retries a
 // request, at whatever process, sends the same content under another ID and with another
 // deadline, and may resume a stream with it. What a client says of the prompt in its body
-// is left out: it may differ without a change of the work.
-func (r *Request) contentHash() uint64 {
+// is left out: it may differ without a change of the work. account is the name of the
+// client account, empty if there is none: backend servers get it in place of the key.
+func (r *Request) contentHash(account string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	// A Digest never returns an error. No field can contain a zero byte.
@@ -28,6 +29,9 @@
 			}
 		}
 	}
+	if account != "" {
+		_, _ = d.WriteString("Account:" + account + "\x00")
+	}
 	_, _ = d.WriteString("\x00")
 	_, _ = d.Write(r.Body)
 	return d.Sum64()
--- a/internal/node/broker/content_test.go
+++ b/internal/node/broker/content_test.go
@@ -16,7 +16,7 @@
 		r.Body = []byte("body")
 		r.Fields = []call.Field{{Name: "authorization", Value: "a"}, {Name: "X-Trace", Value: "1"}}
 		change(r)
-		return r.contentHash()
+		return r.contentHash("")
 	}
 	same := request(func(*Request) {})
 	for name, c := range map[string]struct {
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -32,7 +32,7 @@
 	// to the end of each shared part.
 	OwnTokens int
 	Chain     []kept.Part
-	// Priority is the priority of the route; 0 is served first.
+	// Priority is the priority of the account or the route; 0 is served first.
 	Priority int
 	// Target is the latency target of the route.
 	Target time.Duration
--- a/internal/node/broker/ended_test.go
+++ b/internal/node/broker/ended_test.go
@@ -123,7 +123,7 @@
 		time.Sleep(time.Second)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		assert.Equal(t, []uint64{second.contentHash()}, q.crashedContents)
+		assert.Equal(t, []uint64{second.contentHash("")}, q.crashedContents)
 	})
 }
 
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -11,6 +11,7 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/origin"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
+	"ebonyscale.example/ebonyscale/internal/route/auth"
 	"ebonyscale.example/ebonyscale/internal/route/retry"
 )
 
@@ -36,6 +37,8 @@
 	originUnknown   Reason = "OriginUnknown" // nobody knows who began the stream
 	quarantined     Reason = "Quarantined"   // the request crashes backend servers
 	notRecorded     Reason = "NotRecorded"   // the stream begins again elsewhere
+	unauthorized    Reason = "Unauthorized"  // the request has no valid key
+	unconfirmed     Reason = "Unconfirmed"   // the list of accounts may be outdated
 )
 
 // errTimeout is the cancellation cause of a request whose deadline has passed.
@@ -49,7 +52,10 @@
 	table   *table.Table
 	route   *table.Route
 	service table.Service
-	ctx     context.Context
+	// accounts is set if client accounts are configured, account is that of the request.
+	accounts bool
+	account  auth.Account
+	ctx      context.Context
 	// deadline is when the request must have its final response.
 	deadline time.Time
 	// attempts counts the attempts, failed prefills included. Those that failed
@@ -149,7 +155,7 @@
 
 // withTiming fills in the priority, the times and the excluded backend servers.
 func (j *job) withTiming(n need) need {
-	n.priority, n.excluded = j.route.Priority, j.excluded
+	n.priority, n.excluded = j.account.Rank(j.route.Priority), j.excluded
 	n.target = j.route.LatencyTarget
 	n.startBy = j.request.Arrived.Add(j.route.LatencyTarget)
 	n.maxWait = min(time.Duration(maxWaitShare*float64(j.route.LatencyTarget)), time.Until(j.deadline))
@@ -169,7 +175,7 @@
 func (j *job) newCall() Call {
 	return Call{
 		Request: j.request, Deadline: j.deadline, After: j.request.After, NewConnection: !j.route.Repeatable() || j.attempts+j.dialFailures > 0,
-		MaxConnections: j.broker.maxConnections(j.service),
+		MaxConnections: j.broker.maxConnections(j.service), Accounts: j.accounts, Account: j.account.Name,
 	}
 }
 
@@ -391,6 +397,9 @@
 		fields = append(fields, zap.String("Route", j.route.Name), zap.String("Service", j.service.Name), zap.Uint64("Version", j.table.Version))
 		j.broker.Meters.Observe("Took."+string(j.route.Kind), took)
 	}
+	if j.accounts {
+		fields = append(fields, zap.String("Account", j.account.Name))
+	}
 	if j.originFrom != "" {
 		fields = append(fields, zap.String("Origin", j.request.Origin), zap.String("OriginFrom", string(j.originFrom)), zap.String("Software", j.software.version))
 		j.broker.Meters.Add("Resumed."+string(reason), 1)
--- a/internal/node/broker/quarantine_test.go
+++ b/internal/node/broker/quarantine_test.go
@@ -125,7 +125,7 @@
 			f := newFixture(t)
 			r := newRequest(path)
 			r.Body = []byte("bad")
-			q := &quarantineList{content: r.contentHash()}
+			q := &quarantineList{content: r.contentHash("")}
 			f.Quarantine = q
 			f.addServer("d", "model", "Decode")
 			f.addServer("e", "model", "Decode")
@@ -150,7 +150,7 @@
 			sound.ID, sound.Body = "r3", []byte("good")
 			f.serve(t.Context(), sound)
 			assert.Len(t, f.fleet.sent, 2, path)
-			assert.Equal(t, []uint64{sound.contentHash()}, q.successContents, path)
+			assert.Equal(t, []uint64{sound.contentHash("")}, q.successContents, path)
 		})
 	}
 }
@@ -165,7 +165,7 @@
 		f.fleet.fallback = fails
 		r := newRequest("/write/")
 		f.serve(t.Context(), r)
-		assert.Equal(t, []uint64{r.contentHash()}, q.successContents)
+		assert.Equal(t, []uint64{r.contentHash("")}, q.successContents)
 	})
 }
 
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -76,7 +76,7 @@
 	// chain has the prompt's prefixes.
 	chain    []kept.Part
 	affinity float64
-	// priority is the route's; 0 is served first.
+	// priority is the account's if it has one, else the route's; 0 is served first.
 	priority int
 	// startBy is when the request needs its permit to meet the latency target: at
 	// the end of the target, and earlier by expectedStart for a prefill engine.
--- a/internal/node/broker/request.go
+++ b/internal/node/broker/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
+	"ebonyscale.example/ebonyscale/internal/route/auth"
 )
 
 // Part is one part of a prompt. Requests whose prompts begin with parts of the
@@ -20,7 +21,12 @@
 	// Path is the path with its query.
 	Path   string
 	Fields []call.Field
-	Body   []byte
+	// OpenFields, if not nil, are the fields that are forwarded instead of Fields while no
+	// client accounts are configured. They have also those that name a key or an account.
+	OpenFields []call.Field
+	// Credential is what the client gives to prove its account.
+	Credential auth.Credential
+	Body       []byte
 	// Arrived is when the request had been read completely, Deadline when the
 	// client stops waiting; Deadline is zero if the client does not set one.
 	Arrived, Deadline time.Time
@@ -34,7 +40,7 @@
 	After, Origin string
 
 	// content is the hash of contentHash. Body must not be read after the response,
-	// so that it is computed when the request arrives.
+	// so that it is computed before the request is sent.
 	content uint64
 }
 
@@ -52,6 +58,8 @@
 	// RetryAfter is how long the client should wait before it retries; 0 sets
 	// no Retry-After header.
 	RetryAfter time.Duration
+	// Challenge is set if the client has to give a valid key.
+	Challenge bool
 }
 
 // Output sends the response to the client: either one call of Respond, or
--- a/internal/node/core/carrywire.go
+++ b/internal/node/core/carrywire.go
@@ -33,7 +33,7 @@
 		PromptTokens: uint64(max(r.PromptTokens, 0)), MaxOutputTokens: uint64(max(r.MaxOutputTokens, 0)), After: r.After, Origin: r.Origin,
 		Service: c.Service, TableVersion: c.TableVersion, Attempts: uint32(c.Attempts), Failed: c.Failed, Bound: c.Bound, Software: c.Software,
 		Kind: string(c.Kind), Repeatable: c.Repeatable, MaxAttempts: uint32(c.MaxAttempts),
-		Hops: uint32(c.Hops),
+		Hops: uint32(c.Hops), Authenticated: c.Authenticated, Account: c.Account, Priority: int32(c.Priority),
 	}
 	for _, p := range r.Parts {
 		q.Parts = append(q.Parts, &wire.PromptPart{ID: p.ID, Tokens: uint32(max(p.Tokens, 0))})
@@ -54,7 +54,7 @@
 	return broker.Carried{
 		Request: r, Service: q.Service, TableVersion: q.TableVersion, Attempts: int(q.Attempts), Failed: q.Failed, Bound: q.Bound, Software: q.Software,
 		Kind: table.Kind(q.Kind), Repeatable: q.Repeatable, MaxAttempts: int(q.MaxAttempts),
-		Hops: int(min(q.Hops, broker.MaxHops)),
+		Hops: int(min(q.Hops, broker.MaxHops)), Authenticated: q.Authenticated, Account: q.Account, Priority: int(q.Priority),
 	}
 }
 
