core, httpd: bound the use of revoked keys, keep keys from peers and logs

Cause: a process without contact accepted revoked keys without a bound; peers got the configuration with all keys, and the log of unreadable requests quoted parts of their headers. Change: with StrictRevoke, the Broker accepts no key unless the store or a live peer confirmed the configuration within RevokeWithin; configurations for peers have digests in place of keys; errors of header parsing have fixed texts; faults of the list are logged and counted, and listed by the command check-table.

--- a/cmd/ebonyscale/main.go
+++ b/cmd/ebonyscale/main.go
@@ -24,7 +24,7 @@
 	for _, c := range []subcommands.Command{&serveCommand{}, &entryCommand{}, &demoCommand{}} {
 		subcommands.Register(c, "processes")
 	}
-	for _, c := range []subcommands.Command{&checkCommand{}, &checkEntryCommand{}, &diffCommand{}, &applyCommand{}, &getCommand{}, &historyCommand{}} {
+	for _, c := range []subcommands.Command{&checkCommand{}, &checkEntryCommand{}, &checkTableCommand{}, &diffCommand{}, &applyCommand{}, &getCommand{}, &historyCommand{}} {
 		subcommands.Register(c, "configuration")
 	}
 	for _, c := range []subcommands.Command{&statusCommand{}, &drainCommand{}, &drainCommand{undo: true}, &timelineCommand{}, &versionCommand{}} {
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -54,6 +54,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/httpd"
 	"ebonyscale.example/ebonyscale/internal/node/meter"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/route/auth"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 	"ebonyscale.example/ebonyscale/internal/state/follow"
 	"ebonyscale.example/ebonyscale/internal/state/store"
@@ -103,23 +104,29 @@
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration
-	Log         *zap.Logger
+	// StrictRevoke is set if no key must be accepted while the configuration has not been
+	// confirmed for RevokeWithin, neither at the store nor by a peer.
+	StrictRevoke bool
+	RevokeWithin time.Duration
+	Log          *zap.Logger
 	// Seed seeds the random choices of Broker.
 	Seed uint64
 
 	Broker *broker.Broker
 	Meters *meter.Set
 
-	incarnation      uint64
-	peers            peers.Table
-	tableFollower    *follow.Follower
-	health           follow.Health
-	roster           roster.Roster
-	usage            usage.Table
-	coordination     *coordination
-	quarantine       *quarantine
-	origins          *origins
-	carrier          *carrier
+	incarnation   uint64
+	peers         peers.Table
+	tableFollower *follow.Follower
+	health        follow.Health
+	roster        roster.Roster
+	usage         usage.Table
+	coordination  *coordination
+	quarantine    *quarantine
+	origins       *origins
+	carrier       *carrier
+	// fresh is nil unless StrictRevoke is set.
+	fresh            *auth.Freshness
 	table            atomic.Pointer[table.Table]
 	serversListed    atomic.Bool
 	quarantineListed atomic.Bool
@@ -133,7 +140,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// document is the encoded form of the active configuration.
+	// document is the encoded form of the active configuration, without clients' keys; nil
+	// if peers can't get it.
 	document   []byte
 	departures []departure
 	// lastOlder is the index, among the older departures, of the one that was
@@ -178,7 +186,9 @@
 	if n.Hops != nil {
 		n.Broker.Carrier = n.carrier
 	}
-	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.pollTimeout, n.debounce)
+	n.prepareRevocation()
+	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.tablePollTimeout, n.debounce)
+	n.tableFollower.Feed = n.tableFeed()
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
 	n.Meters.Gauge("BackendServers", func() int64 { return int64(n.roster.Len()) })
 }
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -212,6 +212,7 @@
 	if !n.peers.Apply(now, message) {
 		return
 	}
+	n.confirmByPeer(now, message)
 	if n.peers.Live() > live {
 		n.Log.Info("process is live", zap.String("Peer", message.From), zap.Uint64("Incarnation", message.Incarnation), zap.Uint64("Version", message.TableVersion))
 	}
@@ -268,6 +269,7 @@
 		}
 		if response.Version > n.Version() {
 			n.activate(response.Data, peer.Name)
+			n.confirmByPeer(time.Now(), &wire.News{TableVersion: response.Version})
 		}
 	}
 	return ctx.Err()
@@ -278,7 +280,7 @@
 func (n *Node) Table(_ context.Context, q *wire.TableQuery) (*wire.TableAnswer, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.Version() <= q.Newer {
+	if n.Version() <= q.Newer || n.document == nil {
 		return &wire.TableAnswer{}, nil
 	}
 	return &wire.TableAnswer{Version: n.Version(), Data: n.document}, nil
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -38,11 +38,18 @@
 		n.Log.Error("configuration cannot be used", zap.String("Source", source), zap.Uint64("InForce", n.Version()), zap.String("error", short(err.Error())))
 		return
 	}
+	if t.Version <= n.Version() {
+		return
+	}
+	document, err := table.WithoutKeys(t, data)
+	if err != nil {
+		n.Log.Error("configuration can't be given to peers", zap.Uint64("Version", t.Version), zap.Error(err))
+	}
 	n.mu.Lock()
 	previous := n.Version()
 	if t.Version > previous {
 		n.table.Store(t)
-		n.document = data
+		n.document = document
 	}
 	n.mu.Unlock()
 	if t.Version <= previous {
@@ -50,6 +57,7 @@
 	}
 	n.Log.Info("configuration is active", zap.Uint64("Version", t.Version), zap.Uint64("Before", previous),
 		zap.String("Source", source), zap.Int("Routes", len(t.Routes)))
+	n.reportAccounts(t)
 	n.Meters.Add("TableChanges", 1)
 	n.Broker.Dispatch(time.Now())
 }
--- a/internal/node/httpd/read.go
+++ b/internal/node/httpd/read.go
@@ -63,11 +63,31 @@
 		err = header.Read(c.reader)
 	}
 	if err != nil {
-		return fmt.Errorf("read header: %w", err)
+		return &headerError{err}
 	}
 	return nil
 }
 
+// headerError is an error of the HTTP library, which quotes parts of the header. These may
+// have a client's key, so that the text of a headerError leaves them out.
+type headerError struct{ err error }
+
+// Error returns the kind of the error.
+func (e *headerError) Error() string {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.As(e.err, &small):
+		return "read header: it is too long"
+	case errors.As(e.err, &network):
+		return "read header: " + network.Error()
+	}
+	return "read header: it is malformed or incomplete"
+}
+
+// Unwrap returns the library's error.
+func (e *headerError) Unwrap() error { return e.err }
+
 // readBody reads the body of a request, after a 100 Continue if the client waits for
 // one. The HTTP library is not used for it, as that parses forms and writes them anew.
 func (c *conn) readBody(header *fasthttp.RequestHeader, limits Limits) (body []byte, reserved int64, err error) {
