auth, table, broker, core: tests of accounts and keys

Change: tests of the credential, the list, the decision, peers and strict revocation; each names the failure that it guards against. An entry without a usable name is one fault, not two.

--- a/internal/config/table/accounts.go
+++ b/internal/config/table/accounts.go
@@ -41,13 +41,10 @@
 func (p *accountParser) parse(index int, raw json.RawMessage) {
 	e := &p.entries[index]
 	var d documentAccount
-	if json.Unmarshal(raw, &d) != nil {
-		p.fault(index, "it is not an object")
+	if json.Unmarshal(raw, &d) != nil || json.Unmarshal(d.Name, &e.Name) != nil || e.Name == "" {
+		// auth.New reports that the name is missing.
 		return
 	}
-	if d.Name != nil && json.Unmarshal(d.Name, &e.Name) != nil {
-		p.fault(index, "Name is not a text")
-	}
 	if given(d.Priority) {
 		if e.Priority, e.Ranked = parsePriority(d.Priority); !e.Ranked {
 			p.fault(index, "Priority is not a whole number of at least 0; that of the route is used")
--- /dev/null
+++ b/internal/node/core/accounts_test.go
@@ -0,0 +1,131 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/route/auth"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+const accountConfig = `{"Version":4,"Accounts":[{"Name":"acme","Keys":["secret-1","secret-2"],"Priority":2},{"Keys":["secret-3"]},{"Name":"b","Keys":["secret-2"]}],` +
+	`"Routes":[{"Name":"w","Host":"h","Prefix":"/","Kind":"AtMostOnce","Service":"s"}]}`
+
+// TestAccountsBecomeActive guards against faults that nobody is told of, and keys in the log
+// or in what peers fetch.
+func TestAccountsBecomeActive(t *testing.T) {
+	seen, logs := observer.New(zap.DebugLevel)
+	a, b := newNode(t), newNode(t)
+	a.Log = zap.New(seen)
+	for range 2 {
+		(&tableView{a}).Change(page(store.Object{Key: "config/main", Value: []byte(accountConfig)}))
+	}
+	assert.Equal(t, []int64{2, 2}, []int64{a.Meters.Value("AccountFaults"), a.Meters.Value("Accounts")})
+	assert.Equal(t, 2, logs.FilterMessage("fault in the list of accounts").Len(), "once each")
+	for _, entry := range logs.All() {
+		for _, field := range entry.Context {
+			assert.NotContains(t, field.String, "secret")
+		}
+	}
+	answer, err := a.Table(t.Context(), &wire.TableQuery{Newer: 3})
+	require.NoError(t, err)
+	assert.NotContains(t, answer.String(), "secret")
+	b.activate(answer.Data, "a")
+	for key, want := range map[string]string{"secret-1": "acme", "secret-2": "", "secret-3": ""} {
+		account, _ := b.table.Load().Accounts.Find(auth.Digest([]byte(key)))
+		assert.Equal(t, want, account.Name, key)
+	}
+	assert.NotContains(t, newNode(t).Meters.JSON(), "Accounts", "without accounts there is no metric")
+}
+
+// TestCarriedAccount guards against an account that is lost on the wire, and against an
+// older process whose message reads as checked.
+func TestCarriedAccount(t *testing.T) {
+	c := carriedRequest("/w/x", nil)
+	c.Authenticated, c.Account, c.Priority = true, "acme", 2
+	got := decodeCarried(time.Now(), encodeCarried("a", time.Now(), c), nil)
+	assert.Equal(t, []any{true, "acme", 2}, []any{got.Authenticated, got.Account, got.Priority})
+	assert.False(t, decodeCarried(time.Now(), &wire.CarriedRequest{ID: "r"}, nil).Authenticated)
+}
+
+// unreachableFeed is a store whose calls fail while down is set.
+type unreachableFeed struct{ down bool }
+
+func (f *unreachableFeed) List(context.Context, string, string) (store.Page, error) {
+	if f.down {
+		return store.Page{}, errors.ErrUnsupported
+	}
+	return page(store.Object{Key: "config/main", Value: []byte(accountConfig)}), nil
+}
+
+func (f *unreachableFeed) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration) (store.Page, error) {
+	select {
+	case <-ctx.Done():
+		return store.Page{}, ctx.Err()
+	case <-time.After(wait):
+	}
+	if f.down {
+		return store.Page{}, errors.ErrUnsupported
+	}
+	return page(), nil
+}
+
+// TestStrictRevoke guards against a process that is cut off and accepts keys without a
+// bound, and against one that rejects them while the store or a peer confirms them.
+func TestStrictRevoke(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &unreachableFeed{}
+		n := newNode(t)
+		assert.Nil(t, n.Broker.Unconfirmed, "not strict")
+		n.Feed, n.WatchFor, n.StrictRevoke, n.RevokeWithin = feed, 20*time.Second, true, 5*time.Second
+		n.Prepare()
+		assert.True(t, n.Broker.Unconfirmed(time.Now()), "never confirmed")
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = n.tableFollower.Run(ctx) }()
+		for range 60 {
+			time.Sleep(time.Second)
+			require.False(t, n.Broker.Unconfirmed(time.Now()), "the store confirms it, though nothing changes")
+		}
+		feed.down = true
+		time.Sleep(8 * time.Second)
+		assert.True(t, n.Broker.Unconfirmed(time.Now()))
+		tell := func(version uint64) {
+			n.sequence++
+			n.handleStatus(&wire.News{From: "b", Incarnation: 1, Sequence: n.sequence, TableVersion: version})
+		}
+		tell(3)
+		tell(5)
+		assert.True(t, n.Broker.Unconfirmed(time.Now()), "peers with another version confirm nothing")
+		tell(4)
+		assert.False(t, n.Broker.Unconfirmed(time.Now()))
+		time.Sleep(5 * time.Second)
+		assert.True(t, n.Broker.Unconfirmed(time.Now()))
+		feed.down = false
+		time.Sleep(4 * time.Second)
+		assert.False(t, n.Broker.Unconfirmed(time.Now()))
+		cancel()
+		<-done
+	})
+}
+
+// TestPollsStayLongWithoutStrictRevoke guards against more calls of the store than before in
+// deployments that do not ask for strict revocation.
+func TestPollsStayLongWithoutStrictRevoke(t *testing.T) {
+	n := newNode(t)
+	n.WatchFor, n.RevokeWithin = 8*time.Second, 2*time.Second
+	assert.Equal(t, n.pollTimeout(), n.tablePollTimeout())
+	assert.Equal(t, n.Feed, n.tableFeed())
+	n.StrictRevoke = true
+	n.prepareRevocation()
+	assert.Equal(t, time.Second, n.tablePollTimeout())
+}
--- a/internal/route/auth/auth.go
+++ b/internal/route/auth/auth.go
@@ -180,13 +180,13 @@
 func nameFault(name string) string {
 	switch {
 	case name == "":
-		return "the name is missing"
+		return "it has no name, or one that is not a text; it is left out with its keys"
 	case len(name) > maxName:
-		return fmt.Sprintf("the name has more than %d bytes", maxName)
+		return fmt.Sprintf("the name has more than %d bytes; it is left out with its keys", maxName)
 	case strings.TrimSpace(name) != name:
-		return "the name begins or ends with a space, so that it can't be sent in a header"
+		return "the name begins or ends with a space, so that it can't be sent in a header; it is left out with its keys"
 	case strings.ContainsFunc(name, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }):
-		return "the name has a control character, so that it can't be sent in a header"
+		return "the name has a control character, so that it can't be sent in a header; it is left out with its keys"
 	}
 	return ""
 }
