core: test of strict revocation without a data race of its own

Cause: the fake store of TestStrictRevoke was changed without synchronisation; -race reported it. Change: an atomic flag.

--- a/internal/node/core/accounts_test.go
+++ b/internal/node/core/accounts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,10 +59,10 @@
 }
 
 // unreachableFeed is a store whose calls fail while down is set.
-type unreachableFeed struct{ down bool }
+type unreachableFeed struct{ down atomic.Bool }
 
 func (f *unreachableFeed) List(context.Context, string, string) (store.Page, error) {
-	if f.down {
+	if f.down.Load() {
 		return store.Page{}, errors.ErrUnsupported
 	}
 	return page(store.Object{Key: "config/main", Value: []byte(accountConfig)}), nil
@@ -73,7 +74,7 @@
 		return store.Page{}, ctx.Err()
 	case <-time.After(wait):
 	}
-	if f.down {
+	if f.down.Load() {
 		return store.Page{}, errors.ErrUnsupported
 	}
 	return page(), nil
@@ -96,7 +97,7 @@
 			time.Sleep(time.Second)
 			require.False(t, n.Broker.Unconfirmed(time.Now()), "the store confirms it, though nothing changes")
 		}
-		feed.down = true
+		feed.down.Store(true)
 		time.Sleep(8 * time.Second)
 		assert.True(t, n.Broker.Unconfirmed(time.Now()))
 		tell := func(version uint64) {
@@ -110,7 +111,7 @@
 		assert.False(t, n.Broker.Unconfirmed(time.Now()))
 		time.Sleep(5 * time.Second)
 		assert.True(t, n.Broker.Unconfirmed(time.Now()))
-		feed.down = false
+		feed.down.Store(false)
 		time.Sleep(4 * time.Second)
 		assert.False(t, n.Broker.Unconfirmed(time.Now()))
 		cancel()
