auth: package comment says what holds for all of it

Cause: it called all functions pure, but Freshness keeps the last confirmation. Change: the sentence. Run: go test ./internal/route/auth ./internal/config/table green. Conclusion: no code changed.

--- a/internal/route/auth/auth.go
+++ b/internal/route/auth/auth.go
@@ -13,7 +13,8 @@
 //	credential.Add("Token", []byte("Token 8m82thhk"))
 //	account, err := auth.Decide(&accounts, route.Public, credential, false)
 //
-// All functions are pure. An Accounts is immutable and safe for concurrent use.
+// Nothing here reads a clock, blocks or calls another process. An Accounts is immutable and
+// safe for concurrent use.
 package auth
 
 import (
