shed: order and reject requests by their cost to callers

Under overload the queues are ordered by priority and time, and an arrival is rejected if its predicted wait is too long, whatever work it needs. The package internal/route/shed ranks requests by floors, priority, latency target, fair share and work, and chooses those that start too late. Permit requests carry the account, the output tokens and whether the request returns after a rejection. admit.Ledger gets a HalfLife. No test of the new policy yet.

--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -26,6 +26,7 @@
 	"ebonyscale.example/ebonyscale/internal/peer/link"
 	"ebonyscale.example/ebonyscale/internal/peer/mesh"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
+	"ebonyscale.example/ebonyscale/internal/route/shed"
 	"ebonyscale.example/ebonyscale/platform"
 )
 
@@ -128,7 +129,7 @@
 		Name: s.Node.Name, Zone: s.Node.AvailabilityZone, Keys: platform.Keys, Feed: store, Store: store, Servers: servers, CloseExpired: servers.Client.CloseExpired,
 		Peers: p.peers, Hops: p.peers, Address: s.Addresses.Peers, Cores: s.Machine.Cores,
 		RetryLimit: quota.Limit{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack},
-		WatchFor:   s.Store.WatchFor, StoreWrites: s.Store.WritesPerSecond, LeaveWithin: s.Bounds.LeaveWithin, Log: p.log, Seed: uint64(os.Getpid()),
+		WatchFor:   s.Store.WatchFor, StoreWrites: s.Store.WritesPerSecond, LeaveWithin: s.Bounds.LeaveWithin, Admission: shed.Policy(s.Admission.Policy), Log: p.log, Seed: uint64(os.Getpid()),
 	}
 	statusConn, err := mesh.Listen(s.Addresses.Peers)
 	if err != nil {
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -44,6 +44,7 @@
 	"ebonyscale.example/ebonyscale/internal/route/assign"
 	"ebonyscale.example/ebonyscale/internal/route/limit"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
+	"ebonyscale.example/ebonyscale/internal/route/shed"
 )
 
 // KVSource locates the KV cache of a prompt that a prefill engine has computed.
@@ -219,8 +220,10 @@
 	// RetryLimit limits the retries of each service, for all processes
 	// together.
 	RetryLimit quota.Limit
-	Meters     *meter.Set
-	Log        *zap.Logger
+	// Admission selects what is delayed and rejected if there is too little capacity.
+	Admission shed.Policy
+	Meters    *meter.Set
+	Log       *zap.Logger
 	// Seed seeds the random choices, so that they can be reproduced.
 	Seed uint64
 
@@ -247,8 +250,10 @@
 	// engineSets has the evaluated engines by service. engineBuffer is reused.
 	engineSets   map[string]*engineSet
 	engineBuffer []assign.Engine
-	endings      crash.Endings[usage.Incarnation, roster.Server]
-	blamed       blamed
+	// returns has the requests that were rejected, with Admission CostToCallers.
+	returns shed.Returns
+	endings crash.Endings[usage.Incarnation, roster.Server]
+	blamed  blamed
 	coordinatorState
 	requesterState
 }
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -42,6 +42,12 @@
 	StartWithin, MaxWait, TimeLeft time.Duration
 	// Excluded lists the IDs of engines that must not be granted.
 	Excluded []string
+	// Account is the client account, empty if there is none or none is known.
+	// OutputTokens is the largest number of output tokens. Returning is set if the
+	// request has been rejected before. They are set with Admission CostToCallers.
+	Account      string
+	OutputTokens int
+	Returning    bool
 }
 
 // PermitGrant is the coordinator's decision on a PermitRequest.
@@ -134,6 +140,9 @@
 	now := time.Now()
 	w := remoteWaiter(now, from, r)
 	key := w.requester.requestKey
+	if b.byCost() {
+		w.need.caller = &caller{account: r.Account, output: r.OutputTokens, returning: r.Returning, deadline: now.Add(r.TimeLeft)}
+	}
 	waiting := true
 	w.deliver = func(p *permit, err error) {
 		waiting = false
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -26,6 +26,7 @@
 	noServer        Reason = "NoServer"   // no backend server is ready
 	stopping        Reason = "Stopping"   // the deadline is after a planned stop
 	overloaded      Reason = "Overloaded" // the wait for a permit is too long
+	rejectedByCost  Reason = "Shed"       // others cost their callers more
 	timedOut        Reason = "TimedOut"
 	clientGone      Reason = "CallerGone"
 	serverFailed    Reason = "ServerFailed"  // response with status 500 or above
@@ -103,6 +104,10 @@
 	finished    bool
 	// unanswered is set if the response is not a backend server's.
 	unanswered bool
+	// shedAs is what the order by cost to callers needs of the request, shedWait the
+	// predicted wait for capacity if it was rejected.
+	shedAs   *caller
+	shedWait time.Duration
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
 }
@@ -149,7 +154,7 @@
 
 // withTiming fills in the priority, the times and the excluded backend servers.
 func (j *job) withTiming(n need) need {
-	n.priority, n.excluded = j.route.Priority, j.excluded
+	n.priority, n.excluded, n.caller = j.route.Priority, j.excluded, j.caller()
 	n.target = j.route.LatencyTarget
 	n.startBy = j.request.Arrived.Add(j.route.LatencyTarget)
 	n.maxWait = min(time.Duration(maxWaitShare*float64(j.route.LatencyTarget)), time.Until(j.deadline))
@@ -320,6 +325,9 @@
 	if left := time.Until(j.quarantinedUntil); left > 0 {
 		return left
 	}
+	if j.broker.byCost() {
+		return j.shedRetryAfter()
+	}
 	wait := time.Duration(retryAfterShare * float64(time.Until(j.deadline)))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait*3/4 + time.Duration(j.broker.random()%uint64(wait/2))
@@ -338,7 +346,7 @@
 		if (j.cutOff() || j.dialFailures > 0 && j.mostlyCut()) && j.mayMove() && j.carry() {
 			return
 		}
-		j.reject(overloaded)
+		j.reject(j.shedReason(cause))
 	case errors.Is(cause, errQuarantined):
 		j.reject(quarantined)
 	case errors.Is(cause, errTimeout) && notRun:
--- a/internal/node/broker/order.go
+++ b/internal/node/broker/order.go
@@ -85,7 +85,9 @@
 // serveQueue issues free permits to the waiters in order. b.mu must be held.
 func (b *Broker) serveQueue(now time.Time, key queueKey) {
 	q := b.queue(key)
-	sort.SliceStable(q.waiting, func(i, k int) bool { return q.waiting[i].before(q.waiting[k], now) })
+	if !b.byCost() {
+		sort.SliceStable(q.waiting, func(i, k int) bool { return q.waiting[i].before(q.waiting[k], now) })
+	}
 	kept := q.waiting[:0]
 	for i, w := range q.waiting {
 		p := b.tryAcquire(now, w, b.views(now, w))
@@ -99,6 +101,7 @@
 			kept = append(kept, q.waiting[i:]...)
 			break
 		}
+		q.countServed(now, w)
 		w.deliver(p, nil)
 	}
 	clear(q.waiting[len(kept):])
--- a/internal/node/broker/permit.go
+++ b/internal/node/broker/permit.go
@@ -75,6 +75,20 @@
 // serveFreed serves the queues that can use capacity of the queue with the key.
 // b.mu must be held.
 func (b *Broker) serveFreed(now time.Time, key queueKey) {
+	if b.byCost() {
+		keys := [...]queueKey{
+			{key.service, key.role, usage.Short},
+			{key.service, key.role, usage.Long},
+			{key.service, key.role, usage.LocalPrefill},
+			{key.service, roster.Prefill, usage.Short},
+		}
+		if key.role == roster.Decode {
+			b.serveByRank(now, keys[:])
+		} else {
+			b.serveByRank(now, keys[:3])
+		}
+		return
+	}
 	// Short work is served first, since slots are reserved for it. Requests
 	// that wait for a prefill engine can also use a permit of a decode engine.
 	for work := usage.Short; work <= usage.LocalPrefill; work++ {
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -51,6 +51,8 @@
 	// held counts the units of the permits, granted those of the permits granted
 	// to peers, remote those that this process holds from a coordinator.
 	held, granted, remote int
+	// shedding is set if requests are ordered by their cost to callers.
+	shedding *shedding
 }
 
 // waiter is a request that waits for a permit.
@@ -65,6 +67,8 @@
 	deliver func(*permit, error)
 	// requester is set if the request is a peer's.
 	requester requester
+	// cost is set if requests are ordered by their cost to callers.
+	cost *cost
 }
 
 // need describes the permit that a request needs.
@@ -93,6 +97,10 @@
 	// perSlot is the number of permits per slot of a backend server, over all
 	// processes, for work other than prefills.
 	perSlot float64
+	// begun is set if the request's prefill has completed, so that a rejection would
+	// waste it. caller is set if requests are ordered by their cost to callers.
+	begun  bool
+	caller *caller
 }
 
 // size returns the units of a permit that the request needs.
@@ -166,6 +174,10 @@
 		w.deliver(nil, errNoServer)
 		return
 	}
+	if b.byCost() {
+		b.admitByCost(w, q, v)
+		return
+	}
 	if !q.hasAhead(w.need) {
 		if p := b.tryAcquire(w.since, w, v); p != nil {
 			w.deliver(p, nil)
@@ -356,10 +368,17 @@
 	for key, q := range b.queues {
 		b.checkHeld(now, q)
 		b.updateLoad(key, q)
-		if len(q.waiting) > 0 {
+		if len(q.waiting) == 0 {
+			continue
+		}
+		if b.byCost() {
+			q.rankWaiting(now)
 			b.serveQueue(now, key)
-			b.rejectLate(now, key)
+			b.shedLate(now, q)
+			continue
 		}
+		b.serveQueue(now, key)
+		b.rejectLate(now, key)
 	}
 }
 
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -77,11 +77,15 @@
 	start := time.Now()
 	p := &pendingRequest{coordinator, make(chan PermitGrant, 2)}
 	number := b.register(p)
-	b.Coordination.Request(coordinator, PermitRequest{
+	r := PermitRequest{
 		Number: number, Request: j.request.ID, Service: n.key.service,
 		OwnTokens: n.prompt.Own, Chain: n.chain, Priority: n.priority,
 		Target: n.target, StartWithin: time.Until(n.startBy), MaxWait: n.maxWait, TimeLeft: time.Until(j.deadline), Excluded: b.unusable(start, n),
-	})
+	}
+	if c := n.caller; c != nil {
+		r.Account, r.OutputTokens, r.Returning = c.account, c.output, c.returning
+	}
+	b.Coordination.Request(coordinator, r)
 	b.Meters.Add("PlacesRequested", 1)
 	timer := time.NewTimer(max(coordinatorTimeout, time.Duration(decisionShare*float64(n.target))))
 	defer timer.Stop()
@@ -92,7 +96,7 @@
 			switch g.Status {
 			case Queued:
 				queued = true
-				timer.Reset(n.maxWait + waitSlack + coordinatorTimeout)
+				timer.Reset(n.longestWait(start) + waitSlack + coordinatorTimeout)
 			case Granted:
 				return b.accept(start, coordinator, g, n, alternative)
 			case Rejected:
--- /dev/null
+++ b/internal/node/broker/shed.go
@@ -0,0 +1,349 @@
+package broker
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonyscale.example/ebonyscale/internal/route/shed"
+)
+
+// With Admission CostToCallers the waiters of a queue are kept in order of shed.Rank.
+// An arrival that no waiter precedes takes a free permit at once; else it is inserted,
+// and shed.Choose says who is rejected. Ranks change with time, and are computed anew at
+// each Dispatch.
+
+// caller is what the order by cost to callers needs of a request.
+type caller struct {
+	account   string
+	output    int
+	returning bool
+	deadline  time.Time
+}
+
+// cost is the state of a waiter in the order by cost to callers.
+type cost struct {
+	work   shed.Work
+	member shed.Member
+	rank   float64
+}
+
+// shedding is the state of a queue with the order by cost to callers.
+type shedding struct {
+	stage shed.Stage
+	// works and refuse are reused.
+	works  []*shed.Work
+	refuse []int
+}
+
+// shedError is the rejection of a request. It is an errOverloaded.
+type shedError struct {
+	reason string
+	// rank is that of the request, preferred that of the last one that is served
+	// before it, 0 if there is none.
+	rank, preferred float64
+	// wait is the time in which the requests that wait are predicted to be served.
+	wait time.Duration
+}
+
+// Error returns the reason and the ranks.
+func (e *shedError) Error() string {
+	return fmt.Sprintf("shed: %s: rank %.4f, preferred %.4f", e.reason, e.rank, e.preferred)
+}
+
+// Unwrap returns errOverloaded.
+func (e *shedError) Unwrap() error { return errOverloaded }
+
+// The reasons of a shedError, in the metrics Shed.REASON.
+const (
+	// shedUseless is a request that can't be served before its deadline, or not
+	// before a retry would be better.
+	shedUseless = "Useless"
+	// shedArrival is an arrival that would start too late.
+	shedArrival = "Arrival"
+	// shedWaiting is a request that has waited, and others precede it now.
+	shedWaiting = "Waiting"
+)
+
+// lateWaitShare is the share of the time to the deadline that a request may wait for a
+// permit once it misses its latency target. Its client retries within a third of what is
+// left then.
+const lateWaitShare = 0.25
+
+// byCost reports whether requests are ordered by their cost to callers.
+func (b *Broker) byCost() bool { return b.Admission == shed.CostToCallers }
+
+// accountName returns the name of the client account, empty if there is none.
+func (*job) accountName() string { return "" }
+
+// caller returns what the order by cost to callers needs of the request, nil if that
+// isn't used.
+func (j *job) caller() *caller {
+	b := j.broker
+	if !b.byCost() {
+		return nil
+	}
+	if j.shedAs == nil {
+		b.mu.Lock()
+		returning := b.returns.Returned(time.Now(), j.request.content)
+		b.mu.Unlock()
+		j.shedAs = &caller{account: j.accountName(), output: j.request.MaxOutputTokens, returning: returning, deadline: j.deadline}
+	}
+	return j.shedAs
+}
+
+// longestWait returns the longest wait from now that may be useful.
+func (n need) longestWait(now time.Time) time.Duration {
+	if n.caller == nil {
+		return n.maxWait
+	}
+	return max(n.maxWait, time.Duration(lateWaitShare*float64(n.caller.deadline.Sub(now))))
+}
+
+// newCost returns the cost of a waiter. b.mu must be held.
+func (b *Broker) newCost(w *waiter, q *queue) *cost {
+	n := w.need
+	c := &cost{work: shed.Work{
+		Priority: n.priority, Target: n.target, Units: float64(n.size()), Begun: n.begun, StartBy: w.since.Add(n.maxWait),
+	}}
+	if n.startBy.Before(c.work.StartBy) {
+		c.work.StartBy = n.startBy
+	}
+	if n.software.limited() {
+		// It leaves the other backend servers free.
+		c.work.Units = 0
+	}
+	uncached := n.prompt.Own + n.prompt.Shared
+	service := time.Duration(q.expectedHold() * float64(time.Second))
+	if n.key.prefills() {
+		_, held := b.kept.Holder(n.chain, 0, b.engineSet(w.since, n.key.service).fetchable)
+		uncached -= held
+		service = b.startTime(n.key.service)
+	}
+	if n.begun {
+		uncached, service = 0, 0
+	}
+	if n.caller == nil {
+		c.work.Latest = w.since.Add(n.maxWait)
+		return c
+	}
+	c.work.Account, c.work.Returning = n.caller.account, n.caller.returning
+	if uncached > 0 || n.caller.output > 0 {
+		c.work.Tokens = shed.Tokens(uncached, n.caller.output)
+	}
+	c.work.Latest = n.caller.deadline.Add(-service)
+	if end := w.since.Add(n.longestWait(w.since)); !n.begun && end.Before(c.work.Latest) {
+		c.work.Latest = end
+	}
+	return c
+}
+
+// admitByCost issues a permit to the waiter, or enqueues it and rejects those that have
+// no room then. b.mu must be held.
+func (b *Broker) admitByCost(w *waiter, q *queue, v views) {
+	if q.shedding == nil {
+		q.shedding = &shedding{}
+	}
+	w.cost = b.newCost(w, q)
+	if w.since.After(w.cost.work.Latest) {
+		b.shed(w, &shedError{reason: shedUseless})
+		return
+	}
+	stage := &q.shedding.stage
+	w.cost.member = stage.Arrive(w.since, &w.cost.work)
+	if len(q.waiting) > 0 {
+		w.assess(w.since, stage)
+	}
+	at, _ := slices.BinarySearchFunc(q.waiting, w, func(o, w *waiter) int {
+		if w.ranksBefore(o) {
+			return 1
+		}
+		return -1
+	})
+	if !slices.ContainsFunc(q.waiting[:at], func(o *waiter) bool { return w.need.competes(o.need) }) {
+		if p := b.tryAcquire(w.since, w, v); p != nil {
+			q.countServed(w.since, w)
+			w.deliver(p, nil)
+			return
+		}
+	}
+	if len(q.waiting) == 0 {
+		w.assess(w.since, stage)
+	}
+	q.waiting = slices.Insert(q.waiting, at, w)
+	b.shedQueue(w.since, q, w, v)
+	w.cost.work.StartBy = w.cost.work.StartBy.Add(waitSlack)
+}
+
+// assess computes the rank of a waiter.
+func (w *waiter) assess(now time.Time, stage *shed.Stage) {
+	stage.Assess(now, &w.cost.work, w.cost.member)
+	w.cost.rank = shed.Rank(&w.cost.work, now)
+}
+
+// ranksBefore reports whether w is served before o: resumed streams first, and then by
+// rank.
+func (w *waiter) ranksBefore(o *waiter) bool {
+	if w.need.software.bound != o.need.software.bound {
+		return w.need.software.bound
+	}
+	if w.cost == nil || o.cost == nil {
+		return w.since.Before(o.since)
+	}
+	return shed.Before(&w.cost.work, w.cost.rank, &o.cost.work, o.cost.rank)
+}
+
+// countServed counts that a waiter has got its permit.
+func (q *queue) countServed(now time.Time, w *waiter) {
+	if w.cost != nil {
+		q.shedding.stage.Serve(now, &w.cost.work, w.cost.member)
+	}
+}
+
+// rankWaiting computes the ranks of all waiters and sorts them.
+func (q *queue) rankWaiting(now time.Time) {
+	for _, w := range q.waiting {
+		if w.cost != nil {
+			w.assess(now, &q.shedding.stage)
+		}
+	}
+	slices.SortStableFunc(q.waiting, func(w, o *waiter) int {
+		switch {
+		case w.ranksBefore(o):
+			return -1
+		case o.ranksBefore(w):
+			return 1
+		}
+		return 0
+	})
+}
+
+// shedLate rejects the waiters that have no room. b.mu must be held.
+func (b *Broker) shedLate(now time.Time, q *queue) {
+	if len(q.waiting) == 0 {
+		return
+	}
+	typical := q.waiting[max(slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.limited() }), 0)]
+	b.shedQueue(now, q, nil, b.views(now, typical))
+}
+
+// shedQueue rejects the waiters that have no room. arrival is the one that has just
+// arrived; nil if there is none. b.mu must be held.
+func (b *Broker) shedQueue(now time.Time, q *queue, arrival *waiter, v views) {
+	if q.shedding == nil {
+		q.shedding = &shedding{}
+	}
+	s := q.shedding
+	first := slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.bound })
+	if first < 0 {
+		first = len(q.waiting)
+	}
+	s.works = s.works[:0]
+	for _, w := range q.waiting[first:] {
+		s.works = append(s.works, &w.cost.work)
+	}
+	s.refuse = s.refuse[:0]
+	rate, processes := 0.0, 1
+	if len(s.works) > 0 {
+		n := q.waiting[first].need
+		rate = v.throughput(n)
+		if !b.coordinates(n.key) {
+			processes = b.Peers.Live()
+		}
+		s.refuse = shed.Choose(now, s.works, s.stage.Room(now, rate, float64(v.first.peerLoad.Waiting), processes), s.refuse)
+	}
+	clear(s.works)
+	b.refuseChosen(now, q, first, arrival, rate)
+}
+
+// refuseChosen rejects the waiters that shedQueue has chosen, whose indices count from
+// first, and the resumed streams before that have waited too long. b.mu must be held.
+func (b *Broker) refuseChosen(now time.Time, q *queue, first int, arrival *waiter, rate float64) {
+	kept, refuse := q.waiting[:0], q.shedding.refuse
+	wait := expectedWait(q.waitingUnits(), rate)
+	preferred := 0.0
+	for i, w := range q.waiting {
+		switch {
+		case i < first:
+			if now.Sub(w.since) > w.need.maxWait+waitSlack {
+				w.deliver(nil, errOverloaded)
+				continue
+			}
+		case len(refuse) > 0 && refuse[0] == i-first:
+			refuse = refuse[1:]
+			reason := shedWaiting
+			switch {
+			case now.After(w.cost.work.Latest):
+				reason = shedUseless
+			case w == arrival:
+				reason = shedArrival
+			}
+			b.shed(w, &shedError{reason: reason, rank: w.cost.rank, preferred: preferred, wait: wait})
+			continue
+		default:
+			preferred = w.cost.rank
+		}
+		kept = append(kept, w)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
+
+// shed rejects a waiter.
+func (b *Broker) shed(w *waiter, err *shedError) {
+	b.Meters.Add("Shed."+err.reason, 1)
+	w.deliver(nil, err)
+}
+
+// serveByRank serves the queues, the one first whose first waiter has the highest rank.
+// b.mu must be held.
+func (b *Broker) serveByRank(now time.Time, keys []queueKey) {
+	head := func(key queueKey) *waiter {
+		if q, ok := b.queues[key]; ok && len(q.waiting) > 0 {
+			return q.waiting[0]
+		}
+		return nil
+	}
+	keys = slices.DeleteFunc(keys, func(key queueKey) bool { return head(key) == nil })
+	slices.SortStableFunc(keys, func(x, y queueKey) int {
+		switch w, o := head(x), head(y); {
+		case w.ranksBefore(o):
+			return -1
+		case o.ranksBefore(w):
+			return 1
+		}
+		return 0
+	})
+	for _, key := range keys {
+		b.serveIfWaiting(now, key)
+	}
+}
+
+// shedReason returns the reason of a rejection for lack of capacity, and keeps what the
+// log and Retry-After need of it.
+func (j *job) shedReason(cause error) Reason {
+	if !j.broker.byCost() {
+		return overloaded
+	}
+	var e *shedError
+	if errors.As(cause, &e) {
+		j.shedWait = e.wait
+		j.stages = append(j.stages, zap.String("Shed", e.reason), zap.Float64("Rank", e.rank), zap.Float64("Preferred", e.preferred))
+	}
+	return rejectedByCost
+}
+
+// shedRetryAfter returns when a rejected client should retry, and remembers the request.
+func (j *job) shedRetryAfter() time.Duration {
+	b := j.broker
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	after := shed.RetryAfter(j.shedWait, j.deadline.Sub(now), b.nextRandom())
+	b.returns.Rejected(now, j.request.content, after)
+	b.Meters.Observe("RetryAfter", after)
+	return after
+}
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -79,7 +79,7 @@
 	n := j.decodeNeed()
 	if source.Handle != "" {
 		// A rejection would waste the prefill.
-		n.maxWait = time.Until(j.deadline)
+		n.maxWait, n.begun = time.Until(j.deadline), true
 	}
 	return n
 }
@@ -101,6 +101,11 @@
 func (b *Broker) expectedStart(service string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.startTime(service)
+}
+
+// startTime is expectedStart with b.mu held.
+func (b *Broker) startTime(service string) time.Duration {
 	holdTime := b.queue(queueKey{service: service, role: roster.Prefill}).holdTime
 	return time.Duration(prefillMargin*holdTime*float64(time.Second)) + decodeStart
 }
--- a/internal/node/core/coordinate.go
+++ b/internal/node/core/coordinate.go
@@ -94,7 +94,7 @@
 		Number: r.Number, Request: r.Request, Service: r.Service, Rank: int32(r.Priority),
 		TargetMicroseconds: r.Target.Microseconds(), AimMicroseconds: r.StartWithin.Microseconds(),
 		PatienceMicroseconds: r.MaxWait.Microseconds(), LimitMicroseconds: r.TimeLeft.Microseconds(), Excluded: r.Excluded,
-		OwnTokens: uint32(r.OwnTokens),
+		OwnTokens: uint32(r.OwnTokens), Account: r.Account, OutputTokens: uint32(max(r.OutputTokens, 0)), Returning: r.Returning,
 	}
 	for _, p := range r.Chain {
 		m.Prefixes, m.PrefixTokens = append(m.Prefixes, p.Hash), append(m.PrefixTokens, uint32(p.Tokens))
@@ -107,7 +107,7 @@
 		Number: m.Number, Request: m.Request, Service: m.Service, Priority: int(m.Rank),
 		Target: microseconds(m.TargetMicroseconds), StartWithin: microseconds(m.AimMicroseconds),
 		MaxWait: microseconds(m.PatienceMicroseconds), TimeLeft: microseconds(m.LimitMicroseconds), Excluded: m.Excluded,
-		OwnTokens: int(m.OwnTokens),
+		OwnTokens: int(m.OwnTokens), Account: m.Account, OutputTokens: int(m.OutputTokens), Returning: m.Returning,
 	}
 	for i := range min(len(m.Prefixes), len(m.PrefixTokens)) {
 		r.Chain = append(r.Chain, kept.Part{Hash: m.Prefixes[i], Tokens: int(m.PrefixTokens[i])})
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -55,6 +55,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/meter"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
+	"ebonyscale.example/ebonyscale/internal/route/shed"
 	"ebonyscale.example/ebonyscale/internal/state/follow"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
@@ -103,7 +104,9 @@
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration
-	Log         *zap.Logger
+	// Admission selects what is delayed and rejected if there is too little capacity.
+	Admission shed.Policy
+	Log       *zap.Logger
 	// Seed seeds the random choices of Broker.
 	Seed uint64
 
@@ -172,7 +175,7 @@
 	n.carrier = newCarrier(n)
 	n.Broker = &broker.Broker{
 		Zone: n.Zone, Table: n.table.Load, Roster: &n.roster, Usage: &n.usage, Servers: n.Servers,
-		Peers: &n.peers, Name: n.Name, Coordination: n.coordination, RetryLimit: n.RetryLimit, Meters: n.Meters, Log: n.Log, Seed: n.Seed,
+		Peers: &n.peers, Name: n.Name, Coordination: n.coordination, RetryLimit: n.RetryLimit, Admission: n.Admission, Meters: n.Meters, Log: n.Log, Seed: n.Seed,
 		Announce: n.announceLeaving, Quarantine: n.quarantine, Origins: n.origins,
 	}
 	if n.Hops != nil {
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -19,6 +19,7 @@
 package admit
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -130,6 +131,10 @@
 // exponential decay. The zero value is ready to use. A Ledger is not safe for
 // concurrent use.
 type Ledger struct {
+	// HalfLife is the half-life of the decay; 0 means 10 s. It must not change once
+	// tokens are charged.
+	HalfLife time.Duration
+
 	accounts map[string]*usage
 	// total has the sums of the decayed tokens and of the shares of the accounts
 	// in the map.
@@ -143,7 +148,7 @@
 	at     time.Time
 }
 
-// halfLife is the half-life of the decay.
+// halfLife is the half-life of the decay if the Ledger sets none.
 const halfLife = 10 * time.Second
 
 // minUsage is the decayed usage, in tokens, below which Sweep removes an account.
@@ -151,7 +156,7 @@
 
 // decay applies the decay since the last call. If now is before the last call, it
 // only sets at to now.
-func (u *usage) decay(now time.Time) {
+func (u *usage) decay(now time.Time, halfLife time.Duration) {
 	if u.at.IsZero() || now.Before(u.at) {
 		u.at = now
 		return
@@ -160,6 +165,9 @@
 	u.at = now
 }
 
+// halfLife returns the half-life of the decay.
+func (l *Ledger) halfLife() time.Duration { return cmp.Or(l.HalfLife, halfLife) }
+
 // Charge adds tokens to the usage of an account. share is its configured share.
 func (l *Ledger) Charge(account string, share float64, tokens int, now time.Time) {
 	if l.accounts == nil {
@@ -172,9 +180,9 @@
 	}
 	l.total.share += share - u.share
 	u.share = share
-	u.decay(now)
+	u.decay(now, l.halfLife())
 	u.tokens += float64(tokens)
-	l.total.decay(now)
+	l.total.decay(now, l.halfLife())
 	l.total.tokens += float64(tokens)
 }
 
@@ -186,8 +194,8 @@
 	if u == nil {
 		return 0
 	}
-	u.decay(now)
-	l.total.decay(now)
+	u.decay(now, l.halfLife())
+	l.total.decay(now, l.halfLife())
 	if l.total.tokens <= 0 || u.share <= 0 {
 		return 0
 	}
@@ -199,7 +207,7 @@
 func (l *Ledger) Sweep(now time.Time) {
 	l.total = usage{at: now}
 	for name, u := range l.accounts {
-		u.decay(now)
+		u.decay(now, l.halfLife())
 		if u.tokens < minUsage {
 			delete(l.accounts, name)
 			continue
