--- a/internal/node/broker/shed.go
+++ b/internal/node/broker/shed.go
@@ -246,19 +246,28 @@
 		s.works = append(s.works, &w.cost.work)
 	}
 	s.refuse = s.refuse[:0]
-	rate, processes := 0.0, 1
+	rate := 0.0
 	if len(s.works) > 0 {
-		n := q.waiting[first].need
-		rate = v.throughput(n)
-		if !b.coordinates(n.key) {
-			processes = b.Peers.Live()
-		}
-		s.refuse = shed.Choose(now, s.works, s.stage.Room(now, rate, float64(v.first.peerLoad.Waiting), processes), s.refuse)
+		var ahead int
+		rate, ahead = b.ownRate(q, q.waiting[first].need, v)
+		s.refuse = shed.Choose(now, s.works, s.stage.Room(now, rate, float64(ahead)), s.refuse)
 	}
 	clear(s.works)
 	b.refuseChosen(now, q, first, arrival, rate)
 }
 
+// ownRate returns how many units per second are completed for the waiters of the queue,
+// and how many units are ahead of them. Without a coordinator each process orders its own
+// waiters, and gets permits in proportion to them (see mayAcquire). b.mu must be held.
+func (b *Broker) ownRate(q *queue, n need, v views) (rate float64, ahead int) {
+	rate = v.throughput(n)
+	if b.coordinates(n.key) {
+		return rate, v.first.peerLoad.Waiting
+	}
+	own := float64(q.held + q.waitingUnits())
+	return rate * own / max(own+float64(v.first.peerLoad.Running+v.first.peerLoad.Waiting), 1), 0
+}
+
 // refuseChosen rejects the waiters that shedQueue has chosen, whose indices count from
 // first, and the resumed streams before that have waited too long. b.mu must be held.
 func (b *Broker) refuseChosen(now time.Time, q *queue, first int, arrival *waiter, rate float64) {
--- a/internal/node/core/coordinate_test.go
+++ b/internal/node/core/coordinate_test.go
@@ -55,7 +55,7 @@
 		request := broker.PermitRequest{
 			Number: 7, Request: "r", Service: "s", Priority: 1, StartWithin: -time.Millisecond, MaxWait: 50 * time.Millisecond,
 			TimeLeft: time.Second, Excluded: []string{"i-1"}, OwnTokens: 700, Target: 200 * time.Millisecond,
-			Chain: []kept.Part{{Hash: 5, Tokens: 300}},
+			Chain: []kept.Part{{Hash: 5, Tokens: 300}}, Account: "a", OutputTokens: 72, Returning: true,
 		}
 		a.coordination.Request("b", request)
 		sent := deliver(a, b).PlaceRequests[0]
--- a/internal/route/shed/choose.go
+++ b/internal/route/shed/choose.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		needed := ahead + w.Units
-		late := now.Add(startsAfter(needed, room.left(w, false))).After(w.StartBy)
+		late := w.Returning || now.Add(startsAfter(needed, room.left(w, false))).After(w.StartBy)
 		if late && !w.Begun && now.Add(startsAfter(needed, room.left(w, true))).After(w.Latest) {
 			refuse = append(refuse, i)
 			continue
--- a/internal/route/shed/returns.go
+++ b/internal/route/shed/returns.go
@@ -61,7 +61,7 @@
 func RetryAfter(wait, left time.Duration, random uint64) time.Duration {
 	latest := min(time.Duration(thirdOfLeft*float64(left)), max(2*wait, shortestSpread))
 	if latest <= 0 {
-		return 0
+		return minRetryAfter
 	}
 	earliest := min(max(wait, minRetryAfter), latest/2)
 	return earliest + time.Duration(float64(latest-earliest)*float64(random>>11)/(1<<53))
--- a/internal/route/shed/shed.go
+++ b/internal/route/shed/shed.go
@@ -14,7 +14,9 @@
 //     them.
 //   - Fair shares: accounts with the lowest ratio of recent use to share come first.
 //   - Less work per request comes first. A request that returns after a rejection
-//     counts twice, so that it may be twice as large.
+//     counts twice, so that it may be twice as large. It is one that can't meet its
+//     latency target any more: if those that return came before all others of their
+//     priority, then nobody would be served at the first attempt in an overload.
 //
 // Ratios and work are compared by powers of two, so that small differences don't
 // matter, and equal requests are served in the order of the time at which they must
@@ -133,7 +135,7 @@
 		value++
 	}
 	value /= 2
-	if w.Late || now.After(w.StartBy) {
+	if w.late(now) {
 		value *= lateShare
 	} else {
 		value = lateShare + (1-lateShare)*value
@@ -145,6 +147,13 @@
 	return rank
 }
 
+// late reports whether the request can't meet its latency target any more. For its caller
+// the time of a request that returns counts from when it was sent first. A request that
+// has begun is never counted as late, since little work is left.
+func (w *Work) late(now time.Time) bool {
+	return !w.Begun && (w.Late || w.Returning || now.After(w.StartBy))
+}
+
 // share returns a value in [0, 1) that decreases first with the account's use and then
 // with the work.
 func share(w *Work) float64 {
--- a/internal/route/shed/stage.go
+++ b/internal/route/shed/stage.go
@@ -63,15 +63,14 @@
 	}
 }
 
-// Room returns the room for the requests of the stage. Several processes may serve the
-// same kind of request, each with its own Stage: processes is their number, and all are
-// assumed to get as many requests as this one.
-func (s *Stage) Room(now time.Time, rate, ahead float64, processes int) Room {
+// Room returns the room for the requests of the stage. rate is the part of the capacity
+// that this process may use if others have a Stage for the same queue.
+func (s *Stage) Room(now time.Time, rate, ahead float64) Room {
 	s.decay(now)
 	room := Room{Rate: rate, Ahead: ahead}
 	sum := 0.0
 	for i, units := range s.arrived {
-		sum += units * math.Ln2 / arrivalHalfLife.Seconds() * float64(max(processes, 1))
+		sum += units * math.Ln2 / arrivalHalfLife.Seconds()
 		room.Arriving[i] = sum
 	}
 	return room
