table, roster, scale: first version of the decision on orders for backend servers

Nothing parsed Scaling or knew spot servers. Change: table.Service.Scaling with faults that name service and key, roster.Server.Spot, and the pure package plan/scale: on-demand servers for the mean load, spot servers for bursts, lowering in steps. Conclusion: the interface (Order, State, Decide) can be used by the duty's client.

--- a/internal/config/table/table.go
+++ b/internal/config/table/table.go
@@ -117,6 +117,8 @@
 	TokenGapTarget time.Duration
 	// Engine is set if the backend servers are model engines.
 	Engine *Engine
+	// Scaling is set if backend servers of the service may be ordered.
+	Scaling *Scaling
 }
 
 // Limits bound what a client may send: sizes in bytes, the time until the header
@@ -133,6 +135,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Faults are the parts of the configuration that are not used because they are
+	// invalid. The rest of the table is valid without them.
+	Faults []Fault
 
 	// routes maps host and prefix to the route.
 	routes map[string]*Route
@@ -190,6 +195,8 @@
 		Slots, CacheTokens, TokenBytes float64
 		HandleSeconds, SwitchSeconds   float64
 	}
+	// Scaling is parsed by itself, so that a fault in it loses nothing else.
+	Scaling json.RawMessage
 }
 
 // Parse parses the JSON form of a table. Errors wrap ErrInvalid.
@@ -210,7 +217,10 @@
 		routes: make(map[string]*Route, len(d.Routes)),
 	}
 	for _, s := range d.Services {
-		t.Services[s.Name] = s.service()
+		service := s.service()
+		scaling, faults := parseScaling(s.Name, s.Scaling)
+		service.Scaling, t.Faults = scaling, append(t.Faults, faults...)
+		t.Services[s.Name] = service
 	}
 	for i, r := range d.Routes {
 		route, err := r.route()
--- a/internal/fleet/roster/server.go
+++ b/internal/fleet/roster/server.go
@@ -49,6 +49,8 @@
 	Slots int
 	State State
 	Role  Role
+	// Spot is set if the platform may reclaim the VM at any time.
+	Spot bool
 	// WarmupLeft is how much longer it is slow after its start.
 	WarmupLeft time.Duration
 	// Sequence grows with each report of an incarnation.
@@ -77,6 +79,7 @@
 		Version                            string
 		State                              State
 		Role                               Role
+		Spot                               bool
 		Slots                              float64
 		ColdLeftMs                         float64
 		Sequence                           float64
@@ -106,7 +109,7 @@
 	}
 	return Server{
 		ID: id, Born: int64(*d.Born), Service: d.Service, Address: address, Zone: d.AvailabilityZone, Version: d.Version,
-		Slots: int(d.Slots), State: d.State, Role: d.Role, Sequence: uint64(d.Sequence),
+		Slots: int(d.Slots), State: d.State, Role: d.Role, Spot: d.Spot, Sequence: uint64(d.Sequence),
 		WarmupLeft: time.Duration(max(d.ColdLeftMs, 0) * float64(time.Millisecond)),
 	}, nil
 }
--- /dev/null
+++ b/internal/plan/scale/decide.go
@@ -0,0 +1,240 @@
+package scale
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+)
+
+// Decide returns the orders that are due. The state takes them as sent; the outcome of
+// each must be recorded with Record before the next call.
+func Decide(now time.Time, s *State) []Order {
+	var orders []Order
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		v := s.services[name]
+		p, ok := v.plan()
+		if !ok {
+			continue
+		}
+		p.noteExcess(now)
+		if s.learning(now) {
+			continue
+		}
+		orders = append(orders, v.repeats(now)...)
+		orders = append(orders, p.raise(now)...)
+		orders = append(orders, p.lower(now)...)
+	}
+	return orders
+}
+
+// repeats returns the orders whose outcome is unknown and that are due again.
+func (v *service) repeats(now time.Time) []Order {
+	var list []Order
+	for _, u := range v.subjects {
+		if u.unsettled != nil && !now.Before(u.retryAt) {
+			list = append(list, *u.unsettled)
+		}
+	}
+	slices.SortFunc(list, func(a, b Order) int { return compare(a.Subject, b.Subject) })
+	return list
+}
+
+// plan is the comparison of what a service has with what it needs.
+type plan struct {
+	*service
+	zones []string
+	roles []roster.Role
+	needs needs
+	// onDemand and spot are the servers in the zones that are not cut off.
+	onDemand, spot fleet
+	// wantOnDemand and wantSpot are the numbers to be reached, limitOnDemand that below
+	// which on-demand servers are raised.
+	wantOnDemand, limitOnDemand, wantSpot int
+	// cutOff is set if a zone is.
+	cutOff bool
+}
+
+// plan compares what the service has with what it needs. It returns false if nothing is
+// known or no zone can be decided about.
+func (v *service) plan() (*plan, bool) {
+	p := &plan{service: v, zones: v.byPrice(), roles: v.roles()}
+	if len(p.zones) == 0 || len(p.roles) == 0 {
+		return nil, false
+	}
+	p.cutOff = len(p.zones) < len(v.Scaling.ZonePrices)
+	share := v.shares(p.roles)
+	p.onDemand, p.spot = fleet{Counts{}, share}, fleet{Counts{}, share}
+	for _, z := range v.Zones {
+		if z.Silent < silentShare {
+			p.onDemand.ready.add(z.OnDemand)
+			p.spot.ready.add(z.Spot)
+		}
+	}
+	p.needs = v.needs(p.roles)
+	limit := v.Scaling.Max * len(p.zones)
+	alone := func(n need) int {
+		return least(len(p.zones), limit, func(k int) bool {
+			return n.met(func(r roster.Role) float64 { return p.onDemand.expect(r, k) })
+		})
+	}
+	p.wantOnDemand, p.limitOnDemand = alone(p.needs.base), alone(p.needs.limit)
+	p.wantSpot = least(0, max(limit-p.wantOnDemand, 0), p.enoughSpot)
+	return p, true
+}
+
+// enoughSpot reports whether n spot servers beside the wanted on-demand ones are enough,
+// also without those of the zone that has the most.
+func (p *plan) enoughSpot(n int) bool {
+	remaining := n - (n+len(p.zones)-1)/len(p.zones)
+	carries := func(n int) func(roster.Role) float64 {
+		return func(r roster.Role) float64 { return p.onDemand.expect(r, p.wantOnDemand) + p.spot.expect(r, n) }
+	}
+	return p.needs.peak.met(carries(n)) && p.needs.loss.met(carries(remaining))
+}
+
+// desired returns the number of servers of a kind that are ordered in the zones.
+func (p *plan) desired(spot bool) int {
+	n := 0
+	for _, zone := range p.zones {
+		n += p.subject(zone, spot).desired
+	}
+	return n
+}
+
+// noteExcess records since when there are more servers than needed.
+func (p *plan) noteExcess(now time.Time) {
+	note := func(since *time.Time, excess bool) {
+		switch {
+		case !excess:
+			*since = time.Time{}
+		case since.IsZero():
+			*since = now
+		}
+	}
+	note(&p.excessOnDemand, p.desired(false) > p.wantOnDemand)
+	note(&p.excessSpot, float64(p.desired(true)) > float64(p.wantSpot)*spotSlack)
+}
+
+// raise returns the orders for more servers.
+func (p *plan) raise(now time.Time) []Order {
+	orders := p.raiseSpot(now)
+	if n := p.desired(false); n < p.limitOnDemand && !p.cutOff {
+		orders = append(orders, p.add(now, false, p.wantOnDemand-n, p.reason("on-demand servers are to carry the mean load alone", p.needs.base))...)
+	}
+	orders = append(orders, p.raiseFallback(now)...)
+	return append(orders, p.raiseToMin(now)...)
+}
+
+// raiseSpot returns the orders for spot servers. One more alone waits until the last ones
+// have booted.
+func (p *plan) raiseSpot(now time.Time) []Order {
+	missing := p.wantSpot - p.desired(true)
+	if missing <= 0 || missing == 1 && now.Sub(p.raisedSpotAt) < p.Scaling.BootTime+bootSlack {
+		return nil
+	}
+	orders := p.add(now, true, missing, p.reason("headroom for bursts", p.needs.peak))
+	if len(orders) > 0 {
+		p.raisedSpotAt = now
+	}
+	return orders
+}
+
+// raiseFallback returns the orders for on-demand servers that the present load needs
+// beyond all that are ordered, because spot servers are not to be had.
+func (p *plan) raiseFallback(now time.Time) []Order {
+	ordered, spot := p.desired(false), p.desired(true)
+	carries := func(n int) func(roster.Role) float64 {
+		return func(r roster.Role) float64 { return p.onDemand.expect(r, n) + p.spot.expect(r, spot) }
+	}
+	if p.needs.fallbackLimit.met(carries(ordered)) {
+		return nil
+	}
+	n := least(ordered, p.Scaling.Max*len(p.zones), func(n int) bool { return p.needs.fallback.met(carries(n)) })
+	return p.add(now, false, n-ordered, p.reason("the present load, as spot servers are missing", p.needs.fallback))
+}
+
+// raiseToMin returns the orders for zones that have fewer servers than Min.
+func (p *plan) raiseToMin(now time.Time) []Order {
+	var orders []Order
+	for _, zone := range p.zones {
+		u := p.subject(zone, false)
+		missing := p.Scaling.Min - u.desired - p.subject(zone, true).desired
+		if missing > 0 && !u.blocked(now) {
+			s := &spread{service: p.service, changed: map[*subject]int{u: missing}}
+			orders = append(orders, s.orders("the zone has fewer servers than Min")...)
+		}
+	}
+	return orders
+}
+
+// add returns the orders for n more servers of a kind, as far as the zones may get them.
+func (p *plan) add(now time.Time, spot bool, n int, reason string) []Order {
+	s := p.newSpread(p.zones, spot, p.desired(spot)+max(n, 0))
+	for range n {
+		if !s.change(now, 1) {
+			break
+		}
+	}
+	return s.orders(reason)
+}
+
+// lower returns the orders for fewer servers: on-demand ones first, which cost more.
+func (p *plan) lower(now time.Time) []Order {
+	if now.Sub(p.firstLoad) < keepFor || now.Sub(p.loweredAt) < stepEvery {
+		return nil
+	}
+	orders := p.lowerKind(now, false, p.wantOnDemand, p.excessOnDemand, lowFor)
+	if len(orders) == 0 {
+		orders = p.lowerKind(now, true, p.wantSpot, p.excessSpot, spotLowFor)
+	}
+	if len(orders) > 0 {
+		p.loweredAt = now
+	}
+	return orders
+}
+
+// lowerKind returns the orders for one step of a kind down to the number wanted.
+func (p *plan) lowerKind(now time.Time, spot bool, want int, since time.Time, wait time.Duration) []Order {
+	if since.IsZero() || now.Sub(since) < wait {
+		return nil
+	}
+	step := min(p.desired(spot)-want, p.dispensable())
+	s := p.newSpread(p.zones, spot, want)
+	for range step {
+		if !s.change(now, -1) {
+			break
+		}
+	}
+	return s.orders(p.reason("the load has been lower", p.needs.base))
+}
+
+// dispensable returns how many of the ready servers may leave in one step.
+func (p *plan) dispensable() int {
+	all := fleet{ready: Counts{}}
+	all.ready.add(p.onDemand.ready)
+	all.ready.add(p.spot.ready)
+	total := all.ready.total()
+	n := int(float64(total) * stepShare)
+	enough := func(n int) bool {
+		return p.needs.steady.met(func(r roster.Role) float64 { return all.expect(r, total-n) }) &&
+			p.needs.safe.met(func(r roster.Role) float64 { return float64(all.ready[r] - n) })
+	}
+	for ; n > 0 && !enough(n); n-- {
+	}
+	return n
+}
+
+// reason explains an order by the loads and what they need.
+func (p *plan) reason(text string, n need) string {
+	for _, r := range p.roles {
+		name := string(r)
+		if name == "" {
+			name = "load"
+		}
+		text += fmt.Sprintf("; %s %.1f, mean %.1f, needs %.1f", name, p.needs.now[r], p.needs.mean[r], n[r])
+	}
+	return text
+}
--- /dev/null
+++ b/internal/plan/scale/policy.go
@@ -0,0 +1,101 @@
+package scale
+
+import "time"
+
+// Thresholds of the decision. Utilisations are fractions of the slots of decode engines
+// and plain backend servers, and of the time of prefill engines.
+const (
+	// horizon is how long the highest load counts. It covers the longest known bursts
+	// (15 s) and the boot time after them.
+	horizon = 20 * time.Second
+	// meanWindow is the time constant of the mean load. It is longer than a burst, so that
+	// on-demand servers do not follow bursts.
+	meanWindow = 30 * time.Second
+	// averageOver is the span of one load value. Load above target for this long is acted
+	// upon; shorter peaks are queued.
+	averageOver = time.Second
+	// learnFor is how long a new holder only learns: about three status messages of each
+	// peer at 117 processes.
+	learnFor = 3 * time.Second
+	// keepFor is how long after the first load nothing is lowered below the present number.
+	keepFor = 10 * time.Second
+)
+
+// Capacity of both kinds together.
+const (
+	// peakUtilisation is the target at the highest load of the horizon.
+	peakUtilisation = 0.5
+	// burstFactor is how much a burst exceeds the mean load (1.5 to 2.5 were seen), and
+	// burstUtilisation the target in such a burst: above it, prefills queue up. Bursts end
+	// before servers ordered in them serve, so the capacity for them is always held.
+	burstFactor      = 2.5
+	burstUtilisation = 0.75
+	// lossUtilisation is the utilisation at the present load after the loss of all spot
+	// servers of the zone that has the most.
+	lossUtilisation = 0.95
+	// minPerRole is the least number of servers of each role in use: one may fail.
+	minPerRole = 2
+)
+
+// On-demand capacity.
+const (
+	// baseUtilisation is the target of on-demand servers alone at the mean load. They
+	// are raised again from baseLimit on; the range between prevents swings.
+	baseUtilisation = 0.8
+	baseLimit       = 0.95
+	// onDemandShare is the least share of on-demand servers in the capacity held for
+	// bursts of the mean load.
+	onDemandShare = 0.3
+	// fallbackUtilisation is the target for the present load while spot servers are not
+	// available. It leaves little headroom, since that would cost the full price. It applies
+	// from fallbackLimit on; the range between prevents swings.
+	fallbackUtilisation = 0.7
+	fallbackLimit       = 0.85
+	// zoneShare is the least share of its even part of the on-demand servers that a zone
+	// gets whatever its price, zoneExcess the most: a zone that is cut off serves alone.
+	zoneShare  = 0.5
+	zoneExcess = 1.5
+)
+
+// Lowering.
+const (
+	// lowFor is how long fewer on-demand servers must have been enough before they are
+	// lowered, spotLowFor the same for spot servers, which are cheap to keep.
+	lowFor     = 10 * time.Second
+	spotLowFor = 20 * time.Second
+	// spotSlack is the excess of spot servers, as a factor, that is kept.
+	spotSlack = 1.25
+	// stepShare bounds one step to this share of all servers, stepEvery is the least time
+	// between two: the servers that leave, and their roles, are seen before the next.
+	stepShare = 0.25
+	stepEvery = 3 * time.Second
+	// safeUtilisation is the utilisation of each role at the present load even if all
+	// servers that leave have that role.
+	safeUtilisation = 0.9
+	// silentShare is the share of silent processes of a zone from which it counts as cut
+	// off.
+	silentShare = 0.25
+)
+
+// Orders.
+const (
+	// bootSlack is the time beyond the boot time within which ordered servers are
+	// expected. Until then small changes of an order wait.
+	bootSlack = 2 * time.Second
+	// noneLeftPause is the pause of a zone and kind after it had no capacity,
+	// reclaimPause that for spot servers after a reclaim: another one often follows, and
+	// 10 s without capacity were seen.
+	noneLeftPause = 5 * time.Second
+	reclaimPause  = 15 * time.Second
+	// retryPause is the pause before an order is sent again whose outcome is unknown or
+	// that hit the rate limit.
+	retryPause = 500 * time.Millisecond
+)
+
+// Roles of new servers.
+const (
+	// prefillShare is the expected share of prefill engines among new engines.
+	// priorServers is its weight beside the servers present.
+	prefillShare = 0.3
+	priorServers = 10
+)
--- /dev/null
+++ b/internal/plan/scale/state.go
@@ -0,0 +1,226 @@
+package scale
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is what a holder has learnt. Start must be called before the other methods.
+type State struct {
+	started  time.Time
+	saved    map[Subject]SavedEntry
+	services map[string]*service
+}
+
+// service is the state of one service.
+type service struct {
+	Observation
+	history  history
+	subjects map[Subject]*subject
+	// excessOnDemand and excessSpot are since when fewer servers of the kind would have
+	// been enough; zero if they would not.
+	excessOnDemand, excessSpot time.Time
+	// raisedSpotAt is when spot servers were last ordered, loweredAt when a number was last
+	// lowered.
+	raisedSpotAt, loweredAt time.Time
+	// firstLoad is when load was first seen.
+	firstLoad time.Time
+}
+
+// subject is the state of one kind in one zone.
+type subject struct {
+	Subject
+	// desired is the number last ordered, or the number present if none was; before is
+	// that before the last order, to which an order without effect returns.
+	desired, before int
+	ready, leaving  int
+	orderedAt       time.Time
+	// shortSince is since when fewer servers than desired are ready; zero if enough are.
+	shortSince time.Time
+	// pausedUntil is until when no order is sent.
+	pausedUntil time.Time
+	// unsettled is the order whose outcome is unknown; it is repeated from retryAt on.
+	unsettled *Order
+	retryAt   time.Time
+}
+
+// Start forgets everything but what the last holder has saved. It is called when this
+// process becomes the holder.
+func (s *State) Start(now time.Time, saved Saved) {
+	*s = State{started: now, saved: map[Subject]SavedEntry{}, services: map[string]*service{}}
+	for _, e := range saved.Entries {
+		s.saved[e.Subject] = e
+	}
+}
+
+// Observe records what is seen of all services that may be scaled. A service that is not
+// among them any more is forgotten.
+func (s *State) Observe(now time.Time, observations []Observation) {
+	seen := map[string]bool{}
+	for _, o := range observations {
+		seen[o.Service] = true
+		v, ok := s.services[o.Service]
+		if !ok {
+			v = &service{subjects: map[Subject]*subject{}, firstLoad: now}
+			s.services[o.Service] = v
+		}
+		v.Observation = o
+		v.history.observe(now, o.Load)
+		for zone := range o.Scaling.ZonePrices {
+			s.observeZone(now, v, zone)
+		}
+		for key := range v.subjects {
+			if _, ok := o.Scaling.ZonePrices[key.AvailabilityZone]; !ok {
+				delete(v.subjects, key)
+			}
+		}
+	}
+	for name := range s.services {
+		if !seen[name] {
+			delete(s.services, name)
+		}
+	}
+}
+
+// observeZone updates both subjects of a zone.
+func (s *State) observeZone(now time.Time, v *service, zone string) {
+	z := v.Zones[zone]
+	for _, spot := range []bool{false, true} {
+		key := Subject{v.Service, zone, spot}
+		u, ok := v.subjects[key]
+		if !ok {
+			u = &subject{Subject: key}
+			v.subjects[key] = u
+		}
+		leaving := 0
+		if spot {
+			leaving = z.SpotLeaving
+		}
+		if !ok || s.learning(now) {
+			u.adopt(s.started, z.ready(spot), leaving, s.saved[key])
+			continue
+		}
+		u.observe(now, z.ready(spot), leaving, v.Scaling.BootTime+bootSlack)
+	}
+}
+
+// learning reports whether the holder is new and orders nothing.
+func (s *State) learning(now time.Time) bool { return now.Sub(s.started) < learnFor }
+
+// adopt takes the servers present, or those that the last holder ordered if there are
+// more, as ordered. A record from an older copy of the store then lowers nothing.
+func (u *subject) adopt(started time.Time, ready, leaving int, saved SavedEntry) {
+	u.ready, u.leaving, u.desired = ready, leaving, max(ready, saved.Desired)
+	u.pausedUntil = started.Add(min(max(saved.PausedFor, 0), reclaimPause))
+	if u.desired > ready {
+		u.orderedAt = started
+	}
+}
+
+// observe updates the subject with the numbers of ready and leaving servers. Ordered
+// servers are expected within the patience.
+func (u *subject) observe(now time.Time, ready, leaving int, patience time.Duration) {
+	unasked := u.ready - ready - max(u.ready-u.desired, 0)
+	reclaimed := u.Spot && unasked > 0 && leaving > u.leaving
+	u.ready, u.leaving = ready, leaving
+	if reclaimed {
+		// Those that still boot are in a zone that has no capacity now.
+		u.desired, u.unsettled = ready, nil
+		u.pausedUntil = later(u.pausedUntil, now.Add(reclaimPause))
+	}
+	switch {
+	case u.unsettled != nil:
+	case ready >= u.desired:
+		u.shortSince = time.Time{}
+		if ready > u.desired && now.Sub(u.orderedAt) > patience {
+			// Lowered servers would have left by now: these came unasked.
+			u.desired = ready
+		}
+	case u.shortSince.IsZero():
+		u.shortSince = now
+	case now.Sub(later(u.shortSince, u.orderedAt)) > patience:
+		u.desired, u.shortSince = ready, time.Time{}
+	}
+}
+
+// coming returns the number of ordered servers that are not ready yet.
+func (u *subject) coming() int { return max(u.desired-u.ready, 0) }
+
+// blocked reports whether nothing may be ordered now.
+func (u *subject) blocked(now time.Time) bool {
+	return now.Before(u.pausedUntil) || u.unsettled != nil
+}
+
+// Record records the outcome of an order that Decide returned.
+func (s *State) Record(now time.Time, order Order, outcome Outcome) {
+	v, ok := s.services[order.Service]
+	if !ok {
+		return
+	}
+	u, ok := v.subjects[order.Subject]
+	if !ok {
+		return
+	}
+	switch {
+	case outcome == Done:
+		u.unsettled, u.orderedAt = nil, now
+	case outcome == Unknown:
+		u.unsettled, u.retryAt, u.orderedAt = &order, now.Add(retryPause), now
+	case u.unsettled != nil && (outcome == RateLimited || outcome == NotSent):
+		// An earlier sending may have had an effect.
+		u.retryAt = now.Add(retryPause)
+	case outcome == RateLimited || outcome == NotSent:
+		u.revert(now, retryPause)
+	default:
+		u.revert(now, noneLeftPause)
+	}
+}
+
+// revert undoes an order that had no effect. A repeated one that is refused had none
+// before either, else it would have been confirmed.
+func (u *subject) revert(now time.Time, pause time.Duration) {
+	u.unsettled, u.desired = nil, u.before
+	u.pausedUntil = later(u.pausedUntil, now.Add(pause))
+}
+
+// Saved returns what the next holder needs.
+func (s *State) Saved(now time.Time) Saved {
+	var saved Saved
+	for _, v := range s.services {
+		for key, u := range v.subjects {
+			saved.Entries = append(saved.Entries, SavedEntry{Subject: key, Desired: u.desired, PausedFor: max(u.pausedUntil.Sub(now), 0)})
+		}
+	}
+	slices.SortFunc(saved.Entries, func(a, b SavedEntry) int { return compare(a.Subject, b.Subject) })
+	return saved
+}
+
+// compare orders subjects by service, zone and kind.
+func compare(a, b Subject) int {
+	kind := func(s Subject) int {
+		if s.Spot {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(kind(a), kind(b)))
+}
+
+// Totals returns the numbers of servers of a service that are desired and ready.
+func (s *State) Totals(name string) (desired, ready int) {
+	if v, ok := s.services[name]; ok {
+		for _, u := range v.subjects {
+			desired, ready = desired+u.desired, ready+u.ready
+		}
+	}
+	return desired, ready
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
