--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -368,6 +368,20 @@
 	return list
 }
 
+// All returns the backend servers of a service in any state, sorted by ID.
+func (r *Roster) All(service string) []Server {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var list []Server
+	for _, e := range r.entries {
+		if e.server.Service == service {
+			list = append(list, e.server)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
+	return list
+}
+
 // Find returns the known incarnation of a backend server, the zero Server if
 // there is none, and whether it is the one that started at born and is ready.
 func (r *Roster) Find(id string, born int64) (Server, bool) {
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -35,6 +35,12 @@
 	return xxhash.Sum64String(fmt.Sprint(k.service, "/", k.role, "/", int(k.work)))
 }
 
+// QueueHash returns the hash that identifies the queue for a kind of work at the backend
+// servers of a service with a role, in Queues and in messages between processes.
+func QueueHash(service string, role roster.Role, work usage.Work) uint64 {
+	return queueKey{service, role, work}.hash()
+}
+
 // queue holds the requests that wait for a permit, and the permits issued.
 type queue struct {
 	waiting []*waiter
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -30,6 +30,7 @@
 //	Fetch      gets a configuration from a peer that has a newer one
 //	Reach      reconnects to unreachable backend servers
 //	Tick       handles timeouts and dispatches queued requests
+//	Scale      orders backend servers while this process holds the duty, if that is on
 package core
 
 import (
@@ -56,6 +57,7 @@
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 	"ebonyscale.example/ebonyscale/internal/state/follow"
+	"ebonyscale.example/ebonyscale/internal/state/orders"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
@@ -103,7 +105,11 @@
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration
-	Log         *zap.Logger
+	// Authority says whether this process holds the duties, Orderer sends orders for
+	// backend servers. Without both, none are ordered.
+	Authority orders.Authority
+	Orderer   orders.Orderer
+	Log       *zap.Logger
 	// Seed seeds the random choices of Broker.
 	Seed uint64
 
@@ -252,6 +258,9 @@
 	for i := range recordTasks {
 		tasks = append(tasks, task.Task{Name: fmt.Sprint("Record", i+1), Do: n.origins.recorder.Run})
 	}
+	if n.Authority != nil && n.Orderer != nil {
+		tasks = append(tasks, task.Task{Name: "Scale", Do: n.scaling().Run})
+	}
 	return task.Run(ctx, n.Name, n.taskRestarted, tasks)
 }
 
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -50,6 +50,9 @@
 	}
 	n.Log.Info("configuration is active", zap.Uint64("Version", t.Version), zap.Uint64("Before", previous),
 		zap.String("Source", source), zap.Int("Routes", len(t.Routes)))
+	for _, f := range t.Faults {
+		n.Log.Error("part of the configuration is not used", zap.Uint64("Version", t.Version), zap.String("error", short(f.String())))
+	}
 	n.Meters.Add("TableChanges", 1)
 	n.Broker.Dispatch(time.Now())
 }
--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -24,8 +25,11 @@
 			continue
 		}
 		orders = append(orders, v.repeats(now)...)
-		orders = append(orders, p.raise(now)...)
-		orders = append(orders, p.lower(now)...)
+		more := p.raise(now)
+		if len(more) == 0 {
+			more = p.lower(now)
+		}
+		orders = append(orders, more...)
 	}
 	return orders
 }
@@ -51,7 +55,9 @@
 	// onDemand and spot are the servers in the zones that are not cut off.
 	onDemand, spot fleet
 	// wantOnDemand and wantSpot are the numbers to be reached, limitOnDemand that below
-	// which on-demand servers are raised.
+	// which on-demand servers are raised. They follow from the usual shares of the roles,
+	// and within roleExcess from the roles that the on-demand servers happen to have: if one
+	// is rare by chance, spot servers of that role cost less than on-demand ones.
 	wantOnDemand, limitOnDemand, wantSpot int
 	// cutOff is set if a zone is.
 	cutOff bool
@@ -68,20 +74,24 @@
 	share := v.shares(p.roles)
 	p.onDemand, p.spot = fleet{Counts{}, share}, fleet{Counts{}, share}
 	for _, z := range v.Zones {
-		if z.Silent < silentShare {
+		if z.Silent < cutOffShare {
 			p.onDemand.ready.add(z.OnDemand)
 			p.spot.ready.add(z.Spot)
 		}
 	}
 	p.needs = v.needs(p.roles)
 	limit := v.Scaling.Max * len(p.zones)
-	alone := func(n need) int {
-		return least(len(p.zones), limit, func(k int) bool {
-			return n.met(func(r roster.Role) float64 { return p.onDemand.expect(r, k) })
+	least := func(n need, f fleet) int {
+		return smallest(len(p.zones), limit, func(k int) bool {
+			return n.met(func(r roster.Role) float64 { return f.expect(r, k) })
 		})
 	}
-	p.wantOnDemand, p.limitOnDemand = alone(p.needs.base), alone(p.needs.limit)
-	p.wantSpot = least(0, max(limit-p.wantOnDemand, 0), p.enoughSpot)
+	usual := fleet{share: share}
+	base, limitByShare := least(p.needs.base, usual), least(p.needs.limit, usual)
+	highest := int(math.Ceil(float64(base) * roleExcess))
+	p.wantOnDemand = max(base, min(least(p.needs.limit, p.onDemand), highest))
+	p.limitOnDemand = max(limitByShare, min(least(p.needs.roles, p.onDemand), highest))
+	p.wantSpot = smallest(0, max(limit-p.wantOnDemand, 0), p.enoughSpot)
 	return p, true
 }
 
@@ -114,18 +124,18 @@
 			*since = now
 		}
 	}
-	note(&p.excessOnDemand, p.desired(false) > p.wantOnDemand)
+	note(&p.excessOnDemand, float64(p.desired(false)) > float64(p.wantOnDemand)*onDemandSlack)
 	note(&p.excessSpot, float64(p.desired(true)) > float64(p.wantSpot)*spotSlack)
 }
 
 // raise returns the orders for more servers.
 func (p *plan) raise(now time.Time) []Order {
 	orders := p.raiseSpot(now)
-	if n := p.desired(false); n < p.limitOnDemand && !p.cutOff {
-		orders = append(orders, p.add(now, false, p.wantOnDemand-n, p.reason("on-demand servers are to carry the mean load alone", p.needs.base))...)
+	onDemand := p.raiseOnDemand(now)
+	if len(onDemand) == 0 {
+		onDemand = p.raiseToMin(now)
 	}
-	orders = append(orders, p.raiseFallback(now)...)
-	return append(orders, p.raiseToMin(now)...)
+	return append(orders, onDemand...)
 }
 
 // raiseSpot returns the orders for spot servers. One more alone waits until the last ones
@@ -142,18 +152,35 @@
 	return orders
 }
 
-// raiseFallback returns the orders for on-demand servers that the present load needs
-// beyond all that are ordered, because spot servers are not to be had.
-func (p *plan) raiseFallback(now time.Time) []Order {
-	ordered, spot := p.desired(false), p.desired(true)
+// raiseOnDemand returns the orders for on-demand servers: for the mean load, or for the
+// present load because spot servers are missing, whichever needs more. What a zone that is
+// cut off serves is part of the mean, so that this says nothing then.
+func (p *plan) raiseOnDemand(now time.Time) []Order {
+	ordered := p.desired(false)
+	want, reason := ordered, ""
+	if ordered < p.limitOnDemand && !p.cutOff {
+		want, reason = p.wantOnDemand, p.reason("on-demand servers are to carry the mean load alone", p.needs.base)
+	}
+	if n := p.fallback(ordered); n > want {
+		want, reason = n, p.reason("the present load, as spot servers are missing", p.needs.fallback)
+	}
+	if want == ordered {
+		return nil
+	}
+	return p.add(now, false, want-ordered, reason)
+}
+
+// fallback returns the number of on-demand servers that the present load needs beside
+// the spot servers that are ordered, at least the number ordered.
+func (p *plan) fallback(ordered int) int {
+	spot := p.desired(true)
 	carries := func(n int) func(roster.Role) float64 {
 		return func(r roster.Role) float64 { return p.onDemand.expect(r, n) + p.spot.expect(r, spot) }
 	}
 	if p.needs.fallbackLimit.met(carries(ordered)) {
-		return nil
+		return ordered
 	}
-	n := least(ordered, p.Scaling.Max*len(p.zones), func(n int) bool { return p.needs.fallback.met(carries(n)) })
-	return p.add(now, false, n-ordered, p.reason("the present load, as spot servers are missing", p.needs.fallback))
+	return smallest(ordered, p.Scaling.Max*len(p.zones), func(n int) bool { return p.needs.fallback.met(carries(n)) })
 }
 
 // raiseToMin returns the orders for zones that have fewer servers than Min.
--- a/internal/plan/scale/need.go
+++ b/internal/plan/scale/need.go
@@ -17,8 +17,9 @@
 	// peak is what carries the highest load of the horizon and bursts of the mean load,
 	// steady the latter alone.
 	peak, steady need
-	// base is the on-demand part; it is raised to it when it is below limit.
-	base, limit need
+	// base is the on-demand part; it is raised to it when it is below limit, or, with the
+	// roles that on-demand servers happen to have, below roles.
+	base, limit, roles need
 	// fallback is the least capacity for the present load without spot servers to order; it
 	// is raised to it when it is below fallbackLimit.
 	fallback, fallbackLimit need
@@ -29,7 +30,7 @@
 
 // needs returns what the service needs for the loads of the roles.
 func (v *service) needs(roles []roster.Role) needs {
-	n := needs{need{}, need{}, need{}, need{}, need{}, need{}, need{}, need{}, need{}, need{}}
+	n := needs{need{}, need{}, need{}, need{}, need{}, need{}, need{}, need{}, need{}, need{}, need{}}
 	for _, r := range roles {
 		now, mean := v.history.now(r), v.history.mean[r]
 		n.now[r], n.mean[r] = now, mean
@@ -37,6 +38,7 @@
 		n.peak[r] = max(v.history.peak(r)/peakUtilisation, n.steady[r])
 		n.base[r] = max(mean/baseUtilisation, n.steady[r]*onDemandShare, minPerRole)
 		n.limit[r] = max(mean/baseLimit, minPerRole)
+		n.roles[r] = max(mean/roleLimit, 1)
 		n.fallback[r] = max(now, mean) / fallbackUtilisation
 		n.fallbackLimit[r] = max(now, mean) / fallbackLimit
 		n.loss[r] = now / lossUtilisation
@@ -74,9 +76,9 @@
 	return have * float64(n) / float64(total)
 }
 
-// least returns the smallest number from low on up to high for which enough holds, high
+// smallest returns the smallest number from low on up to high for which enough holds, high
 // if it holds for none.
-func least(low, high int, enough func(n int) bool) int {
+func smallest(low, high int, enough func(n int) bool) int {
 	for n := low; n < high; n++ {
 		if enough(n) {
 			return n
@@ -103,8 +105,12 @@
 }
 
 // shares returns the expected shares of the roles among new servers: those of the
-// servers present and of a prior.
+// servers first seen and of a prior. They are not updated by the servers that came since:
+// if few of these have a role by chance, it will not be rarer among the next.
 func (v *service) shares(roles []roster.Role) need {
+	if len(v.share) == len(roles) {
+		return v.share
+	}
 	counts := Counts{}
 	for _, z := range v.Zones {
 		counts.add(z.OnDemand)
@@ -123,6 +129,7 @@
 	for r := range sum {
 		sum[r] /= total
 	}
+	v.share = sum
 	return sum
 }
 
--- a/internal/plan/scale/policy.go
+++ b/internal/plan/scale/policy.go
@@ -8,9 +8,9 @@
 	// horizon is how long the highest load counts. It covers the longest known bursts
 	// (15 s) and the boot time after them.
 	horizon = 20 * time.Second
-	// meanWindow is the time constant of the mean load. It is longer than a burst, so that
+	// meanWindow is the time constant of the mean load. It is many times a burst, so that
 	// on-demand servers do not follow bursts.
-	meanWindow = 30 * time.Second
+	meanWindow = 90 * time.Second
 	// averageOver is the span of one load value. Load above target for this long is acted
 	// upon; shorter peaks are queued.
 	averageOver = time.Second
@@ -39,10 +39,16 @@
 
 // On-demand capacity.
 const (
-	// baseUtilisation is the target of on-demand servers alone at the mean load. They
-	// are raised again from baseLimit on; the range between prevents swings.
-	baseUtilisation = 0.8
-	baseLimit       = 0.95
+	// baseUtilisation is the target of on-demand servers alone at the mean load, which
+	// includes bursts: between bursts it is about three quarters of that. They are raised
+	// again from baseLimit on; the range between prevents swings.
+	baseUtilisation = 0.9
+	baseLimit       = 1.05
+	// roleLimit is the utilisation from which they are raised because few of them have a
+	// role by chance, roleExcess the bound of that, as a factor. Spot servers carry that
+	// load; without them the fallback does, after the boot time.
+	roleLimit  = 1.2
+	roleExcess = 1.25
 	// onDemandShare is the least share of on-demand servers in the capacity held for
 	// bursts of the mean load.
 	onDemandShare = 0.3
@@ -63,8 +69,10 @@
 	// lowered, spotLowFor the same for spot servers, which are cheap to keep.
 	lowFor     = 10 * time.Second
 	spotLowFor = 20 * time.Second
-	// spotSlack is the excess of spot servers, as a factor, that is kept.
-	spotSlack = 1.25
+	// onDemandSlack and spotSlack are the excess, as a factor, that is kept: the numbers do
+	// not follow each change of the mean load.
+	onDemandSlack = 1.15
+	spotSlack     = 1.25
 	// stepShare bounds one step to this share of all servers, stepEvery is the least time
 	// between two: the servers that leave, and their roles, are seen before the next.
 	stepShare = 0.25
@@ -72,9 +80,11 @@
 	// safeUtilisation is the utilisation of each role at the present load even if all
 	// servers that leave have that role.
 	safeUtilisation = 0.9
-	// silentShare is the share of silent processes of a zone from which it counts as cut
-	// off.
+	// silentShare is the share of silent processes of a zone above which nothing is lowered
+	// there, as their load is not known. From cutOffShare on the zone counts as cut off: it
+	// serves its own load with its own servers, and gets no orders.
 	silentShare = 0.25
+	cutOffShare = 0.75
 )
 
 // Orders.
@@ -92,10 +102,17 @@
 	retryPause = 500 * time.Millisecond
 )
 
+// Load.
+const (
+	// backlogTarget is the time within which the prompts at prefill engines and in the
+	// queues are to be prefilled. A longer backlog counts as further load.
+	backlogTarget = time.Second
+)
+
 // Roles of new servers.
 const (
 	// prefillShare is the expected share of prefill engines among new engines.
-	// priorServers is its weight beside the servers present.
+	// priorServers is its weight beside the servers present, whose shares vary by chance.
 	prefillShare = 0.3
-	priorServers = 10
+	priorServers = 40
 )
--- /dev/null
+++ b/internal/plan/scale/scale_test.go
@@ -0,0 +1,230 @@
+package scale
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+)
+
+const seeds = 12
+
+// play plays bursts until a time for several seeds and checks what holds in each case: the
+// bounds, the size of a step down, and that the numbers do not swing.
+func play(t *testing.T, until time.Duration, prepare func(*played), check func(*played)) {
+	t.Helper()
+	for seed := range uint64(seeds) {
+		p := newPlayed(seed, 44)
+		p.load = bursts(seed)
+		prepare(p)
+		p.run(until)
+		t.Logf("seed %d, %v", seed, p)
+		p.checkOrders(t, seed)
+		check(p)
+	}
+}
+
+func (p *played) checkOrders(t *testing.T, seed uint64) {
+	t.Helper()
+	lowered := map[time.Duration]int{}
+	for _, o := range p.orders {
+		if o.Desired < o.before {
+			lowered[o.at] += o.before - o.Desired
+			assert.GreaterOrEqual(t, o.at, keepFor, "seed %d: lowered too early: %v", seed, o)
+		}
+		assert.False(t, o.Desired > o.before && o.sum > p.scaling.Max || o.sum < p.scaling.Min, "seed %d: out of bounds: %v", seed, o)
+		assert.GreaterOrEqual(t, o.at, learnFor, "seed %d: a new holder ordered", seed)
+	}
+	last := -time.Hour
+	for _, at := range slices.Sorted(func(yield func(time.Duration) bool) {
+		for at := range lowered {
+			if !yield(at) {
+				return
+			}
+		}
+	}) {
+		assert.GreaterOrEqual(t, at-last, stepEvery, "seed %d", seed)
+		assert.LessOrEqual(t, lowered[at], 22, "seed %d: step at %v", seed, at)
+		last = at
+	}
+	assert.LessOrEqual(t, p.turns(false), 2+int(p.at/(40*time.Second)), "seed %d: on-demand servers swing", seed)
+}
+
+// carries checks that each role carried its load for a share of the time.
+func (p *played) carries(t *testing.T, prefill, decode float64) {
+	t.Helper()
+	assert.GreaterOrEqual(t, p.share(roster.Prefill), prefill, p)
+	assert.GreaterOrEqual(t, p.share(roster.Decode), decode, p)
+}
+
+// TestBurstsAreCarriedForHalfTheCost guards against capacity that follows the mean load and
+// lacks in bursts, and against savings that come too late to matter.
+func TestBurstsAreCarriedForHalfTheCost(t *testing.T) {
+	sum := 0.0
+	play(t, 5*time.Minute, func(*played) {}, func(p *played) {
+		p.carries(t, 1, 1)
+		assert.Less(t, p.costShare(44), 0.65, p)
+		sum += p.costShare(44)
+	})
+	assert.Less(t, sum/seeds, 0.5)
+}
+
+// TestReclaims guards against a loss of service when the spot servers of one zone, or of
+// all shortly after each other with none available for 10 s, are reclaimed.
+func TestReclaims(t *testing.T) {
+	at := 80 * time.Second
+	play(t, 160*time.Second, func(p *played) { p.run(at); p.reclaim("b") }, func(p *played) {
+		p.carries(t, 1, 1)
+		for _, o := range p.orders {
+			late := o.at > at && o.at < at+reclaimPause
+			assert.False(t, late && o.Spot && o.AvailabilityZone == "b" && o.Desired > o.before, "spot order soon after a reclaim: %v", o)
+		}
+	})
+	play(t, 160*time.Second, func(p *played) {
+		p.none = func(now time.Duration, _ string, spot bool) bool { return spot && now >= at && now < at+10*time.Second }
+		p.run(at)
+		p.reclaim("a", "b")
+		p.run(at + time.Second)
+		p.reclaim("c", "d")
+	}, func(p *played) {
+		p.carries(t, 0.95, 0.97)
+		assert.Less(t, p.costShare(44), 0.7, p)
+	})
+}
+
+// TestNoSpotServersAtAll guards against endless orders, and a fleet lowered below what
+// bursts need, where the platform never has spot servers.
+func TestNoSpotServersAtAll(t *testing.T) {
+	play(t, 2*time.Minute, func(p *played) {
+		p.none = func(_ time.Duration, _ string, spot bool) bool { return spot }
+	}, func(p *played) {
+		p.carries(t, 0.97, 0.97)
+		assert.Less(t, len(p.orders), 24*5+60, "each zone is asked once in %v", noneLeftPause)
+	})
+}
+
+// TestLostResponses guards against another order in place of one whose outcome is unknown.
+func TestLostResponses(t *testing.T) {
+	play(t, 2*time.Minute, func(p *played) {
+		p.outcome = func(time.Duration, Order) Outcome {
+			if p.random.IntN(3) == 0 {
+				return Unknown
+			}
+			return Done
+		}
+	}, func(p *played) {
+		p.carries(t, 1, 1)
+		assert.Less(t, p.costShare(44), 0.75, p)
+	})
+	p := newPlayed(1, 44)
+	p.load = bursts(1)
+	p.outcome = func(time.Duration, Order) Outcome { return Unknown }
+	p.run(20 * time.Second)
+	first := map[Subject]Order{}
+	for _, o := range p.orders {
+		if before, ok := first[o.Subject]; ok {
+			assert.Equal(t, before, o.Order, "the same order until its outcome is known")
+		}
+		first[o.Subject] = o.Order
+	}
+	assert.NotEmpty(t, first)
+}
+
+// TestHolderChange guards against a new holder that orders fewer than are on their way, or
+// swings, as it knows no load yet.
+func TestHolderChange(t *testing.T) {
+	for _, at := range []time.Duration{4 * time.Second, 12 * time.Second, 31 * time.Second} {
+		play(t, at+time.Minute, func(p *played) {
+			p.run(at)
+			n := len(p.orders)
+			p.state.Start(epoch.Add(at), p.state.Saved(epoch.Add(at)))
+			p.run(at + keepFor - tick)
+			for _, o := range p.orders[n:] {
+				assert.GreaterOrEqual(t, o.at, at+learnFor)
+				assert.GreaterOrEqual(t, o.Desired, o.before, "lowered by a new holder: %v", o)
+			}
+		}, func(p *played) { p.carries(t, 1, 1) })
+	}
+}
+
+// TestZoneCutOff guards against lowered servers in a zone whose load is not heard, and
+// against capacity elsewhere that counts on it.
+func TestZoneCutOff(t *testing.T) {
+	from, to := 6*time.Second, 40*time.Second
+	for _, share := range []float64{0.3, 1} {
+		play(t, 2*time.Minute, func(p *played) {
+			p.silent = func(at time.Duration, zone string) float64 {
+				if zone == "c" && at >= from && at < to {
+					return share
+				}
+				return 0
+			}
+		}, func(p *played) {
+			p.carries(t, 1, 1)
+			for _, o := range p.orders {
+				inside := o.AvailabilityZone == "c" && o.at >= from && o.at < to
+				assert.False(t, inside && o.Desired < o.before, "lowered in the silent zone: %v", o)
+			}
+		})
+	}
+}
+
+// TestSmallPlainService guards against a service lowered below two servers, or below Min,
+// by a load of nearly nothing.
+func TestSmallPlainService(t *testing.T) {
+	var s State
+	s.Start(epoch, Saved{})
+	o := Observation{Service: "p", Scaling: newPlayed(0, 0).scaling, Zones: map[string]Zone{}, Load: Load{"": 0.02}}
+	for zone := range prices {
+		o.Zones[zone] = Zone{OnDemand: Counts{"": 2}, Spot: Counts{}}
+	}
+	for at := time.Duration(0); at < time.Minute; at += tick {
+		s.Observe(epoch.Add(at), []Observation{o})
+		for _, order := range Decide(epoch.Add(at), &s) {
+			z := o.Zones[order.AvailabilityZone]
+			z.ready(order.Spot)
+			map[bool]Counts{false: z.OnDemand, true: z.Spot}[order.Spot][""] = order.Desired
+			s.Record(epoch.Add(at), order, Done)
+		}
+	}
+	total := 0
+	for zone, z := range o.Zones {
+		assert.GreaterOrEqual(t, z.OnDemand.total()+z.Spot.total(), 1, "zone %s", zone)
+		total += z.OnDemand.total()
+	}
+	assert.Equal(t, 4, total, "Min in each zone")
+}
+
+// TestRefusedOrderLeavesNumbers guards against counting servers that were refused.
+func TestRefusedOrderLeavesNumbers(t *testing.T) {
+	for _, outcome := range []Outcome{NoneLeft, Refused, RateLimited, NotSent} {
+		p := newPlayed(1, 44)
+		p.load = bursts(1)
+		p.run(learnFor)
+		before := p.state.Saved(epoch)
+		p.outcome = func(time.Duration, Order) Outcome { return outcome }
+		p.run(learnFor + tick)
+		assert.NotEmpty(t, p.orders)
+		after := p.state.Saved(epoch)
+		for i, e := range after.Entries {
+			assert.Equal(t, before.Entries[i].Desired, e.Desired, outcome)
+		}
+	}
+}
+
+// TestMeasure checks that waiting work counts: a saturated fleet would look just busy.
+func TestMeasure(t *testing.T) {
+	servers := []Server{
+		{AvailabilityZone: "a", Role: roster.Prefill, Slots: 8, Prefills: 2, PrefillTokens: 3000, Rate: 1000},
+		{AvailabilityZone: "b", Role: roster.Decode, Slots: 8, Running: 4, Spot: true},
+		{AvailabilityZone: "b", Role: roster.Decode, Slots: 8, Running: 4, Spot: true, Leaving: true},
+	}
+	zones, load := Measure(servers, Waiting{roster.Prefill: 1000, roster.Decode: 8})
+	assert.Equal(t, Load{roster.Prefill: 4, roster.Decode: 2}, load)
+	assert.Equal(t, Zone{OnDemand: Counts{}, Spot: Counts{roster.Decode: 1}, SpotLeaving: 1}, zones["b"])
+	_, load = Measure(nil, Waiting{roster.Decode: 3})
+	assert.Equal(t, Load{roster.Decode: 3}, load, "work without a server counts")
+}
--- a/internal/plan/scale/state.go
+++ b/internal/plan/scale/state.go
@@ -24,6 +24,8 @@
 	// raisedSpotAt is when spot servers were last ordered, loweredAt when a number was last
 	// lowered.
 	raisedSpotAt, loweredAt time.Time
+	// share has the expected shares of the roles among new servers, once known.
+	share need
 	// firstLoad is when load was first seen.
 	firstLoad time.Time
 }
@@ -34,8 +36,11 @@
 	// desired is the number last ordered, or the number present if none was; before is
 	// that before the last order, to which an order without effect returns.
 	desired, before int
-	ready, leaving  int
-	orderedAt       time.Time
+	// told is the number that the platform may have as the last one ordered. It may keep
+	// the number of servers that were reclaimed.
+	told           int
+	ready, leaving int
+	orderedAt      time.Time
 	// shortSince is since when fewer servers than desired are ready; zero if enough are.
 	shortSince time.Time
 	// pausedUntil is until when no order is sent.
@@ -112,6 +117,7 @@
 // more, as ordered. A record from an older copy of the store then lowers nothing.
 func (u *subject) adopt(started time.Time, ready, leaving int, saved SavedEntry) {
 	u.ready, u.leaving, u.desired = ready, leaving, max(ready, saved.Desired)
+	u.told = u.desired
 	u.pausedUntil = started.Add(min(max(saved.PausedFor, 0), reclaimPause))
 	if u.desired > ready {
 		u.orderedAt = started
@@ -135,7 +141,7 @@
 		u.shortSince = time.Time{}
 		if ready > u.desired && now.Sub(u.orderedAt) > patience {
 			// Lowered servers would have left by now: these came unasked.
-			u.desired = ready
+			u.desired, u.told = ready, max(u.told, ready)
 		}
 	case u.shortSince.IsZero():
 		u.shortSince = now
@@ -164,9 +170,9 @@
 	}
 	switch {
 	case outcome == Done:
-		u.unsettled, u.orderedAt = nil, now
+		u.unsettled, u.orderedAt, u.told = nil, now, order.Desired
 	case outcome == Unknown:
-		u.unsettled, u.retryAt, u.orderedAt = &order, now.Add(retryPause), now
+		u.unsettled, u.retryAt, u.orderedAt, u.told = &order, now.Add(retryPause), now, max(u.told, order.Desired)
 	case u.unsettled != nil && (outcome == RateLimited || outcome == NotSent):
 		// An earlier sending may have had an effect.
 		u.retryAt = now.Add(retryPause)
--- a/internal/plan/scale/zones.go
+++ b/internal/plan/scale/zones.go
@@ -16,7 +16,7 @@
 		return split
 	}
 	even := float64(n) / float64(zones)
-	floor := max(int(zoneShare*even), 1)
+	floor := int(math.Ceil(zoneShare * even))
 	ceiling := int(math.Ceil(zoneExcess * even))
 	for i := range split {
 		split[i] = min(floor, n)
@@ -35,7 +35,7 @@
 func (v *service) byPrice() []string {
 	var zones []string
 	for zone := range v.Scaling.ZonePrices {
-		if v.Zones[zone].Silent < silentShare {
+		if v.Zones[zone].Silent < cutOffShare {
 			zones = append(zones, zone)
 		}
 	}
@@ -76,9 +76,14 @@
 // number returns the number of the subject after the changes so far.
 func (s *spread) number(u *subject) int { return u.desired + s.changed[u] }
 
-// sum returns the number of both kinds in a zone after the changes so far.
-func (s *spread) sum(zone string) int {
-	return s.number(s.service.subject(zone, false)) + s.number(s.service.subject(zone, true))
+// sum returns the number of both kinds in a zone after the changes so far. Whether the
+// platform counts reclaimed servers is not known: highest counts them for the other kind.
+func (s *spread) sum(zone string, highest bool) int {
+	u, other := s.service.subject(zone, s.spot), s.service.subject(zone, !s.spot)
+	if highest {
+		return s.number(u) + max(other.desired, other.told)
+	}
+	return s.number(u) + other.desired
 }
 
 // change raises, or lowers if the step is -1, the number by one in the zone that is
@@ -106,11 +111,10 @@
 
 // allowed reports whether the number of both kinds stays within the bounds.
 func (s *spread) allowed(zone string, u *subject, step int) bool {
-	next := s.sum(zone) + step
 	if step > 0 {
-		return next <= s.service.Scaling.Max
+		return s.sum(zone, true)+step <= s.service.Scaling.Max
 	}
-	return next >= s.service.Scaling.Min && s.number(u) > 0
+	return s.sum(zone, false)+step >= s.service.Scaling.Min && s.number(u) > 0 && s.service.Zones[zone].Silent <= silentShare
 }
 
 // orders returns the orders for the changes and takes them as sent.
