orders, scale: tests of the task and of parsing; a service scaled later learns first

Cause: a service with Scaling only since a later configuration was decided on from its first load and by the record of an earlier holder. Change: each service learns for 3 s from when it is first seen. Tests of the task under a fake clock, of faults in Scaling, of observations and of spot entries.

--- a/internal/config/table/table_test.go
+++ b/internal/config/table/table_test.go
@@ -18,7 +18,8 @@
   "Split":[{"Service":"x","Weight":90},{"Service":"y","Weight":10}],"Attempts":2},
  {"Name":"d","Host":"other.example","Prefix":"/jobs/","Kind":"Idempotent","Service":"web"}],
  "Services":[{"Name":"web","HealthPath":"/h","MaxConnections":96},
-  {"Name":"x","Engine":{"Slots":8,"CacheTokens":1470480,"TokenBytes":35136,"HandleSeconds":5.0,"SwitchSeconds":3.0}}],
+  {"Name":"x","Engine":{"Slots":8,"CacheTokens":1470480,"TokenBytes":35136,"HandleSeconds":5.0,"SwitchSeconds":3.0},
+   "Scaling":{"Min":1,"Max":22,"BootSeconds":4.0,"SpotPrice":0.15,"ZonePrices":{"a":1.0}}}],
  "Limits":{"HeaderBytes":16384,"BodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"SomethingNew":[1]}`
 
 func parsed(t *testing.T) *Table {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -415,3 +415,18 @@
 	r.Update(now, 2, []Event{{Server: Server{ID: "a"}, Removed: true}, {Server: Server{ID: "b"}, Removed: true}}, Grace{})
 	assert.Equal(t, map[string]int{"v2": 1}, r.Versions("s"))
 }
+
+// TestAllOfAService guards against spot servers that look like others, and leaving ones
+// that are not seen: a reclaim would go unnoticed.
+func TestAllOfAService(t *testing.T) {
+	spot, err := Parse("b", []byte(`{"Service":"s","Address":"10.0.0.1:80","Slots":1,"State":"Leaving","born":1,"Spot":true}`))
+	require.NoError(t, err)
+	assert.True(t, spot.Spot)
+	var r Roster
+	r.Replace(time.Time{}, 1, []Server{spot, {ID: "a", Service: "s", State: Ready}, {ID: "c", Service: "t", State: Ready}}, Grace{})
+	list := r.All("s")
+	require.Len(t, list, 2)
+	assert.Equal(t, []string{"a", "b"}, []string{list[0].ID, list[1].ID})
+	assert.True(t, list[1].Spot)
+	assert.Len(t, r.Service("s"), 1)
+}
--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		p.noteExcess(now)
-		if s.learning(now) {
+		if v.learning(now) {
 			continue
 		}
 		orders = append(orders, v.repeats(now)...)
--- a/internal/plan/scale/played_test.go
+++ b/internal/plan/scale/played_test.go
@@ -16,7 +16,7 @@
 	role    roster.Role
 	spot    bool
 	readyAt time.Duration
-	// leavesAt is when it is gone, leaving when it says so; 0 is never.
+	// leaving is when it says that it leaves, leavesAt when it is gone; 0 is never.
 	leaving, leavesAt time.Duration
 }
 
@@ -26,7 +26,7 @@
 	random  *rand.Rand
 	units   []unit
 	at      time.Duration
-	// load returns the load of one role at a time, in servers.
+	// load returns the load at a time, in servers.
 	load func(at time.Duration) Load
 	// none says whether the platform has no server of a kind now.
 	none func(at time.Duration, zone string, spot bool) bool
@@ -43,7 +43,6 @@
 	carried map[roster.Role]int
 	ticks   int
 	cost    float64
-	lowest  Counts
 }
 
 type sentOrder struct {
@@ -67,7 +66,7 @@
 func newPlayed(seed uint64, engines int) *played {
 	p := &played{
 		scaling: table.Scaling{Min: 1, Max: 22, BootTime: 4 * time.Second, SpotPrice: 0.15, ZonePrices: prices},
-		random:  rand.New(rand.NewPCG(seed, 1)), carried: map[roster.Role]int{}, lowest: Counts{}, desired: map[Subject]int{},
+		random:  rand.New(rand.NewPCG(seed, 1)), carried: map[roster.Role]int{}, desired: map[Subject]int{},
 		none:   func(time.Duration, string, bool) bool { return false },
 		silent: func(time.Duration, string) float64 { return 0 },
 	}
@@ -171,9 +170,6 @@
 		if float64(ready[role]) >= value {
 			p.carried[role]++
 		}
-		if n, ok := p.lowest[role]; !ok || ready[role] < n {
-			p.lowest[role] = ready[role]
-		}
 	}
 }
 
@@ -235,11 +231,11 @@
 }
 
 func (p *played) String() string {
-	text := fmt.Sprintf("%v: Prefill %.3f Decode %.3f cost %.3f lowest %v orders %d\n", p.at, p.share(roster.Prefill), p.share(roster.Decode), p.costShare(44), p.lowest, len(p.orders))
-	return text
+	return fmt.Sprintf("%v: Prefill %.3f Decode %.3f cost %.3f orders %d", p.at, p.share(roster.Prefill), p.share(roster.Decode), p.costShare(44), len(p.orders))
 }
 
-// direct returns how often the on-demand number of the service changed its direction.
+// turns returns how often the number of a kind was lowered after it was raised, or raised
+// after it was lowered.
 func (p *played) turns(spot bool) int {
 	turns, last := 0, 0
 	for _, o := range p.orders {
@@ -247,14 +243,10 @@
 		if o.Spot != spot || step == 0 {
 			continue
 		}
-		sign := 1
-		if step < 0 {
-			sign = -1
-		}
-		if last != 0 && sign != last {
+		if last*step < 0 {
 			turns++
 		}
-		last = sign
+		last = step
 	}
 	return turns
 }
--- a/internal/plan/scale/policy.go
+++ b/internal/plan/scale/policy.go
@@ -14,7 +14,7 @@
 	// averageOver is the span of one load value. Load above target for this long is acted
 	// upon; shorter peaks are queued.
 	averageOver = time.Second
-	// learnFor is how long a new holder only learns: about three status messages of each
+	// learnFor is how long a new holder only learns the load of a service: about three status messages of each
 	// peer at 117 processes.
 	learnFor = 3 * time.Second
 	// keepFor is how long after the first load nothing is lowered below the present number.
--- a/internal/plan/scale/scale_test.go
+++ b/internal/plan/scale/scale_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -39,13 +40,7 @@
 		assert.GreaterOrEqual(t, o.at, learnFor, "seed %d: a new holder ordered", seed)
 	}
 	last := -time.Hour
-	for _, at := range slices.Sorted(func(yield func(time.Duration) bool) {
-		for at := range lowered {
-			if !yield(at) {
-				return
-			}
-		}
-	}) {
+	for _, at := range slices.Sorted(maps.Keys(lowered)) {
 		assert.GreaterOrEqual(t, at-last, stepEvery, "seed %d", seed)
 		assert.LessOrEqual(t, lowered[at], 22, "seed %d: step at %v", seed, at)
 		last = at
@@ -185,7 +180,6 @@
 		s.Observe(epoch.Add(at), []Observation{o})
 		for _, order := range Decide(epoch.Add(at), &s) {
 			z := o.Zones[order.AvailabilityZone]
-			z.ready(order.Spot)
 			map[bool]Counts{false: z.OnDemand, true: z.Spot}[order.Spot][""] = order.Desired
 			s.Record(epoch.Add(at), order, Done)
 		}
@@ -215,6 +209,21 @@
 	}
 }
 
+// TestScalingIsSwitchedOnLater guards against orders by the first moment of load, or by an
+// old record, for a service that may be scaled only since a later configuration.
+func TestScalingIsSwitchedOnLater(t *testing.T) {
+	var s State
+	s.Start(epoch, Saved{Entries: []SavedEntry{{Subject: Subject{"s", "b", false}, Desired: 20}}})
+	p := newPlayed(1, 44)
+	p.state, p.load = s, bursts(1)
+	p.at = time.Hour
+	p.run(time.Hour + learnFor)
+	assert.Empty(t, p.orders)
+	desired, ready := p.state.Totals("s")
+	assert.Equal(t, 44, ready)
+	assert.Equal(t, 44, desired)
+}
+
 // TestMeasure checks that waiting work counts: a saturated fleet would look just busy.
 func TestMeasure(t *testing.T) {
 	servers := []Server{
--- a/internal/plan/scale/state.go
+++ b/internal/plan/scale/state.go
@@ -102,16 +102,25 @@
 		if spot {
 			leaving = z.SpotLeaving
 		}
-		if !ok || s.learning(now) {
-			u.adopt(s.started, z.ready(spot), leaving, s.saved[key])
+		if v.learning(now) {
+			u.adopt(v.firstLoad, z.ready(spot), leaving, s.savedFor(v, key))
 			continue
 		}
 		u.observe(now, z.ready(spot), leaving, v.Scaling.BootTime+bootSlack)
 	}
 }
 
-// learning reports whether the holder is new and orders nothing.
-func (s *State) learning(now time.Time) bool { return now.Sub(s.started) < learnFor }
+// learning reports whether the service has been seen so briefly that nothing is ordered.
+func (v *service) learning(now time.Time) bool { return now.Sub(v.firstLoad) < learnFor }
+
+// savedFor returns what the last holder has saved, empty if the service may be scaled
+// only since later.
+func (s *State) savedFor(v *service, key Subject) SavedEntry {
+	if v.firstLoad.Sub(s.started) >= learnFor {
+		return SavedEntry{}
+	}
+	return s.saved[key]
+}
 
 // adopt takes the servers present, or those that the last holder ordered if there are
 // more, as ordered. A record from an older copy of the store then lowers nothing.
