--- a/internal/plan/scale/state.go
+++ b/internal/plan/scale/state.go
@@ -159,9 +159,6 @@
 	}
 }
 
-// coming returns the number of ordered servers that are not ready yet.
-func (u *subject) coming() int { return max(u.desired-u.ready, 0) }
-
 // blocked reports whether nothing may be ordered now.
 func (u *subject) blocked(now time.Time) bool {
 	return now.Before(u.pausedUntil) || u.unsettled != nil
--- a/internal/state/orders/orders.go
+++ b/internal/state/orders/orders.go
@@ -94,16 +94,17 @@
 		t.forget()
 		return
 	}
+	now := time.Now()
+	observations, ok := t.Observe(now)
+	if !ok || len(observations) == 0 && t.fence == 0 {
+		// Without a service that may be scaled there is no call.
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, grant.Until)
 	defer cancel()
 	if grant.Fence != t.fence && !t.begin(ctx, grant) {
 		return
 	}
-	now := time.Now()
-	observations, ok := t.Observe(now)
-	if !ok {
-		return
-	}
 	t.state.Observe(now, observations)
 	list := scale.Decide(now, &t.state)
 	t.totals.set(t.Meters, &t.state, observations)
--- a/internal/state/orders/orders_test.go
+++ b/internal/state/orders/orders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,9 @@
 	fence  uint64
 	object store.Object
 	puts   int
+	gets   int
+	// idle is set if no service may be scaled.
+	idle   bool
 	putErr error
 	orders []scale.Order
 	fences []uint64
@@ -44,6 +48,7 @@
 func (p *platform) Get(context.Context, string) (store.Object, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.gets++
 	if p.object.Version == 0 {
 		return store.Object{}, store.ErrAbsent
 	}
@@ -88,7 +93,10 @@
 }
 
 // observe is a service of two servers in each of two zones, with load for six.
-func observe(time.Time) ([]scale.Observation, bool) {
+func (p *platform) observe(time.Time) ([]scale.Observation, bool) {
+	if p.idle {
+		return nil, true
+	}
 	prices := map[string]float64{"a": 1, "b": 2}
 	zones := map[string]scale.Zone{}
 	for zone := range prices {
@@ -100,12 +108,25 @@
 	}}, true
 }
 
+// sent returns the orders so far.
+func (p *platform) sent() []scale.Order {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.orders)
+}
+
+// after lets a time of the bubble pass, and the task come to rest.
+func after(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // run runs a task with the platform for a time of the bubble.
 func run(t *testing.T, p *platform, during func(task *Task)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		task := &Task{Authority: p, Orderer: p, Store: p, Observe: observe, Meters: &meter.Set{}, Log: zap.NewNop()}
+		task := &Task{Authority: p, Orderer: p, Store: p, Observe: p.observe, Meters: &meter.Set{}, Log: zap.NewNop()}
 		done := make(chan struct{})
 		go func() { defer close(done); _ = task.Run(ctx) }()
 		during(task)
@@ -118,16 +139,16 @@
 func TestOrdersAreRecordedFirst(t *testing.T) {
 	p := &platform{fence: 7}
 	run(t, p, func(task *Task) {
-		time.Sleep(2 * time.Second)
-		assert.Empty(t, p.orders, "a new holder learns")
-		time.Sleep(2 * time.Second)
-		require.NotEmpty(t, p.orders)
-		for i, o := range p.orders {
+		after(2 * time.Second)
+		assert.Empty(t, p.sent(), "a new holder learns")
+		after(2 * time.Second)
+		require.NotEmpty(t, p.sent())
+		for i, o := range p.sent() {
 			assert.Contains(t, p.stored.Entries, scale.SavedEntry{Subject: o.Subject, Desired: o.Desired})
 			assert.Equal(t, uint64(7), p.fences[i])
 		}
 		assert.Equal(t, 1, p.puts, "one write for all orders of a decision")
-		assert.Equal(t, int64(len(p.orders)), task.Meters.Value("ScaleOrders"))
+		assert.Equal(t, int64(len(p.sent())), task.Meters.Value("ScaleOrders"))
 		assert.Equal(t, int64(4), task.Meters.Value("ScaleReady.s"))
 		assert.Greater(t, task.Meters.Value("ScaleDesired.s"), int64(4))
 	})
@@ -137,19 +158,22 @@
 // against orders under a grant that has ended.
 func TestNothingWithoutGrant(t *testing.T) {
 	p := &platform{}
-	run(t, p, func(*Task) { time.Sleep(10 * time.Second) })
-	assert.Empty(t, p.orders)
-	assert.Zero(t, p.puts)
+	run(t, p, func(*Task) { after(10 * time.Second) })
+	assert.Empty(t, p.sent())
+	assert.Zero(t, p.gets)
+	p = &platform{fence: 1, idle: true}
+	run(t, p, func(*Task) { after(10 * time.Second) })
+	assert.Zero(t, p.gets, "no service may be scaled")
 	p = &platform{fence: 1}
 	run(t, p, func(task *Task) {
-		time.Sleep(2 * time.Second)
+		after(2 * time.Second)
 		p.mu.Lock()
 		p.fence = 0
 		p.mu.Unlock()
-		time.Sleep(10 * time.Second)
+		after(10 * time.Second)
 		assert.Zero(t, task.Meters.Value("ScaleReady.s"))
 	})
-	assert.Empty(t, p.orders)
+	assert.Empty(t, p.sent())
 }
 
 // TestNoOrderIfItCannotBeRecorded guards against orders beside another holder, and while
@@ -157,8 +181,8 @@
 func TestNoOrderIfItCannotBeRecorded(t *testing.T) {
 	for _, err := range []error{store.ErrConflict, store.ErrRefused, errors.New("response lost")} {
 		p := &platform{fence: 1, putErr: err}
-		run(t, p, func(*Task) { time.Sleep(20 * time.Second) })
-		assert.Empty(t, p.orders, "%v", err)
+		run(t, p, func(*Task) { after(20 * time.Second) })
+		assert.Empty(t, p.sent(), "%v", err)
 	}
 }
 
@@ -166,15 +190,15 @@
 // the platform does not respond.
 func TestUnknownOutcome(t *testing.T) {
 	p := &platform{fence: 1, took: time.Hour}
-	run(t, p, func(*Task) { time.Sleep(15 * time.Second) })
+	run(t, p, func(*Task) { after(15 * time.Second) })
 	first := map[scale.Subject]scale.Order{}
-	for _, o := range p.orders {
+	for _, o := range p.sent() {
 		if before, ok := first[o.Subject]; ok {
 			assert.Equal(t, before, o)
 		}
 		first[o.Subject] = o
 	}
-	assert.Greater(t, len(p.orders), len(first), "repeated")
+	assert.Greater(t, len(p.sent()), len(first), "repeated")
 	assert.Equal(t, 1, p.puts)
 }
 
@@ -183,20 +207,20 @@
 func TestNextHolderKnowsWhatBoots(t *testing.T) {
 	p := &platform{fence: 1}
 	run(t, p, func(*Task) {
-		time.Sleep(3500 * time.Millisecond)
+		after(3500 * time.Millisecond)
 		p.mu.Lock()
 		n := len(p.orders)
 		p.fence = 2
 		p.mu.Unlock()
-		time.Sleep(4 * time.Second)
+		after(4 * time.Second)
 		assert.NotZero(t, n)
-		assert.Len(t, p.orders, n, "all that is needed was ordered")
+		assert.Len(t, p.sent(), n, "all that is needed was ordered")
 	})
 }
 
 // TestInvalidRecord guards against a holder that never orders as the object is not valid.
 func TestInvalidRecord(t *testing.T) {
 	p := &platform{fence: 1, object: store.Object{Key: Key, Value: []byte(`{"Entries":7}`), Version: 3}}
-	run(t, p, func(*Task) { time.Sleep(4 * time.Second) })
-	assert.NotEmpty(t, p.orders)
+	run(t, p, func(*Task) { after(4 * time.Second) })
+	assert.NotEmpty(t, p.sent())
 }
