--- a/internal/config/table/table.go
+++ b/internal/config/table/table.go
@@ -122,6 +122,8 @@
 	TokenGapTarget time.Duration
 	// Engine is set if the backend servers are model engines.
 	Engine *Engine
+	// Scaling is set if backend servers of the service may be ordered.
+	Scaling *Scaling
 }
 
 // Limits bound what a client may send: sizes in bytes, the time until the header
@@ -142,6 +144,9 @@
 	// nothing else of the table is affected by it.
 	Accounts      auth.Accounts
 	AccountFaults []auth.Fault
+	// Faults are the other parts of the configuration that are not used because they are
+	// invalid. The rest of the table is valid without them.
+	Faults []Fault
 
 	// routes maps host and prefix to the route.
 	routes map[string]*Route
@@ -202,6 +207,8 @@
 		Slots, CacheTokens, TokenBytes float64
 		HandleSeconds, SwitchSeconds   float64
 	}
+	// Scaling is parsed by itself, so that a fault in it loses nothing else.
+	Scaling json.RawMessage
 }
 
 // Parse parses the JSON form of a table. Errors wrap ErrInvalid.
@@ -225,7 +232,10 @@
 		t.Accounts, t.AccountFaults = parseAccounts(*d.Accounts)
 	}
 	for _, s := range d.Services {
-		t.Services[s.Name] = s.service()
+		service := s.service()
+		scaling, faults := parseScaling(s.Name, s.Scaling)
+		service.Scaling, t.Faults = scaling, append(t.Faults, faults...)
+		t.Services[s.Name] = service
 	}
 	for i, r := range d.Routes {
 		route, err := r.route()
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -30,6 +30,7 @@
 //	Fetch      gets a configuration from a peer that has a newer one
 //	Reach      reconnects to unreachable backend servers
 //	Tick       handles timeouts and dispatches queued requests
+//	Scale      orders backend servers while this process holds the duty, if that is on
 package core
 
 import (
@@ -58,6 +59,7 @@
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 	"ebonyscale.example/ebonyscale/internal/route/shed"
 	"ebonyscale.example/ebonyscale/internal/state/follow"
+	"ebonyscale.example/ebonyscale/internal/state/orders"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
@@ -111,6 +113,10 @@
 	RevokeWithin time.Duration
 	// Admission selects what is delayed and rejected if there is too little capacity.
 	Admission shed.Policy
+	// Authority says whether this process holds the duties, Orderer sends orders for
+	// backend servers. Without both, none are ordered.
+	Authority orders.Authority
+	Orderer   orders.Orderer
 	Log       *zap.Logger
 	// Seed seeds the random choices of Broker.
 	Seed uint64
@@ -265,6 +271,9 @@
 	for i := range recordTasks {
 		tasks = append(tasks, task.Task{Name: fmt.Sprint("Record", i+1), Do: n.origins.recorder.Run})
 	}
+	if n.Authority != nil && n.Orderer != nil {
+		tasks = append(tasks, task.Task{Name: "Scale", Do: n.scaling().Run})
+	}
 	return task.Run(ctx, n.Name, n.taskRestarted, tasks)
 }
 
