duty, lease, platform: one process makes the calls that all need once

Usage reports and orders for backend servers are to be made by one process at a time. Leases have timing of their own, and fencing tokens contain the store's era; a lease that a restored store may have lost waits for its duration. A renewal of unknown outcome that took effect keeps its token. call can discard what a closed connection has not sent, so that an aborted call does not arrive late.

--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -130,6 +130,7 @@
 		RetryLimit: quota.Limit{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack},
 		WatchFor:   s.Store.WatchFor, StoreWrites: s.Store.WritesPerSecond, LeaveWithin: s.Bounds.LeaveWithin, Log: p.log, Seed: uint64(os.Getpid()),
 	}
+	p.node.Duties = p.duties(store)
 	statusConn, err := mesh.Listen(s.Addresses.Peers)
 	if err != nil {
 		return fmt.Errorf("status messages of peers: %w", err)
@@ -149,6 +150,33 @@
 	return p.serve(ctx)
 }
 
+// The words of the setting that lists the duties.
+const (
+	usageReports  = "UsageReports"
+	scalingOrders = "ScalingOrders"
+)
+
+// duties returns the duties that the settings ask for.
+func (p *entryProcess) duties(store *platform.Store) core.Duties {
+	s := p.settings.Duties
+	if !s.Address.IsValid() {
+		return core.Duties{}
+	}
+	calls := &platform.Duties{Address: s.Address, Holder: p.settings.Node.Name, PerSecond: s.PerSecond}
+	duties := core.Duties{Address: s.Address, Era: store.Era, Lease: s.Lease, Window: s.Window, ReportWithin: s.ReportWithin}
+	for _, name := range s.Perform {
+		switch name {
+		case usageReports:
+			duties.Reports = calls
+		case scalingOrders:
+			duties.ScalingOrders = true
+		default:
+			p.log.Warn("duty is not known", zap.String("Duty", name))
+		}
+	}
+	return duties
+}
+
 // serve opens the listeners and runs the servers and background tasks. It
 // returns when one of them fails, a planned stop has ended or ctx ends.
 func (p *entryProcess) serve(ctx context.Context) error {
--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -133,6 +133,11 @@
 	ReadTimeout time.Duration
 	// WriteDeadline is the latest time to write the request. Zero means none.
 	WriteDeadline time.Time
+	// DiscardUnsent makes the connection, when it is closed, drop the data that was
+	// not acknowledged. Otherwise the kernel goes on sending it, so that a request
+	// that was aborted in a network partition may arrive long after. It needs
+	// NewConnection.
+	DiscardUnsent bool
 	// MaxOpen limits the connections open to the address; 0 means no limit.
 	MaxOpen int
 	// Matches, if set, reports whether a response belongs to this request. On a
@@ -176,6 +181,12 @@
 	if err != nil {
 		return nil, &Error{StageDialing, address, withContextError(ctx, err)}
 	}
+	if options.DiscardUnsent {
+		if err := conn.discardUnsent(); err != nil {
+			conn.Close()
+			return nil, &Error{StageDialing, address, err}
+		}
+	}
 	x := &Exchange{client: c, address: address, connection: conn, readTimeout: options.ReadTimeout, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	if err := x.write(request, options.WriteDeadline); err != nil {
--- a/internal/fleet/call/pool.go
+++ b/internal/fleet/call/pool.go
@@ -77,6 +77,18 @@
 	return err
 }
 
+// discardUnsent makes Close drop the data that was not acknowledged.
+func (c *connection) discardUnsent() error {
+	conn, ok := c.Conn.(countingConn).Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := conn.SetLinger(0); err != nil {
+		return fmt.Errorf("set linger: %w", err)
+	}
+	return nil
+}
+
 // stale reports whether an idle connection must not be reused: its idle timeout
 // has passed, the server has closed it, or the server has sent unrequested data.
 func (c *connection) stale(now time.Time) bool {
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -30,6 +30,10 @@
 //	Fetch      gets a configuration from a peer that has a newer one
 //	Reach      reconnects to unreachable backend servers
 //	Tick       handles timeouts and dispatches queued requests
+//
+// With duties, the calls to the platform that one process makes for all, there are also:
+//
+//	Hold       holds the lease of the duties if this process is the chosen one
 package core
 
 import (
@@ -55,6 +59,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/meter"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
+	"ebonyscale.example/ebonyscale/internal/state/duty"
 	"ebonyscale.example/ebonyscale/internal/state/follow"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
@@ -103,23 +108,27 @@
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration
-	Log         *zap.Logger
+	// Duties are the calls to the platform that one process makes for all.
+	Duties Duties
+	Log    *zap.Logger
 	// Seed seeds the random choices of Broker.
 	Seed uint64
 
 	Broker *broker.Broker
 	Meters *meter.Set
 
-	incarnation      uint64
-	peers            peers.Table
-	tableFollower    *follow.Follower
-	health           follow.Health
-	roster           roster.Roster
-	usage            usage.Table
-	coordination     *coordination
-	quarantine       *quarantine
-	origins          *origins
-	carrier          *carrier
+	incarnation   uint64
+	peers         peers.Table
+	tableFollower *follow.Follower
+	health        follow.Health
+	roster        roster.Roster
+	usage         usage.Table
+	coordination  *coordination
+	quarantine    *quarantine
+	origins       *origins
+	carrier       *carrier
+	// holder holds the lease of the duties; nil if there are none.
+	holder           *duty.Holder
 	table            atomic.Pointer[table.Table]
 	serversListed    atomic.Bool
 	quarantineListed atomic.Bool
@@ -178,6 +187,9 @@
 	if n.Hops != nil {
 		n.Broker.Carrier = n.carrier
 	}
+	if n.Duties.enabled() {
+		n.holder = newHolder(n)
+	}
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.pollTimeout, n.debounce)
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
 	n.Meters.Gauge("BackendServers", func() int64 { return int64(n.roster.Len()) })
@@ -252,6 +264,7 @@
 	for i := range recordTasks {
 		tasks = append(tasks, task.Task{Name: fmt.Sprint("Record", i+1), Do: n.origins.recorder.Run})
 	}
+	tasks = append(tasks, n.dutyTasks()...)
 	return task.Run(ctx, n.Name, n.taskRestarted, tasks)
 }
 
--- a/internal/state/lease/keeper.go
+++ b/internal/state/lease/keeper.go
@@ -15,19 +15,26 @@
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
-// Keeper acquires and renews a lease while it runs. The exported fields, except
-// Margin, must be set before Run. Its methods are safe for concurrent use.
+// Keeper acquires and renews a lease while it runs. Name, Holder and Store must be set
+// before the first call of Run or Step. Its methods are safe for concurrent use.
 type Keeper struct {
 	// Name is the name of the lease, Holder the name of this process.
 	Name   string
 	Holder string
 	Store  store.Writer
-	Trace  *trace.Timeline
+	// Trace, if set, gets the acquisitions, losses and releases.
+	Trace *trace.Timeline
+	Timing
+	// Era returns the latest era of the store that is known. It is needed if the store
+	// has eras, since the response for an absent object has no version.
+	Era func() uint64
 	// Margin becomes Lease.Margin.
 	Margin func(time.Duration) time.Duration
 
 	mu    sync.Mutex
 	lease Lease
+	// notBefore is the earliest time of the next acquisition.
+	notBefore time.Time
 }
 
 // Key returns the key of the lease's object.
@@ -50,45 +57,45 @@
 
 // Run acquires and renews the lease until ctx ends, then releases it.
 func (k *Keeper) Run(ctx context.Context) {
-	k.mu.Lock()
-	k.lease.Holder, k.lease.Margin = k.Holder, k.Margin
-	k.mu.Unlock()
 	for {
 		k.Step(ctx)
-		if !timer.Wait(ctx, k.interval()) {
-			k.release()
+		if !timer.Wait(ctx, k.Interval()) {
+			k.Release()
 			return
 		}
 	}
 }
 
-// interval returns the pause until the next step.
-func (k *Keeper) interval() time.Duration {
+// Interval returns the pause until the next step.
+func (k *Keeper) Interval() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.lease.Held() {
-		return RenewInterval
+		return k.renewInterval()
 	}
-	return PollInterval
+	return k.lease.poll(time.Now())
 }
 
 // Step renews the lease if it is held, else reads the object and acquires the
 // lease if it is free. Errors of the store are not returned, since the next step
 // tries again.
 func (k *Keeper) Step(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, RenewInterval)
+	ctx, cancel := context.WithTimeout(ctx, k.renewInterval())
 	defer cancel()
-	if !k.held() {
+	k.mu.Lock()
+	k.lease.Holder, k.lease.Margin, k.lease.Timing = k.Holder, k.Margin, k.Timing
+	k.mu.Unlock()
+	if !k.Held() {
 		object, err := k.Store.Get(ctx, k.Key())
 		if errors.Is(err, store.ErrAbsent) {
-			object, err = store.Object{Key: k.Key()}, nil
+			object, err = store.Object{Key: k.Key(), Version: store.Version(k.era(), 0)}, nil
 		}
 		if err != nil {
 			return
 		}
 		k.mu.Lock()
 		k.lease.Observe(time.Now(), object)
-		free := k.lease.Free(time.Now())
+		free := k.lease.Own() || k.lease.Free(time.Now()) && !time.Now().Before(k.notBefore)
 		k.mu.Unlock()
 		if !free {
 			return
@@ -97,7 +104,25 @@
 	k.write(ctx, (*Lease).AcquireWrite)
 }
 
-func (k *Keeper) held() bool {
+// Defer sets the earliest time of the next acquisition. A lease that this process still
+// has in the store is renewed before that.
+func (k *Keeper) Defer(until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.notBefore = until
+}
+
+// era returns the era of the store.
+func (k *Keeper) era() uint64 {
+	if k.Era == nil {
+		return 0
+	}
+	return k.Era()
+}
+
+// Held reports whether this process acquired the lease and has not seen it lost or
+// released, even if its grant has ended.
+func (k *Keeper) Held() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.lease.Held()
@@ -127,7 +152,7 @@
 		// object has to be read before the next write.
 		k.lease.MarkLost()
 		if wasHeld {
-			k.Trace.Add(trace.Event{Kind: trace.LeaseLost, Detail: k.Name})
+			k.event(trace.LeaseLost, k.Name)
 		}
 	}
 }
@@ -137,19 +162,25 @@
 func (k *Keeper) traceWrite(wasHeld bool, record Record) {
 	switch {
 	case record.Released:
-		k.Trace.Add(trace.Event{Kind: trace.LeaseReleased, Detail: k.Name})
-	case !wasHeld:
-		k.Trace.Add(trace.Event{Kind: trace.LeaseTaken, Detail: fmt.Sprintf("%s fence %d", k.Name, record.Fence)})
+		k.event(trace.LeaseReleased, k.Name)
+	case !wasHeld && k.lease.Held():
+		k.event(trace.LeaseTaken, fmt.Sprintf("%s fence %d", k.Name, record.Fence))
+	}
+}
+
+func (k *Keeper) event(kind trace.Kind, detail string) {
+	if k.Trace != nil {
+		k.Trace.Add(trace.Event{Kind: kind, Detail: detail})
 	}
 }
 
-// releaseTimeout bounds the release of the lease at the end of Run.
+// releaseTimeout bounds the release of the lease.
 const releaseTimeout = 2 * time.Second
 
-// release releases the lease if it is held. Run calls it after its context has
+// Release releases the lease if it is held. Run calls it after its context has
 // ended, so it has a context of its own.
-func (k *Keeper) release() {
-	if !k.held() {
+func (k *Keeper) Release() {
+	if !k.Held() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -14,6 +14,11 @@
 // the time that sending an order may take. It therefore stops before any other
 // process can acquire the lease.
 //
+// The store may be restored from an older copy, and then has lost its latest leases.
+// The fencing token contains the store's era, which increases each time, so that no
+// token is used twice. A lease that is absent or released in a later era than its token
+// may have been acquired since that copy, so it is acquired only after its duration.
+//
 // # Usage
 //
 //	keeper := &lease.Keeper{Name: "planner/calicut", Holder: "entry-3", Store: platform, Trace: timeline}
@@ -26,13 +31,14 @@
 package lease
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
-// Timing of a lease.
+// Default timing of a lease.
 const (
 	// Duration is how long a lease lasts after its last renewal.
 	Duration = 9 * time.Second
@@ -50,6 +56,27 @@
 	PollInterval = 3 * time.Second
 )
 
+// eraBits is the number of bits of a fencing token below the store's era. The counter
+// in them increases with each acquisition.
+const eraBits = 32
+
+// Timing has the durations of a lease. All processes that use a lease need the same
+// ones. A zero field means the default, the constant of that name.
+type Timing struct {
+	// Duration is how long the lease lasts after its last renewal, RenewInterval the
+	// time between two renewals. Other processes read the lease as often.
+	Duration, RenewInterval time.Duration
+	// SendDelay replaces MaxSendDelay.
+	SendDelay time.Duration
+}
+
+func (t Timing) duration() time.Duration      { return cmp.Or(t.Duration, Duration) }
+func (t Timing) renewInterval() time.Duration { return cmp.Or(t.RenewInterval, RenewInterval) }
+func (t Timing) pollInterval() time.Duration  { return cmp.Or(t.RenewInterval, PollInterval) }
+
+// Delay returns the longest time from the check of the lease until an order arrives.
+func (t Timing) Delay() time.Duration { return cmp.Or(t.SendDelay, MaxSendDelay) }
+
 // Record is the value of a lease's object.
 type Record struct {
 	Holder string
@@ -69,15 +96,17 @@
 	Until time.Time
 }
 
-// Lease is one process's view of a lease. Holder, the process's name, must be
-// set. A Lease is not safe for concurrent use.
+// Lease is one process's view of a lease. Holder must be set; it is a name that the
+// process does not have again after a restart. A Lease is not safe for concurrent use.
 type Lease struct {
 	Holder string
+	Timing
 	// Margin, if set, replaces the function that shortens the holder's duration.
 	// Experiments set it to run a holder without the safety margin.
 	Margin func(time.Duration) time.Duration
 
-	record  Record
+	record Record
+	// version is that of the object; its revision is 0 if there is none.
 	version uint64
 	// observedAt is when this version was first read. It was written earlier,
 	// so that a wait from observedAt on is never too short.
@@ -87,7 +116,8 @@
 	held       bool
 }
 
-// Observe records the object as read at now.
+// Observe records the object as read at now. The version of an object that does not
+// exist consists of the store's era and revision 0.
 func (l *Lease) Observe(now time.Time, object store.Object) {
 	if l.observed && object.Version <= l.version {
 		return
@@ -109,19 +139,51 @@
 	if !l.observed {
 		return false
 	}
-	if l.version == 0 || l.record.Released {
+	// In a later era than that of the token, another process may have acquired the
+	// lease and the store has lost it.
+	sameEra := l.record.Fence>>eraBits >= store.Era(l.version)
+	if sameEra && (store.Revision(l.version) == 0 || l.record.Released) {
 		return true
 	}
-	return now.Sub(l.observedAt) >= extendForDrift(Duration)
+	return now.Sub(l.observedAt) >= extendForDrift(l.duration())
+}
+
+// Own reports whether the object has an acquisition or renewal by this process that is
+// not known to be lost to another one. It can be renewed with its token, although its
+// write was thought to be lost.
+func (l *Lease) Own() bool {
+	return l.observed && l.record.Holder == l.Holder && !l.record.Released && l.record.Fence>>eraBits == store.Era(l.version)
+}
+
+// poll returns the time until the lease should be read again: the poll interval, less
+// if the lease is free before.
+func (l *Lease) poll(now time.Time) time.Duration {
+	interval := l.pollInterval()
+	if !l.observed || l.Free(now) {
+		return interval
+	}
+	return min(interval, l.observedAt.Add(extendForDrift(l.duration())).Sub(now))
+}
+
+// nextFence returns the fencing token of the next acquisition.
+func (l *Lease) nextFence() uint64 {
+	era := store.Era(l.version)
+	if era == 0 {
+		return l.record.Fence + 1
+	}
+	// A write that was sent before the store was restored can replace the record of a
+	// later acquisition by one with an older token. The revision of the replaced object
+	// increases with each acquisition in spite of that.
+	return max(l.record.Fence, era<<eraBits+min(store.Revision(l.version), 1<<eraBits-2)) + 1
 }
 
 // AcquireWrite returns the object to write, and its record, to acquire or renew
-// the lease. The fencing token is incremented unless the lease is already held.
+// the lease. The fencing token is incremented unless the object is this process's own.
 // write is a unique ID of the write. The caller reports success to RecordWrite.
 func (l *Lease) AcquireWrite(key, write string) (store.Object, Record) {
 	next := Record{Holder: l.Holder, Fence: l.record.Fence, Write: write}
-	if !l.held {
-		next.Fence++
+	if !l.held && !l.Own() {
+		next.Fence = l.nextFence()
 	}
 	return object(key, next, l.version), next
 }
@@ -135,19 +197,28 @@
 // object returns the object to write the record as the successor of the version.
 func object(key string, record Record, version uint64) store.Object {
 	value, _ := json.Marshal(record)
+	if store.Revision(version) == 0 {
+		version = 0
+	}
 	return store.Object{Key: key, Value: value, Version: version}
 }
 
 // RecordWrite records that a write, which began at sent and ended at now, took
-// effect as the given version.
+// effect as the given version. A write that took effect in a later era than that of its
+// token grants nothing: the store was restored in between, and another process may hold
+// the lease.
 func (l *Lease) RecordWrite(sent, now time.Time, record Record, version uint64) {
+	if store.Era(version) > record.Fence>>eraBits {
+		l.MarkLost()
+		return
+	}
 	l.record, l.version, l.observedAt, l.observed = record, version, now, true
 	l.held = !record.Released
-	margin := usableDuration
+	margin := l.usableDuration
 	if l.Margin != nil {
 		margin = l.Margin
 	}
-	l.grant = Grant{Fence: record.Fence, Until: sent.Add(margin(Duration))}
+	l.grant = Grant{Fence: record.Fence, Until: sent.Add(margin(l.duration()))}
 }
 
 // MarkLost records that the lease may be lost: another process's write came
@@ -180,6 +251,6 @@
 
 // usableDuration returns how long a lease of duration d may be used, by a clock
 // that may run slow, less the time for sending an order.
-func usableDuration(d time.Duration) time.Duration {
-	return d - d*MaxDriftPerMille/1000 - MaxSendDelay
+func (t Timing) usableDuration(d time.Duration) time.Duration {
+	return d - d*MaxDriftPerMille/1000 - t.Delay()
 }
