--- /dev/null
+++ b/internal/plan/report/collector.go
@@ -0,0 +1,168 @@
+package report
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// maxProcesses bounds the processes of which a collector keeps counts, maxName the
+	// length of a name in bytes.
+	maxProcesses = 4096
+	maxName      = 512
+)
+
+// Collector collects the counts of all processes. Window must be set before use. A Collector
+// is safe for concurrent use.
+type Collector struct {
+	// Window is the length of the windows.
+	Window time.Duration
+
+	mu      sync.Mutex
+	windows map[int64]map[string]*tally
+}
+
+// tally has the counts of the incarnations of one process in one window.
+type tally struct {
+	newest uint64
+	shares map[uint64]*share
+}
+
+// share has the counts of one incarnation.
+type share struct {
+	counts map[string]uint32
+	// parts is the number of parts of the final counts, 0 if they are not known. finals has
+	// the first account of each part that has arrived.
+	parts  int
+	finals map[string]bool
+}
+
+// Add adds a part of a process's counts. It may arrive several times and in any order; the
+// highest count of each account holds. Parts of windows that are not kept, and those with
+// counts that no process sends, are ignored.
+func (c *Collector) Add(now time.Time, process string, incarnation uint64, p Part) {
+	current := WindowAt(now, c.Window)
+	if p.Window <= current-kept || p.Window > current+1 || len(process) > maxName {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for number := range c.windows {
+		if number <= current-kept {
+			delete(c.windows, number)
+		}
+	}
+	s := c.share(p.Window, process, incarnation)
+	if s == nil {
+		return
+	}
+	for _, n := range p.Counts {
+		known, ok := s.counts[n.Account]
+		if n.Account == "" || len(n.Account) > maxName || !ok && len(s.counts) >= maxAccounts {
+			continue
+		}
+		s.counts[n.Account] = max(known, n.Requests)
+	}
+	if p.Final && p.Parts > 0 {
+		s.addFinal(p)
+	}
+}
+
+// addFinal records that a part of the final counts has arrived.
+func (s *share) addFinal(p Part) {
+	if s.parts != p.Parts {
+		// Requests were counted after the first final counts.
+		s.parts, s.finals = p.Parts, map[string]bool{}
+	}
+	first := ""
+	if len(p.Counts) > 0 {
+		first = p.Counts[0].Account
+	}
+	if len(s.finals) < p.Parts {
+		s.finals[first] = true
+	}
+}
+
+// share returns the counts of a process, nil if there are too many. The caller must hold mu.
+func (c *Collector) share(window int64, process string, incarnation uint64) *share {
+	if c.windows == nil {
+		c.windows = map[int64]map[string]*tally{}
+	}
+	if c.windows[window] == nil {
+		c.windows[window] = map[string]*tally{}
+	}
+	t, ok := c.windows[window][process]
+	if !ok {
+		if len(c.windows[window]) >= maxProcesses {
+			return nil
+		}
+		t = &tally{shares: map[uint64]*share{}}
+		c.windows[window][process] = t
+	}
+	s, ok := t.shares[incarnation]
+	if !ok {
+		if len(t.shares) >= maxIncarnations {
+			return nil
+		}
+		s = &share{counts: map[string]uint32{}}
+		t.shares[incarnation] = s
+		t.newest = max(t.newest, incarnation)
+	}
+	return s
+}
+
+// maxIncarnations bounds the incarnations of a process that count in one window. A process
+// takes seconds to start.
+const maxIncarnations = 16
+
+// Totals returns the requests of each account in a window, of all processes and incarnations
+// together, without accounts that have none.
+func (c *Collector) Totals(window int64) map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	totals := map[string]uint64{}
+	for _, t := range c.windows[window] {
+		for _, s := range t.shares {
+			for account, n := range s.counts {
+				if n > 0 {
+					totals[account] += uint64(n)
+				}
+			}
+		}
+	}
+	return totals
+}
+
+// Complete reports whether the latest incarnations of all the processes have sent their final
+// counts of a window.
+func (c *Collector) Complete(window int64, processes []string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range processes {
+		t, ok := c.windows[window][name]
+		if !ok {
+			return false
+		}
+		if s := t.shares[t.newest]; s.parts == 0 || len(s.finals) < s.parts {
+			return false
+		}
+	}
+	return true
+}
+
+// Earliest returns the first window, up to the given one, in which a request is known to have
+// begun; the given one if there is none.
+func (c *Collector) Earliest(window int64) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for number, processes := range c.windows {
+		for _, t := range processes {
+			for _, s := range t.shares {
+				if len(s.counts) > 0 {
+					window = min(window, number)
+				}
+			}
+		}
+	}
+	return window
+}
--- /dev/null
+++ b/internal/plan/report/model_test.go
@@ -0,0 +1,307 @@
+package report
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ebonyscale.example/ebonyscale/internal/state/lease"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+const (
+	window       = 5 * time.Second
+	reportWithin = 10 * time.Second
+)
+
+// modelTiming is the timing of the lease in the model.
+var modelTiming = lease.Timing{Duration: 4 * time.Second, RenewInterval: 1250 * time.Millisecond, SendDelay: 800 * time.Millisecond}
+
+// process is a process of the model.
+type process struct {
+	name      string
+	era       uint64
+	lease     lease.Lease
+	machine   Machine
+	collector Collector
+	fence     uint64
+	starts    int
+}
+
+// world is the model: a store with conditional writes that can be restored from an older
+// copy, the platform, and two processes.
+type world struct {
+	now       time.Time
+	era       uint64
+	revision  uint64
+	objects   map[string]store.Object
+	copies    []map[string]store.Object
+	inFlight  []store.Object
+	processes [2]*process
+	holder    int
+	counted   uint32
+	// bodies is what the platform has been sent for each window, owners the process and
+	// start that has used each token, lastFence the highest token so far.
+	bodies    map[int64]string
+	owners    map[uint64]string
+	lastFence uint64
+	failure   string
+	// between, if set, happens once between the renewal of the lease and the next action.
+	between func()
+}
+
+func newWorld() *world {
+	w := &world{now: time.Unix(5000, 0), objects: map[string]store.Object{}, bodies: map[int64]string{}, owners: map[uint64]string{}}
+	w.copies = []map[string]store.Object{{}}
+	for i := range w.processes {
+		w.processes[i] = &process{name: fmt.Sprint("p", i)}
+		w.start(i)
+	}
+	return w
+}
+
+// start starts a process anew.
+func (w *world) start(i int) {
+	p := w.processes[i]
+	p.starts++
+	p.era, p.fence = 0, 0
+	p.lease = lease.Lease{Holder: fmt.Sprint(p.name, "/", p.starts), Timing: modelTiming}
+	p.machine = Machine{Window: window, ReportWithin: reportWithin, First: WindowAt(w.now, window)}
+	p.collector = Collector{Window: window}
+}
+
+func (w *world) get(p *process, key string) store.Object {
+	p.era = w.era
+	o := w.objects[key]
+	o.Key, o.Version = key, store.Version(w.era, o.Version)
+	return o
+}
+
+// apply writes an object at the store, which knows revisions only.
+func (w *world) apply(o store.Object) bool {
+	if w.objects[o.Key].Version != store.Revision(o.Version) {
+		return false
+	}
+	w.revision++
+	o.Version = w.revision
+	next := map[string]store.Object{}
+	for key, object := range w.objects {
+		next[key] = object
+	}
+	next[o.Key] = o
+	w.objects = next
+	w.copies = append(w.copies, next)
+	return true
+}
+
+// put writes an object. delayed leaves it in flight, which has an unknown outcome.
+func (w *world) put(p *process, o store.Object, delayed bool) (uint64, bool) {
+	if store.Revision(o.Version) != 0 && store.Era(o.Version) != p.era {
+		return 0, false
+	}
+	if delayed {
+		w.inFlight = append(w.inFlight, o)
+		return 0, false
+	}
+	written := w.apply(o)
+	p.era = w.era
+	return store.Version(w.era, w.revision), written
+}
+
+// land applies the writes in flight.
+func (w *world) land() {
+	for _, o := range w.inFlight {
+		w.apply(o)
+	}
+	w.inFlight = nil
+}
+
+// restore restores the store from the copy before the last writes.
+func (w *world) restore(writes int) {
+	w.era++
+	w.objects = w.copies[max(len(w.copies)-1-writes, 0)]
+	w.copies = append(w.copies, w.objects)
+	w.revision = 0
+	for _, o := range w.objects {
+		w.revision = max(w.revision, o.Version)
+	}
+}
+
+const leaseKey, usageKey = "lease/duties", "duties/usage"
+
+// renew renews or acquires the lease for the process, as lease.Keeper does.
+func (w *world) renew(p *process, delayed bool) {
+	if !p.lease.Held() {
+		p.lease.Observe(w.now, w.get(p, leaseKey))
+		if !p.lease.Own() && !p.lease.Free(w.now) {
+			w.pass(4100 * time.Millisecond)
+			p.lease.Observe(w.now, w.get(p, leaseKey))
+		}
+		if !p.lease.Own() && !p.lease.Free(w.now) {
+			return
+		}
+	}
+	o, record := p.lease.AcquireWrite(leaseKey, "")
+	version, ok := w.put(p, o, delayed)
+	if !ok {
+		p.lease.MarkLost()
+		return
+	}
+	p.lease.RecordWrite(w.now, w.now, record, version)
+}
+
+// pass lets time pass, in which both collectors get further counts, not always the same.
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.counted++
+	for i, p := range w.processes {
+		for number := WindowAt(w.now, window) - 2; number <= WindowAt(w.now, window); number++ {
+			p.collector.Add(w.now, "x", 1, Part{Window: number, Final: true, Parts: 1, Counts: []Count{{"a", w.counted + uint32(i)}}})
+		}
+	}
+}
+
+// act renews the lease of the holder and does its next action. It returns false if there is
+// none.
+func (w *world) act(lost, delayed bool) bool {
+	p := w.processes[w.holder]
+	w.renew(p, false)
+	grant, ok := p.lease.Grant(w.now)
+	if !ok {
+		return false
+	}
+	if grant.Fence != p.fence {
+		p.fence = grant.Fence
+		p.machine.Begin(w.now)
+	}
+	if w.between != nil {
+		w.between()
+		w.between = nil
+	}
+	a := p.machine.Decide(w.now, p.era, &p.collector, []string{"x"})
+	switch a.Kind {
+	case Read:
+		o := w.get(p, usageKey)
+		if lost {
+			return true
+		}
+		_ = p.machine.Read(w.now, o.Version, o.Value, &p.collector)
+	case Fix:
+		version, written := w.put(p, store.Object{Key: usageKey, Value: a.Record.Encode(), Version: a.Version}, delayed)
+		if lost || !written {
+			p.machine.Unsettled()
+			return true
+		}
+		p.machine.Fixed(version, a)
+	case Send:
+		w.receive(p, grant, a.Report)
+		if !lost && !delayed {
+			p.machine.Delivered(a.Report)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// receive checks a report at the platform.
+func (w *world) receive(p *process, grant lease.Grant, r Report) {
+	owner := fmt.Sprint(p.name, "/", p.starts)
+	if known, used := w.owners[grant.Fence]; used && known != owner {
+		w.failure = fmt.Sprintf("token %d used by %s and %s", grant.Fence, known, owner)
+	}
+	if grant.Fence < w.lastFence {
+		w.failure = fmt.Sprintf("token %d after %d", grant.Fence, w.lastFence)
+	}
+	w.owners[grant.Fence], w.lastFence = owner, grant.Fence
+	if body, sent := w.bodies[r.Window]; sent && body != r.Body {
+		w.failure = fmt.Sprintf("window %d: %s and %s", r.Window, body, r.Body)
+	}
+	w.bodies[r.Window] = r.Body
+}
+
+// run lets a window pass and does all actions.
+func (w *world) run() {
+	w.pass(window)
+	for range 12 {
+		if !w.act(false, false) {
+			return
+		}
+	}
+}
+
+// events are what can happen, each with a letter for the sequence.
+var events = []struct {
+	letter byte
+	do     func(w *world)
+}{
+	{'r', (*world).run},
+	{'h', func(w *world) { w.holder = 1 - w.holder }},
+	{'k', func(w *world) { w.start(w.holder); w.holder = 1 - w.holder }},
+	{'s', func(w *world) { w.pass(time.Second); w.act(false, false) }},
+	{'l', func(w *world) { w.pass(time.Second); w.act(true, false) }},
+	{'d', func(w *world) { w.pass(time.Second); w.act(false, true) }},
+	{'n', func(w *world) { w.renew(w.processes[w.holder], true) }},
+	{'f', (*world).land},
+	{'b', func(w *world) { w.restore(2) }},
+	{'c', func(w *world) { w.restore(7) }},
+	{'m', func(w *world) { w.between = func() { w.restore(1) } }},
+}
+
+// exhaustiveLength is the length up to which all sequences are walked, 14,641 of them. Length
+// 5 takes half a minute. longSequences longer ones of up to maxLength events are drawn.
+const (
+	exhaustiveLength = 4
+	longSequences    = 4000
+	maxLength        = 12
+)
+
+// TestNoWindowHasTwoContents walks all short sequences of holder changes, kills, actions,
+// lost responses, writes in flight and restored stores, and some long ones. It checks that no
+// window is sent with two contents, that no token is used by two processes and none after a
+// higher one, and that reports go on after each sequence.
+func TestNoWindowHasTwoContents(t *testing.T) {
+	sequence := make([]int, exhaustiveLength)
+	for next := true; next; {
+		walk(t, sequence)
+		next = false
+		for i := range sequence {
+			if sequence[i]++; sequence[i] < len(events) {
+				next = true
+				break
+			}
+			sequence[i] = 0
+		}
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for range longSequences {
+		long := make([]int, exhaustiveLength+1+random.IntN(maxLength-exhaustiveLength))
+		for i := range long {
+			long[i] = random.IntN(len(events))
+		}
+		walk(t, long)
+	}
+}
+
+// walk plays a sequence of events.
+func walk(t *testing.T, sequence []int) {
+	t.Helper()
+	w, letters := newWorld(), ""
+	w.run()
+	for _, e := range sequence {
+		letters += string(events[e].letter)
+		events[e].do(w)
+	}
+	w.between = nil
+	w.land()
+	for range 6 {
+		w.run()
+	}
+	if n := WindowAt(w.now, window); w.failure == "" && w.bodies[n-1] == "" && w.bodies[n-2] == "" {
+		w.failure = "no reports after the sequence"
+	}
+	require.Empty(t, w.failure, "after %s", letters)
+}
--- a/internal/plan/report/report.go
+++ b/internal/plan/report/report.go
@@ -1,13 +1,41 @@
 // Package report decides on the usage reports of windows of time: how many requests of
 // each client account began to run in a window.
 //
+// Each process counts with a Counter, which says what to send to the processes that may
+// have to report, the collectors, as Parts. These add the Parts to a Collector. One of
+// them, the holder of the lease of the duties, runs a Machine. It fixes the report of one
+// window after the other: it writes the report to the store before it sends it, and sends
+// it until the outcome is known, so that no window is ever reported with two contents.
+//
+// All of them are pure: they take the present true time and do no I/O.
+//
 // # Usage
 //
-//	r := report.New(window, counts)
-//	send(r.Body)
+//	counter := &report.Counter{Window: 5 * time.Second}
+//	counter.Count(at, "huka270")
+//	for _, message := range counter.Due(now, collectors, false) {
+//		send(message.To, message.Part)
+//	}
+//
+//	collector := &report.Collector{Window: 5 * time.Second}
+//	collector.Add(now, "entry-2", incarnation, part)
+//
+//	machine := &report.Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second}
+//	machine.Begin(now)
+//	switch a := machine.Decide(now, era, collector, live); a.Kind {
+//	case report.Read: object, err := store.Get(key); machine.Read(now, version, value)
+//	case report.Fix:  version, err := store.Put(object(a)); machine.Fixed(version, a)
+//	case report.Send: err := send(a.Report); machine.Delivered(a.Report)
+//	}
 package report
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
+
+// kept is the number of windows, the present one included, of which counts are kept.
+const kept = 6
 
 // Report is the usage report of a window. Its bytes are fixed before it is first sent.
 type Report struct {
@@ -29,3 +57,35 @@
 	}{window, counts})
 	return Report{Window: window, Body: string(body)}
 }
+
+// WindowAt returns the number of the window of the given length in which a time is.
+func WindowAt(at time.Time, length time.Duration) int64 {
+	since := at.UnixNano()
+	number := since / int64(length)
+	if since < 0 && since%int64(length) != 0 {
+		number--
+	}
+	return number
+}
+
+// EndOf returns the end of a window.
+func EndOf(window int64, length time.Duration) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(window+1) * length)
+}
+
+// Part has counts of one process and window, or a part of them if there are many.
+type Part struct {
+	Window int64
+	// Final is set if the process will count no further request in the window. Parts is
+	// then in how many Parts it sends its counts, none of which has an account of another.
+	Final bool
+	Parts int
+	// Counts are sorted by account.
+	Counts []Count
+}
+
+// Count is the number of requests of an account since the start of the window.
+type Count struct {
+	Account  string
+	Requests uint32
+}
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// TestTokensAfterRestore checks that a token grows although a renewal of an earlier era, which
+// was in flight while the store was restored, replaces the record of a later acquisition, and
+// that such a renewal grants nothing.
+func TestTokensAfterRestore(t *testing.T) {
+	now := time.Unix(0, 0)
+	a := lease.Lease{Holder: "a"}
+	a.Observe(now, store.Object{Key: "k"})
+	stray, record := a.AcquireWrite("k", "w")
+	b := lease.Lease{Holder: "b"}
+	b.Observe(now, store.Object{Key: "k", Version: store.Version(1, 0)})
+	assert.False(t, b.Free(now), "the store may have lost the lease")
+	now = now.Add(2 * lease.Duration)
+	require.True(t, b.Free(now))
+	acquired, first := b.AcquireWrite("k", "w")
+	assert.Zero(t, acquired.Version, "the object is to be created")
+	assert.EqualValues(t, 1<<32+1, first.Fence)
+	b.RecordWrite(now, now, first, store.Version(1, 7))
+	stray.Version = store.Version(1, 8)
+	a.RecordWrite(now, now, record, stray.Version)
+	_, ok := a.Grant(now)
+	assert.False(t, ok)
+	c := lease.Lease{Holder: "c"}
+	c.Observe(now, stray)
+	_, next := c.AcquireWrite("k", "w")
+	assert.Greater(t, next.Fence, first.Fence)
+}
+
 // TestKeeperUnderFaults runs two keepers against a failing platform and checks
 // that never both have a grant.
 func TestKeeperUnderFaults(t *testing.T) {
