core, broker: count the requests that begin and report them

Each process counts requests that begin to run by account, sends the counts to the first two processes in the order of the duties and answers with its wall clock in status messages, only where usage reports are a duty. The holder of the lease fixes, sends and repeats reports.

--- a/internal/fleet/peers/choose.go
+++ b/internal/fleet/peers/choose.go
@@ -37,6 +37,19 @@
 	return t.candidates(key, stopping, count, func(*peer) bool { return false })
 }
 
+// LiveMembers returns the names of the live members, this process included if it is one.
+func (t *Table) LiveMembers() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	names := make([]string, 0, len(t.peers)+1)
+	for name := range t.members {
+		if _, live := t.peers[name]; live || name == t.Self {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // candidates is Coordinators without the peers that are excluded.
 func (t *Table) candidates(key uint64, stopping bool, count int, excluded func(*peer) bool) []string {
 	t.mu.RLock()
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -213,6 +213,8 @@
 	// Carrier, if set, has requests served by peers when this process reaches no backend
 	// server of their service.
 	Carrier Carrier
+	// Counter, if set, counts the requests that begin to run, by client account.
+	Counter Counter
 	// MaxBuffered bounds the bytes of the responses of backend servers that are kept in
 	// memory, of all requests together; 0 means no bound.
 	MaxBuffered int64
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -211,12 +211,16 @@
 		p.release(usage.Result{Verdict: j.verdict(f)})
 		return f
 	}
+	stream := j.route.Kind == table.Stream && response.Status < 300
+	if !stream {
+		j.countBegan()
+	}
 	if !j.continues(response.Status, response.Fields) {
 		f := &failure{outcome: retry.Unknown, reason: serverFailed, err: errOtherResponse(response)}
 		p.release(usage.Result{Verdict: j.verdict(f)})
 		return f
 	}
-	if j.route.Kind == table.Stream && response.Status < 300 {
+	if stream {
 		return j.relayStream(p, response, c)
 	}
 	f := j.relayWhole(p, response)
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -171,6 +171,9 @@
 			j.broker.Usage.MarkActive(time.Now(), p.server)
 			j.measureGap(time.Now())
 		}
+		if err == nil && !started {
+			j.countBegan()
+		}
 		if err == nil && !started && c.After != "" && !e.HasID {
 			err = errNoID
 		}
--- a/internal/node/core/duties.go
+++ b/internal/node/core/duties.go
@@ -83,7 +83,11 @@
 	if !n.Duties.enabled() {
 		return nil
 	}
-	return []task.Task{{Name: "Hold", Do: n.holder.Run}}
+	tasks := []task.Task{{Name: "Hold", Do: n.holder.Run}}
+	if n.accounting != nil {
+		tasks = append(tasks, task.Task{Name: "Count", Do: n.accounting.Count}, task.Task{Name: "Report", Do: n.duringDuty(n.accounting.Report)})
+	}
+	return tasks
 }
 
 // duringDuty returns a task that calls do while this process holds the lease of the duties,
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -34,6 +34,8 @@
 // With duties, the calls to the platform that one process makes for all, there are also:
 //
 //	Hold       holds the lease of the duties if this process is the chosen one
+//	Count      sends the counts of clients' requests to the processes that report them
+//	Report     reports the counts of all processes while this one holds the lease
 package core
 
 import (
@@ -128,7 +130,9 @@
 	origins       *origins
 	carrier       *carrier
 	// holder holds the lease of the duties; nil if there are none.
-	holder           *duty.Holder
+	holder *duty.Holder
+	// accounting counts and reports usage; nil if that is not a duty.
+	accounting       *accounting
 	table            atomic.Pointer[table.Table]
 	serversListed    atomic.Bool
 	quarantineListed atomic.Bool
@@ -190,6 +194,10 @@
 	if n.Duties.enabled() {
 		n.holder = newHolder(n)
 	}
+	if n.reportsUsage() {
+		n.accounting = newAccounting(n)
+		n.Broker.Counter = n.accounting
+	}
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.pollTimeout, n.debounce)
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
 	n.Meters.Gauge("BackendServers", func() int64 { return int64(n.roster.Len()) })
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -102,6 +102,7 @@
 	n.lastDigest = digest
 	n.sequence++
 	message.Sequence = n.sequence
+	message.WallMs = n.wallTold()
 	return message, changed
 }
 
@@ -205,6 +206,9 @@
 	n.handleCoordination(message)
 	n.quarantine.handle(now, message)
 	n.origins.handle(now, message)
+	if n.accounting != nil {
+		n.accounting.handle(now, message)
+	}
 	if message.Sequence == 0 {
 		return
 	}
--- a/internal/node/core/stop.go
+++ b/internal/node/core/stop.go
@@ -33,6 +33,9 @@
 	began := time.Now()
 	end := began.Add(grace - stopMargin)
 	n.stopping.Store(true)
+	if n.accounting != nil {
+		n.accounting.sendDue(began)
+	}
 	n.Broker.Close(began.Add(min(balancerWait, grace/2)), end)
 	server.Drain()
 	n.Log.Info("stopping", zap.Int("Active", server.Active()), zap.Int("Connections", server.Connections()), zap.Duration("Grace", grace))
@@ -40,6 +43,9 @@
 	n.awaitEnd(ctx, server, end)
 	server.Refuse(ctx)
 	n.awaitEnd(ctx, server, time.Now().Add(lastWait))
+	if n.accounting != nil {
+		n.accounting.Flush(time.Now())
+	}
 	n.Log.Info("stopped", zap.Int("Active", server.Active()), zap.Duration("Took", time.Since(began)))
 }
 
--- /dev/null
+++ b/internal/node/core/usage.go
@@ -0,0 +1,303 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"ebonyscale.example/ebonyscale/internal/base/clock"
+	"ebonyscale.example/ebonyscale/internal/base/timer"
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/plan/report"
+	"ebonyscale.example/ebonyscale/internal/state/duty"
+	"ebonyscale.example/ebonyscale/internal/state/lease"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// usageKey is the key of the store's object with the usage report that was fixed last.
+const usageKey = dutiesName + "/usage"
+
+const (
+	// countInterval is the period at which due counts are sent to the collectors,
+	// reportInterval that at which the holder looks for a report to be fixed.
+	countInterval  = 250 * time.Millisecond
+	reportInterval = 100 * time.Millisecond
+	// usageCollectors is the number of processes that get the counts of all: the holder and the
+	// one that replaces it.
+	usageCollectors = 2
+	// minReportRetry and maxReportRetry bound the pause after a failed call.
+	minReportRetry = 100 * time.Millisecond
+	maxReportRetry = time.Second
+	// maxEarly bounds the requests that are kept until true time is known.
+	maxEarly = 4096
+)
+
+// accounting counts the requests of clients and reports those of all processes, if this one
+// holds the lease of the duties. It implements broker.Counter and is safe for concurrent use.
+type accounting struct {
+	node *Node
+	// started is when this process started.
+	started   time.Time
+	clock     clock.Clock
+	counter   report.Counter
+	collector report.Collector
+	machine   report.Machine
+	// tracked has the counts of machine.Skipped that the metrics have.
+	tracked int64
+
+	// mu guards early: the requests that began before true time was known.
+	mu    sync.Mutex
+	early []earlyRequest
+}
+
+// earlyRequest is a request that began at a time of this process's clock.
+type earlyRequest struct {
+	account string
+	at      time.Time
+}
+
+func newAccounting(n *Node) *accounting {
+	d := n.Duties
+	return &accounting{
+		node: n, started: time.Now(), counter: report.Counter{Window: d.Window}, collector: report.Collector{Window: d.Window},
+		machine: report.Machine{Window: d.Window, ReportWithin: d.ReportWithin},
+	}
+}
+
+// Began implements broker.Counter.
+func (a *accounting) Began(account string, at time.Time) {
+	if account == "" {
+		return
+	}
+	if !a.clock.Settled(at) && a.keepEarly(account, at) {
+		return
+	}
+	a.counter.Count(a.clock.Time(at), account)
+}
+
+// keepEarly keeps a request until true time is known. It returns false if there are too many.
+func (a *accounting) keepEarly(account string, at time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.early) >= maxEarly {
+		return false
+	}
+	a.early = append(a.early, earlyRequest{account, at})
+	return true
+}
+
+// countEarly counts the requests that began before true time was known.
+func (a *accounting) countEarly() {
+	a.mu.Lock()
+	early := a.early
+	a.early = nil
+	a.mu.Unlock()
+	for _, r := range early {
+		a.counter.Count(a.clock.Time(r.at), r.account)
+	}
+}
+
+// Count sends the counts of this process to the collectors until ctx ends and returns its
+// error.
+func (a *accounting) Count(ctx context.Context) error {
+	for timer.Wait(ctx, countInterval) {
+		a.sendDue(time.Now())
+	}
+	return ctx.Err()
+}
+
+// sendDue sends what is due at a time.
+func (a *accounting) sendDue(at time.Time) {
+	if !a.clock.Settled(at) {
+		return
+	}
+	a.countEarly()
+	now, stopping := a.clock.Time(at), a.node.stopping.Load()
+	for _, m := range a.counter.Due(now, a.collectors(), stopping) {
+		a.send(now, m, a.node.coordination.push)
+	}
+}
+
+// Flush sends the final counts of a process that ends. They are sent when it returns.
+func (a *accounting) Flush(at time.Time) {
+	a.countEarly()
+	now, mesh := a.clock.Time(at), a.node.mesh()
+	for _, m := range a.counter.Flush(now, a.collectors()) {
+		a.send(now, m, func(to string, message *wire.News) {
+			if member, ok := a.node.peers.Member(to); ok {
+				message.From = a.node.Name
+				mesh.SendTo(message, member)
+			}
+		})
+	}
+}
+
+// collectors returns the processes that get the counts.
+func (a *accounting) collectors() []string {
+	return a.node.peers.Coordinators(dutiesKey, a.node.stopping.Load(), usageCollectors)
+}
+
+// send passes counts to a collector, which may be this process.
+func (a *accounting) send(now time.Time, m report.Message, push func(to string, message *wire.News)) {
+	if m.To == a.node.Name {
+		a.collector.Add(now, a.node.Name, a.node.incarnation, m.Part)
+		return
+	}
+	push(m.To, &wire.News{Incarnation: a.node.incarnation, Usage: []*wire.WindowUsage{encodeUsage(m.Part)}})
+}
+
+// handle handles the clock and the counts of a peer.
+func (a *accounting) handle(at time.Time, message *wire.News) {
+	if message.From == "" || message.From == a.node.Name {
+		return
+	}
+	if message.WallMs > 0 {
+		a.clock.Observe(at, message.From, time.UnixMilli(message.WallMs))
+	}
+	if len(message.Usage) == 0 {
+		return
+	}
+	now := a.clock.Time(at)
+	for _, u := range message.Usage {
+		a.collector.Add(now, message.From, message.Incarnation, decodeUsage(u))
+	}
+}
+
+func encodeUsage(p report.Part) *wire.WindowUsage {
+	m := &wire.WindowUsage{Window: p.Window, Final: p.Final, Parts: uint32(p.Parts)}
+	for _, c := range p.Counts {
+		m.Accounts = append(m.Accounts, &wire.AccountUsage{Account: c.Account, Requests: c.Requests})
+	}
+	return m
+}
+
+func decodeUsage(m *wire.WindowUsage) report.Part {
+	p := report.Part{Window: m.Window, Final: m.Final, Parts: int(m.Parts)}
+	for _, c := range m.Accounts {
+		p.Counts = append(p.Counts, report.Count{Account: c.GetAccount(), Requests: c.GetRequests()})
+	}
+	return p
+}
+
+// Report reports the usage of all processes while ctx lasts, which ends with the grant of the
+// token.
+func (a *accounting) Report(ctx context.Context, fence uint64) error {
+	if a.machine.First == 0 {
+		a.machine.First = report.WindowAt(a.clock.Time(a.started), a.node.Duties.Window)
+	}
+	a.machine.Begin(a.clock.Time(time.Now()))
+	retry := backoff.ExponentialBackOff{InitialInterval: minReportRetry, Multiplier: 2, MaxInterval: maxReportRetry}
+	retry.Reset()
+	pause := time.Duration(0)
+	for timer.Wait(ctx, pause) {
+		grant, ok := a.node.holder.Grant()
+		if !ok || grant.Fence != fence {
+			return nil
+		}
+		now := a.clock.Time(time.Now())
+		action := a.machine.Decide(now, a.node.Duties.Era(), &a.collector, a.node.peers.LiveMembers())
+		a.countSkipped()
+		if action.Kind == report.Wait {
+			pause = reportInterval
+			continue
+		}
+		if err := a.act(ctx, now, grant, action); err != nil {
+			pause = retry.NextBackOff()
+			continue
+		}
+		pause = 0
+		retry.Reset()
+	}
+	return nil
+}
+
+// countSkipped updates the metric of skipped windows.
+func (a *accounting) countSkipped() {
+	if skipped := a.machine.Skipped(); skipped != a.tracked {
+		a.node.Meters.Add("UsageWindowsSkipped", skipped-a.tracked)
+		a.node.Log.Warn("windows are not reported, as their counts or reports may be lost", zap.Int64("Windows", skipped-a.tracked))
+		a.tracked = skipped
+	}
+}
+
+// act does what the machine wants. After an error it is to be asked again after a pause.
+func (a *accounting) act(ctx context.Context, now time.Time, grant lease.Grant, action report.Action) error {
+	switch action.Kind {
+	case report.Read:
+		return a.read(ctx, now)
+	case report.Fix:
+		return a.fix(ctx, grant, action)
+	case report.Send:
+		return a.deliver(ctx, grant, action.Report)
+	}
+	return nil
+}
+
+// read reads the store's object.
+func (a *accounting) read(ctx context.Context, now time.Time) error {
+	object, err := a.node.Store.Get(ctx, usageKey)
+	if errors.Is(err, store.ErrAbsent) {
+		object, err = store.Object{Version: store.Version(a.node.Duties.Era(), 0)}, nil
+	}
+	if err != nil {
+		return fmt.Errorf("read usage reports: %w", err)
+	}
+	if err := a.machine.Read(now, object.Version, object.Value, &a.collector); err != nil {
+		a.node.Log.Error("record of usage reports can't be used and is replaced", zap.Error(err))
+	}
+	return nil
+}
+
+// fix writes a report to the store.
+func (a *accounting) fix(ctx context.Context, grant lease.Grant, action report.Action) error {
+	version, err := a.node.Store.Put(ctx, store.Object{Key: usageKey, Value: action.Record.Encode(), Version: action.Version})
+	if err != nil {
+		if errors.Is(err, store.ErrConflict) || !store.NotWritten(err) {
+			a.machine.Unsettled()
+		}
+		a.node.Log.Info("usage report could not be fixed", zap.Int64("Window", action.Record.Report.Window), zap.Error(err))
+		return fmt.Errorf("fix usage report: %w", err)
+	}
+	a.machine.Fixed(version, action)
+	a.node.Log.Info("usage report fixed", zap.Int64("Window", action.Record.Report.Window), zap.Uint64("Fence", grant.Fence))
+	return nil
+}
+
+// deliver sends a report that is fixed.
+func (a *accounting) deliver(ctx context.Context, grant lease.Grant, r report.Report) error {
+	err := a.node.Duties.Reports.ReportUsage(ctx, grant, r)
+	now := a.clock.Time(time.Now())
+	late := now.After(report.EndOf(r.Window, a.node.Duties.Window).Add(a.node.Duties.ReportWithin))
+	fields := []zap.Field{zap.Int64("Window", r.Window), zap.Uint64("Fence", grant.Fence), zap.Bool("Late", late)}
+	if err != nil {
+		a.node.Meters.Add("UsageReportsFailed", 1)
+		a.node.Log.Info("usage report was not delivered", append(fields, zap.Error(err))...)
+		if (errors.Is(err, duty.ErrRefused) || errors.Is(err, duty.ErrNoneLeft)) && a.machine.Refused(r) {
+			a.node.Log.Error("usage report is given up, the platform refuses it", fields...)
+		}
+		return err
+	}
+	a.machine.Delivered(r)
+	a.node.Meters.Add("UsageReportsSent", 1)
+	if late {
+		a.node.Meters.Add("UsageReportsLate", 1)
+	}
+	a.node.Log.Info("usage report delivered", fields...)
+	return nil
+}
+
+// reportsUsage returns whether usage reports are a duty.
+func (n *Node) reportsUsage() bool { return n.Duties.enabled() && n.Duties.Reports != nil }
+
+// wallTold returns the wall clock in a status message, 0 if no process uses it.
+func (n *Node) wallTold() int64 {
+	if n.accounting == nil {
+		return 0
+	}
+	return time.Now().UnixMilli()
+}
--- /dev/null
+++ b/internal/plan/report/counter_test.go
@@ -0,0 +1,169 @@
+package report
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
+)
+
+// at returns a time in window 1000.
+func at(seconds float64) time.Time {
+	return time.Unix(5000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// summary describes messages.
+func summary(list []Message) []string {
+	var all []string
+	for _, m := range list {
+		all = append(all, fmt.Sprintf("%s %d final=%v %v", m.To, m.Part.Window, m.Part.Final, m.Part.Counts))
+	}
+	return all
+}
+
+// TestDue checks when counts are sent: once a second while they change, at the end of the
+// window, and twice as final; also for windows without requests, which a collector waits for.
+func TestDue(t *testing.T) {
+	c := Counter{Window: 5 * time.Second}
+	to := []string{"h"}
+	assert.Len(t, c.Due(at(1), to, false), 2, "the windows before the start have no requests")
+	c.Count(at(1.1), "x")
+	assert.Equal(t, []string{"h 1000 final=false [{x 1}]"}, summary(c.Due(at(1.2), to, false)))
+	c.Count(at(1.3), "x")
+	assert.Empty(t, c.Due(at(1.4), to, false), "not more than once a second")
+	assert.Len(t, c.Due(at(1.5), to, true), 1, "but at once if the process is about to end")
+	assert.Len(t, c.Due(at(2.3), to, false), 2, "the final counts of the windows before once more")
+	assert.Empty(t, c.Due(at(3.5), to, false), "unchanged")
+	c.Count(at(4.9), "y")
+	assert.Equal(t, []string{"h 1000 final=false [{x 2} {y 1}]"}, summary(c.Due(at(5), to, false)))
+	assert.Equal(t, []string{"h 1000 final=true [{x 2} {y 1}]"}, summary(c.Due(at(5.6), to, false)))
+	assert.Equal(t, []string{"h 1000 final=true [{x 2} {y 1}]"}, summary(c.Due(at(6.7), to, false)))
+	assert.Empty(t, c.Due(at(9), to, false))
+	assert.Equal(t, []string{"h 1001 final=true []"}, summary(c.Due(at(10.5), to, false)))
+	assert.Len(t, c.Due(at(10.6), []string{"h", "new"}, false), 4, "a new collector gets all windows")
+	c.Count(at(11), "x")
+	assert.Equal(t, []string{"new 1002 final=true [{x 1}]"}, summary(c.Flush(at(11.1), []string{"new"})), "a process that ends has no further request")
+}
+
+// TestParts checks that each message fits a datagram of 1,200 bytes and that all parts of the
+// final counts have to arrive.
+func TestParts(t *testing.T) {
+	c := Counter{Window: 5 * time.Second}
+	for i := range 300 {
+		for range 1 + i%7 {
+			c.Count(at(1), fmt.Sprintf("account-with-a-long-name-%d", i))
+		}
+	}
+	list := c.Due(at(5.5), []string{"h"}, false)
+	var collector Collector
+	collector.Window = c.Window
+	parts := 0
+	for _, m := range list {
+		if m.Part.Window != 1000 {
+			continue
+		}
+		assert.False(t, collector.Complete(1000, []string{"a"}))
+		collector.Add(at(5.5), "a", 7, m.Part)
+		parts++
+		u := &wire.WindowUsage{Window: m.Part.Window, Final: true, Parts: uint32(m.Part.Parts)}
+		for _, n := range m.Part.Counts {
+			u.Accounts = append(u.Accounts, &wire.AccountUsage{Account: n.Account, Requests: n.Requests + 1<<30})
+		}
+		size := proto.Size(&wire.News{From: "a-process-with-a-rather-long-name", Incarnation: 1 << 62, Usage: []*wire.WindowUsage{u}})
+		assert.LessOrEqual(t, size, 1200)
+	}
+	require.Greater(t, parts, 5)
+	assert.True(t, collector.Complete(1000, []string{"a"}))
+	assert.Len(t, collector.Totals(1000), 300)
+	assert.EqualValues(t, 7, collector.Totals(1000)["account-with-a-long-name-6"])
+}
+
+// TestCollector checks that repeated and reordered counts count once, that a restarted process
+// adds to its former counts, and that the counts of its new incarnation are waited for.
+func TestCollector(t *testing.T) {
+	c := Collector{Window: 5 * time.Second}
+	add := func(process string, incarnation uint64, final bool, requests uint32) {
+		c.Add(at(3), process, incarnation, Part{Window: 1000, Final: final, Parts: 1, Counts: []Count{{"x", requests}}})
+	}
+	add("a", 1, false, 5)
+	add("a", 1, false, 3)
+	add("b", 1, true, 10)
+	assert.EqualValues(t, 15, c.Totals(1000)["x"])
+	assert.False(t, c.Complete(1000, []string{"a", "b"}))
+	assert.True(t, c.Complete(1000, []string{"b"}))
+	add("a", 2, false, 4)
+	assert.EqualValues(t, 19, c.Totals(1000)["x"])
+	add("a", 1, true, 5)
+	assert.False(t, c.Complete(1000, []string{"a", "b"}), "the new incarnation may count more")
+	add("a", 2, true, 6)
+	assert.True(t, c.Complete(1000, []string{"a", "b"}))
+	assert.EqualValues(t, 21, c.Totals(1000)["x"])
+	assert.Equal(t, `{"Window":1000,"Counts":{"x":21}}`, New(1000, c.Totals(1000)).Body)
+	assert.Equal(t, `{"Window":1001,"Counts":{}}`, New(1001, c.Totals(1001)).Body)
+	c.Add(at(31), "a", 2, Part{Window: 1006})
+	assert.Empty(t, c.Totals(1000), "forgotten")
+}
+
+// TestMachineWaits checks when a report is fixed: once all live processes have sent their final
+// counts, without those of a silent one 2 s before it is due, and by a new holder of a late one
+// after it had the time to get the counts.
+func TestMachineWaits(t *testing.T) {
+	c := &Collector{Window: 5 * time.Second}
+	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
+	m.Begin(at(0))
+	assert.Equal(t, Read, m.Decide(at(0), 0, c, nil).Kind)
+	assert.NoError(t, m.Read(at(0), 0, nil, c))
+	final := Part{Window: 1000, Final: true, Parts: 1}
+	c.Add(at(5.5), "a", 1, final)
+	assert.Equal(t, Wait, m.Decide(at(5.9), 0, c, []string{"a"}).Kind, "too early")
+	assert.Equal(t, Wait, m.Decide(at(6), 0, c, []string{"a", "b"}).Kind, "one is missing")
+	assert.Equal(t, Wait, m.Decide(at(12.9), 0, c, []string{"a", "b"}).Kind)
+	assert.Equal(t, Fix, m.Decide(at(13), 0, c, []string{"a", "b"}).Kind, "as late as possible")
+	m.Begin(at(14))
+	assert.NoError(t, m.Read(at(14), 0, nil, c))
+	assert.Equal(t, Wait, m.Decide(at(14), 0, c, []string{"a", "b"}).Kind)
+	c.Add(at(14), "b", 1, final)
+	assert.Equal(t, Fix, m.Decide(at(14), 0, c, []string{"a", "b"}).Kind)
+	assert.Equal(t, Fix, m.Decide(at(29.9), 0, c, nil).Kind, "late")
+	assert.Zero(t, m.Skipped())
+	assert.Equal(t, Fix, m.Decide(at(40), 0, c, nil).Kind)
+	assert.EqualValues(t, 3, m.Skipped(), "the counts are no longer kept")
+}
+
+// TestOddRecords checks that what another writer has put into the object stops no reports,
+// and that they go on with the present window.
+func TestOddRecords(t *testing.T) {
+	for _, odd := range []string{"", "null", "7", "{", `{"Next":9e18}`, `{"Next":-1}`, `{"Next":900,"Report":{"Window":901,"Body":"x"}}`, `{"Next":9000000000}`} {
+		c := &Collector{Window: 5 * time.Second}
+		m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
+		m.Begin(at(2))
+		_ = m.Read(at(2), 3, []byte(odd), c)
+		a := m.Decide(at(13.1), 0, c, nil)
+		require.Equal(t, Fix, a.Kind, odd)
+		assert.GreaterOrEqual(t, a.Record.Report.Window, int64(997), odd)
+		assert.LessOrEqual(t, a.Record.Report.Window, int64(1000), odd)
+		assert.EqualValues(t, 3, a.Version, odd)
+	}
+}
+
+// TestRefusedReportIsGivenUp checks that a report which the platform never accepts does not
+// hold up the later ones.
+func TestRefusedReportIsGivenUp(t *testing.T) {
+	c := &Collector{Window: 5 * time.Second}
+	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
+	m.Begin(at(2))
+	require.NoError(t, m.Read(at(2), 0, nil, c))
+	m.Fixed(1, m.Decide(at(13.1), 0, c, nil))
+	for range maxRefusals - 1 {
+		a := m.Decide(at(13.1), 0, c, nil)
+		require.Equal(t, Send, a.Kind)
+		assert.False(t, m.Refused(a.Report))
+	}
+	assert.True(t, m.Refused(m.Decide(at(13.1), 0, c, nil).Report))
+	assert.Equal(t, Fix, m.Decide(at(18.1), 0, c, nil).Kind)
+}
--- a/internal/state/duty/duty.go
+++ b/internal/state/duty/duty.go
@@ -25,6 +25,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -34,6 +35,17 @@
 	"ebonyscale.example/ebonyscale/internal/state/lease"
 )
 
+// Errors of calls to the platform. Each says that the call had no effect. After any other
+// error it may or may not have taken effect.
+var (
+	// ErrNoneLeft means that what was ordered is not available now.
+	ErrNoneLeft = errors.New("no capacity is left")
+	// ErrRateLimited means that too many calls were made.
+	ErrRateLimited = errors.New("too many calls")
+	// ErrRefused means that the platform does not accept the call.
+	ErrRefused = errors.New("call was refused")
+)
+
 // Eligible reports whether this process is the one to hold the lease.
 type Eligible func() bool
 
