--- a/internal/node/core/duties.go
+++ b/internal/node/core/duties.go
@@ -37,6 +37,14 @@
 	return d.Address.IsValid() && (d.Reports != nil || d.ScalingOrders)
 }
 
+// era returns the latest known era of the store.
+func (d *Duties) era() uint64 {
+	if d.Era == nil {
+		return 0
+	}
+	return d.Era()
+}
+
 // UsageReporter sends usage reports to the platform.
 type UsageReporter interface {
 	// ReportUsage sends a report under a grant. After an error it may have arrived.
--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -187,6 +187,11 @@
 // Report reports the usage of all processes while ctx lasts, which ends with the grant of the
 // token.
 func (a *accounting) Report(ctx context.Context, fence uint64) error {
+	for !a.clock.Settled(time.Now()) {
+		if !timer.Wait(ctx, reportInterval) {
+			return nil
+		}
+	}
 	if a.machine.First == 0 {
 		a.machine.First = report.WindowAt(a.clock.Time(a.started), a.node.Duties.Window)
 	}
@@ -200,7 +205,7 @@
 			return nil
 		}
 		now := a.clock.Time(time.Now())
-		action := a.machine.Decide(now, a.node.Duties.Era(), &a.collector, a.node.peers.LiveMembers())
+		action := a.machine.Decide(now, a.node.Duties.era(), &a.collector, a.node.peers.LiveMembers())
 		a.countSkipped()
 		if action.Kind == report.Wait {
 			pause = reportInterval
@@ -242,7 +247,7 @@
 func (a *accounting) read(ctx context.Context, now time.Time) error {
 	object, err := a.node.Store.Get(ctx, usageKey)
 	if errors.Is(err, store.ErrAbsent) {
-		object, err = store.Object{Version: store.Version(a.node.Duties.Era(), 0)}, nil
+		object, err = store.Object{Version: store.Version(a.node.Duties.era(), 0)}, nil
 	}
 	if err != nil {
 		return fmt.Errorf("read usage reports: %w", err)
--- a/internal/plan/report/counter.go
+++ b/internal/plan/report/counter.go
@@ -153,7 +153,7 @@
 			delete(c.windows, number)
 		}
 	}
-	if !c.running {
+	if !c.running || c.began > current {
 		// The windows before are those of an earlier process of this name, whose final
 		// counts nobody else sends.
 		c.running, c.began = true, current-2
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -135,6 +135,26 @@
 	assert.EqualValues(t, 3, m.Skipped(), "the counts are no longer kept")
 }
 
+// TestWrongTimeAtTheStart checks that a process whose clock is an hour ahead until it hears its
+// peers counts and reports in true time after that.
+func TestWrongTimeAtTheStart(t *testing.T) {
+	c := &Collector{Window: 5 * time.Second}
+	counter := &Counter{Window: 5 * time.Second}
+	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1720}
+	m.Begin(at(3600))
+	require.NoError(t, m.Read(at(3600), 0, nil, c))
+	require.Equal(t, Wait, m.Decide(at(3600), 0, c, nil).Kind)
+	counter.Count(at(3600), "x")
+	counter.Due(at(3600), []string{"h"}, false)
+	counter.Count(at(1), "x")
+	assert.Contains(t, summary(counter.Due(at(1), []string{"h"}, false)), "h 1000 final=false [{x 1}]")
+	require.Equal(t, Read, m.Decide(at(1), 0, c, nil).Kind)
+	require.NoError(t, m.Read(at(1), 0, nil, c))
+	a := m.Decide(at(13), 0, c, nil)
+	require.Equal(t, Fix, a.Kind)
+	assert.EqualValues(t, 1000, a.Record.Report.Window)
+}
+
 // TestOddRecords checks that what another writer has put into the object stops no reports,
 // and that they go on with the present window.
 func TestOddRecords(t *testing.T) {
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -83,7 +83,7 @@
 	version uint64
 	// begun is when this process became the holder.
 	begun time.Time
-	// next is the next window to report. It never decreases in one process.
+	// next is the next window to report. It does not decrease unless it is too far ahead.
 	next int64
 	// done is the window whose report is delivered or given up, refusals counts the
 	// refusals of the report that was fixed last.
@@ -107,6 +107,11 @@
 	if !m.known {
 		return Action{Kind: Read}
 	}
+	if m.next > WindowAt(now, m.Window)+maxAhead {
+		// True time was not known as the window was chosen.
+		m.known, m.next = false, 0
+		return Action{Kind: Read}
+	}
 	if m.pending() {
 		return Action{Kind: Send, Report: m.record.Report}
 	}
@@ -132,7 +137,7 @@
 // pending reports whether the report that was fixed last has to be sent.
 func (m *Machine) pending() bool {
 	r := m.record.Report
-	return r.Body != "" && (!m.anyDone || r.Window > m.done)
+	return r.Body != "" && !(m.anyDone && r.Window == m.done)
 }
 
 // Read records the object as read at now. version is that of the object, or consists of the
@@ -149,7 +154,7 @@
 			return nil
 		}
 		if m.next == 0 {
-			m.next = c.Earliest(m.First)
+			m.next = min(c.Earliest(m.First), present)
 		}
 		return nil
 	}
