--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -26,6 +26,7 @@
 	"ebonyscale.example/ebonyscale/internal/peer/link"
 	"ebonyscale.example/ebonyscale/internal/peer/mesh"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
+	"ebonyscale.example/ebonyscale/internal/state/duty"
 	"ebonyscale.example/ebonyscale/platform"
 )
 
@@ -156,13 +157,16 @@
 	scalingOrders = "ScalingOrders"
 )
 
+// dutyTimeout bounds a call of a duty. It leaves time to repeat a usage report until it is due.
+const dutyTimeout = 1500 * time.Millisecond
+
 // duties returns the duties that the settings ask for.
 func (p *entryProcess) duties(store *platform.Store) core.Duties {
 	s := p.settings.Duties
 	if !s.Address.IsValid() {
 		return core.Duties{}
 	}
-	calls := &platform.Duties{Address: s.Address, Holder: p.settings.Node.Name, PerSecond: s.PerSecond}
+	calls := &platform.Duties{Address: s.Address, Holder: p.settings.Node.Name, Timeout: dutyTimeout, Limit: duty.Limit(s.PerSecond)}
 	duties := core.Duties{Address: s.Address, Era: store.Era, Lease: s.Lease, Window: s.Window, ReportWithin: s.ReportWithin}
 	for _, name := range s.Perform {
 		switch name {
--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,7 @@
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/plan/report"
 	"ebonyscale.example/ebonyscale/internal/state/lease"
+	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 // reports is a fake of the platform that takes usage reports. Each call fails by the share
@@ -76,6 +78,27 @@
 	return nil
 }
 
+// fail sets the share of calls that fail.
+func (r *reports) fail(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing = share
+}
+
+// holder returns the process that reported last.
+func (r *reports) holder() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holders[len(r.holders)-1]
+}
+
+// sent returns the number of windows reported.
+func (r *reports) sent() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.bodies)
+}
+
 // total returns the requests of an account in all reports.
 func (r *reports) total(t *testing.T, account string) (sum int) {
 	r.mu.Lock()
@@ -123,7 +146,7 @@
 func (o *office) start(name string) {
 	n := newNode(o.t)
 	o.starts++
-	n.Name, n.Store = name, o.store
+	n.Name, n.Store = name, &reached{Writer: o.store}
 	n.Duties = Duties{
 		Address: netip.MustParseAddrPort("10.0.0.9:80"), Reports: o.platform.from(name), Era: o.store.eraNow,
 		Lease: 3 * time.Second, Window: 5 * time.Second, ReportWithin: 10 * time.Second,
@@ -153,11 +176,30 @@
 	n := o.nodes[name]
 	delete(o.nodes, name)
 	o.mu.Unlock()
-	n.Store = &memoryStore{down: true}
-	n.holder.Keeper.Store = n.Store
+	n.Store.(*reached).lost.Store(true)
 	o.stops[name]()
 }
 
+// reached is a store that a killed process no longer reaches.
+type reached struct {
+	store.Writer
+	lost atomic.Bool
+}
+
+func (r *reached) Get(ctx context.Context, key string) (store.Object, error) {
+	if r.lost.Load() {
+		return store.Object{}, store.ErrRefused
+	}
+	return r.Writer.Get(ctx, key)
+}
+
+func (r *reached) Put(ctx context.Context, o store.Object) (uint64, error) {
+	if r.lost.Load() {
+		return 0, store.ErrRefused
+	}
+	return r.Writer.Put(ctx, o)
+}
+
 // live returns the processes that run.
 func (o *office) live() map[string]*Node {
 	o.mu.Lock()
@@ -174,7 +216,9 @@
 		if live[n.Name] != n {
 			return
 		}
+		o.mu.Lock()
 		status.WallMs += o.wall[n.Name].Milliseconds()
+		o.mu.Unlock()
 		for _, to := range live {
 			if to != n {
 				to.handleStatus(proto.Clone(status).(*wire.News))
@@ -197,6 +241,13 @@
 	}
 }
 
+// setWall sets the error of a process's wall clock.
+func (o *office) setWall(name string, by time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.wall[name] = by
+}
+
 // run lets time pass, in which each process begins 100 requests a second.
 func (o *office) run(d time.Duration) {
 	for range int(d / (10 * time.Millisecond)) {
@@ -257,9 +308,9 @@
 func TestUsageReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newOffice(t, 5)
-		o.wall["p2"] = 7 * time.Second
+		o.setWall("p2", 7*time.Second)
 		o.run(20 * time.Second)
-		o.wall["p2"] = -time.Hour
+		o.setWall("p2", -time.Hour)
 		writes := o.store.count()
 		o.run(25 * time.Second)
 		assert.InDelta(t, 25/1.25+25/5, o.store.count()-writes, 2, "renewals and one write for each window")
@@ -275,16 +326,16 @@
 func TestUsageReportsSurviveHolders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newOffice(t, 5)
-		o.platform.failing = 0.3
+		o.platform.fail(0.3)
 		o.run(12 * time.Second)
 		for range 3 {
-			holder := o.platform.holders[len(o.platform.holders)-1]
+			holder := o.platform.holder()
 			o.kill(holder)
 			o.run(11 * time.Second)
 			o.start(holder)
 			o.run(7300 * time.Millisecond)
 			// A planned stop: the process sends its counts at once and gives up the lease.
-			stopped := o.platform.holders[len(o.platform.holders)-1]
+			stopped := o.platform.holder()
 			n := o.live()[stopped]
 			n.stopping.Store(true)
 			n.accounting.sendDue(time.Now())
@@ -294,7 +345,7 @@
 			o.start(stopped)
 			o.run(4 * time.Second)
 		}
-		o.platform.failing = 0
+		o.platform.fail(0)
 		o.rest()
 		// Each kill loses the counts of up to a second.
 		o.check(0, 0, 0.01)
@@ -308,7 +359,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		o := newOffice(t, 4)
 		o.run(23 * time.Second)
-		before := len(o.platform.bodies)
+		before := o.platform.sent()
 		o.store.goBack("duties")
 		o.store.goBack("lease")
 		o.run(30 * time.Second)
--- a/internal/state/duty/duty_test.go
+++ b/internal/state/duty/duty_test.go
@@ -305,27 +305,41 @@
 	synctest.Test(t, func(t *testing.T) {
 		var a authority
 		ctx, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex
 		var runs []uint64
 		running := false
+		set := func(fence uint64, run bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			if running = run; run {
+				runs = append(runs, fence)
+			}
+		}
+		check := func(wantRuns []uint64, wantRunning bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			assert.Equal(t, wantRuns, runs)
+			assert.Equal(t, wantRunning, running)
+		}
 		go func() {
 			_ = duty.While(ctx, &a, func(ctx context.Context, fence uint64) error {
-				runs, running = append(runs, fence), true
+				set(fence, true)
 				<-ctx.Done()
-				running = false
+				set(fence, false)
 				return ctx.Err()
 			})
 		}()
 		time.Sleep(time.Second)
-		assert.Empty(t, runs)
+		check(nil, false)
 		a.fence.Store(3)
 		time.Sleep(time.Second)
-		assert.True(t, running)
+		check([]uint64{3}, true)
 		a.fence.Store(4)
 		time.Sleep(time.Second)
-		assert.Equal(t, []uint64{3, 4}, runs)
+		check([]uint64{3, 4}, true)
 		a.fence.Store(0)
 		time.Sleep(time.Second)
-		assert.False(t, running)
+		check([]uint64{3, 4}, false)
 		cancel()
 		synctest.Wait()
 	})
