core, report: wait for the counts of processes that may be partitioned

A member that is silent was not waited for, so that a partition lost its counts at the end of each window. Members that were silent for less than 15 s are waited for, up to 2 s before the report is due; those that ended as planned are not.

--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -127,6 +127,8 @@
 	stops    map[string]context.CancelFunc
 	starts   uint64
 	counting map[string]int
+	// cut has the processes that reach only each other.
+	cut map[string]bool
 	// wall is the error of each process's wall clock as its peers see it.
 	wall map[string]time.Duration
 }
@@ -220,7 +222,7 @@
 		status.WallMs += o.wall[n.Name].Milliseconds()
 		o.mu.Unlock()
 		for _, to := range live {
-			if to != n {
+			if to != n && o.linked(n.Name, to.Name) {
 				to.handleStatus(proto.Clone(status).(*wire.News))
 			}
 		}
@@ -235,12 +237,29 @@
 			return
 		}
 		time.Sleep(time.Millisecond)
-		if live := o.live(); live[n.Name] == n && live[e.to] != nil {
+		if live := o.live(); live[n.Name] == n && live[e.to] != nil && o.linked(n.Name, e.to) {
 			live[e.to].handleStatus(proto.Clone(e.message).(*wire.News))
 		}
 	}
 }
 
+// partition cuts processes off from the others.
+func (o *office) partition(names ...string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cut = map[string]bool{}
+	for _, name := range names {
+		o.cut[name] = true
+	}
+}
+
+// linked reports whether messages of one process reach another.
+func (o *office) linked(a, b string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cut[a] == o.cut[b]
+}
+
 // setWall sets the error of a process's wall clock.
 func (o *office) setWall(name string, by time.Duration) {
 	o.mu.Lock()
@@ -353,6 +372,29 @@
 	})
 }
 
+// TestUsageReportsOverAPartition checks that the counts of processes that are cut off from the
+// others for less than 8 s after the end of a window are in its report, whether the holder is
+// among them or not, and that the two sides do not act at the same time.
+func TestUsageReportsOverAPartition(t *testing.T) {
+	for _, holderCut := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			o := newOffice(t, 5)
+			o.run(13 * time.Second)
+			holder := o.platform.holder()
+			cut := slices.DeleteFunc([]string{"p0", "p1", "p2", "p3", "p4"}, func(name string) bool { return name == holder })[:2]
+			if holderCut {
+				cut[0] = holder
+			}
+			o.partition(cut...)
+			o.run(7 * time.Second)
+			o.partition()
+			o.run(12 * time.Second)
+			o.rest()
+			o.check(0, 0, 1e-9)
+		})
+	}
+}
+
 // TestUsageReportsAfterRestore checks that no window is reported twice after the store has lost
 // the latest reports, and that reports go on.
 func TestUsageReportsAfterRestore(t *testing.T) {
--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -205,7 +205,7 @@
 			return nil
 		}
 		now := a.clock.Time(time.Now())
-		action := a.machine.Decide(now, a.node.Duties.era(), &a.collector, a.node.peers.LiveMembers())
+		action := a.machine.Decide(now, a.node.Duties.era(), &a.collector, a.expected(time.Now()))
 		a.countSkipped()
 		if action.Kind == report.Wait {
 			pause = reportInterval
@@ -221,6 +221,19 @@
 	return nil
 }
 
+// expected returns the processes whose counts a report waits for: the live members, and those
+// that have become silent lately without a planned end. They may be partitioned from this process and still serve
+// clients.
+func (a *accounting) expected(at time.Time) []string {
+	names := a.node.peers.LiveMembers()
+	for name, heard := range a.node.peers.Quiet() {
+		if !a.collector.Ended(name) && !heard.IsZero() && at.Sub(heard) < a.node.Duties.Window+a.node.Duties.ReportWithin {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // countSkipped updates the metric of skipped windows.
 func (a *accounting) countSkipped() {
 	if skipped := a.machine.Skipped(); skipped != a.tracked {
--- a/internal/plan/report/collector.go
+++ b/internal/plan/report/collector.go
@@ -20,6 +20,9 @@
 
 	mu      sync.Mutex
 	windows map[int64]map[string]*tally
+	// ended has the last incarnation of the processes that have ended as planned: those that
+	// sent final counts of a window before its end.
+	ended map[string]uint64
 }
 
 // tally has the counts of the incarnations of one process in one window.
@@ -52,6 +55,9 @@
 			delete(c.windows, number)
 		}
 	}
+	if last, ended := c.ended[process]; ended && incarnation > last {
+		delete(c.ended, process)
+	}
 	s := c.share(p.Window, process, incarnation)
 	if s == nil {
 		return
@@ -65,7 +71,29 @@
 	}
 	if p.Final && p.Parts > 0 {
 		s.addFinal(p)
+		if now.Before(EndOf(p.Window, c.Window)) {
+			c.addEnding(process, incarnation)
+		}
+	}
+}
+
+// addEnding records the planned end of a process. The caller must hold mu.
+func (c *Collector) addEnding(process string, incarnation uint64) {
+	if c.ended == nil {
+		c.ended = map[string]uint64{}
 	}
+	if len(c.ended) >= maxProcesses {
+		clear(c.ended)
+	}
+	c.ended[process] = incarnation
+}
+
+// Ended reports whether a process has ended as planned and was not heard again.
+func (c *Collector) Ended(process string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ended := c.ended[process]
+	return ended
 }
 
 // addFinal records that a part of the final counts has arrived.
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -109,6 +109,21 @@
 	assert.Empty(t, c.Totals(1000), "forgotten")
 }
 
+// TestEnded checks that a process that has ended as planned is known by the final counts of the
+// window that was open, until it is heard again.
+func TestEnded(t *testing.T) {
+	c := Collector{Window: 5 * time.Second}
+	final := Part{Window: 1000, Final: true, Parts: 1}
+	c.Add(at(5.6), "a", 1, final)
+	assert.False(t, c.Ended("a"))
+	c.Add(at(3), "b", 1, final)
+	assert.True(t, c.Ended("b"))
+	c.Add(at(3), "b", 1, final)
+	assert.True(t, c.Ended("b"))
+	c.Add(at(4), "b", 2, Part{Window: 1000})
+	assert.False(t, c.Ended("b"))
+}
+
 // TestMachineWaits checks when a report is fixed: once all live processes have sent their final
 // counts, without those of a silent one 2 s before it is due, and by a new holder of a late one
 // after it had the time to get the counts.
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -101,9 +101,9 @@
 // Skipped returns how many windows have been skipped in total.
 func (m *Machine) Skipped() int64 { return m.skipped }
 
-// Decide returns the next action. era is the latest known era of the store, live has the
-// names of the processes whose counts are waited for.
-func (m *Machine) Decide(now time.Time, era uint64, c *Collector, live []string) Action {
+// Decide returns the next action. era is the latest known era of the store, processes has
+// the names of those whose counts are waited for.
+func (m *Machine) Decide(now time.Time, era uint64, c *Collector, processes []string) Action {
 	if !m.known {
 		return Action{Kind: Read}
 	}
@@ -127,7 +127,7 @@
 	if learnt := m.begun.Add(learnTime); latest.Before(learnt) {
 		latest = learnt
 	}
-	if now.Before(latest) && !c.Complete(m.next, live) {
+	if now.Before(latest) && !c.Complete(m.next, processes) {
 		return Action{}
 	}
 	record := Record{Era: era, Next: m.next + 1, Report: New(m.next, c.Totals(m.next))}
--- a/internal/plan/report/report.go
+++ b/internal/plan/report/report.go
@@ -22,7 +22,7 @@
 //
 //	machine := &report.Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second}
 //	machine.Begin(now)
-//	switch a := machine.Decide(now, era, collector, live); a.Kind {
+//	switch a := machine.Decide(now, era, collector, processes); a.Kind {
 //	case report.Read: object, err := store.Get(key); machine.Read(now, version, value)
 //	case report.Fix:  version, err := store.Put(object(a)); machine.Fixed(version, a)
 //	case report.Send: err := send(a.Report); machine.Delivered(a.Report)
