--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -30,7 +30,13 @@
 //	Fetch      gets a configuration from a peer that has a newer one
 //	Reach      reconnects to unreachable backend servers
 //	Tick       handles timeouts and dispatches queued requests
-//	Scale      orders backend servers while this process holds the duty, if that is on
+//
+// With duties, the calls to the platform that one process makes for all, there are also:
+//
+//	Hold       holds the lease of the duties if this process is the chosen one
+//	Count      sends the counts of clients' requests to the processes that report them
+//	Report     reports the counts of all processes while this one holds the lease
+//	Scale      orders backend servers while this process holds the lease
 package core
 
 import (
@@ -58,8 +64,8 @@
 	"ebonyscale.example/ebonyscale/internal/route/auth"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 	"ebonyscale.example/ebonyscale/internal/route/shed"
+	"ebonyscale.example/ebonyscale/internal/state/duty"
 	"ebonyscale.example/ebonyscale/internal/state/follow"
-	"ebonyscale.example/ebonyscale/internal/state/orders"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
@@ -113,11 +119,9 @@
 	RevokeWithin time.Duration
 	// Admission selects what is delayed and rejected if there is too little capacity.
 	Admission shed.Policy
-	// Authority says whether this process holds the duties, Orderer sends orders for
-	// backend servers. Without both, none are ordered.
-	Authority orders.Authority
-	Orderer   orders.Orderer
-	Log       *zap.Logger
+	// Duties are the calls to the platform that one process makes for all.
+	Duties Duties
+	Log    *zap.Logger
 	// Seed seeds the random choices of Broker.
 	Seed uint64
 
@@ -135,7 +139,11 @@
 	origins       *origins
 	carrier       *carrier
 	// fresh is nil unless StrictRevoke is set.
-	fresh            *auth.Freshness
+	fresh *auth.Freshness
+	// holder holds the lease of the duties; nil if there are none.
+	holder *duty.Holder
+	// accounting counts and reports usage; nil if that is not a duty.
+	accounting       *accounting
 	table            atomic.Pointer[table.Table]
 	serversListed    atomic.Bool
 	quarantineListed atomic.Bool
@@ -196,6 +204,13 @@
 		n.Broker.Carrier = n.carrier
 	}
 	n.prepareRevocation()
+	if n.Duties.enabled() {
+		n.holder = newHolder(n)
+	}
+	if n.reportsUsage() {
+		n.accounting = newAccounting(n)
+		n.Broker.Counter = n.accounting
+	}
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.tablePollTimeout, n.debounce)
 	n.tableFollower.Feed = n.tableFeed()
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
@@ -271,9 +286,7 @@
 	for i := range recordTasks {
 		tasks = append(tasks, task.Task{Name: fmt.Sprint("Record", i+1), Do: n.origins.recorder.Run})
 	}
-	if n.Authority != nil && n.Orderer != nil {
-		tasks = append(tasks, task.Task{Name: "Scale", Do: n.scaling().Run})
-	}
+	tasks = append(tasks, n.dutyTasks()...)
 	return task.Run(ctx, n.Name, n.taskRestarted, tasks)
 }
 
--- a/internal/node/core/scaling.go
+++ b/internal/node/core/scaling.go
@@ -16,7 +16,7 @@
 
 // scaling returns the task that orders backend servers.
 func (n *Node) scaling() *orders.Task {
-	return &orders.Task{Authority: n.Authority, Orderer: n.Orderer, Store: n.Store, Observe: n.observeServices, Meters: n.Meters, Log: n.Log}
+	return &orders.Task{Authority: n.holder, Orderer: n.Duties.Orders, Store: n.Store, Observe: n.observeServices, Meters: n.Meters, Log: n.Log}
 }
 
 // observeServices returns what is seen of the services that may be scaled. It returns
--- a/internal/state/orders/orders.go
+++ b/internal/state/orders/orders.go
@@ -43,7 +43,7 @@
 // Orderer sends orders to the platform.
 type Orderer interface {
 	// Order sends an order under the grant. The errors for which the order had no effect
-	// are those of package scale.
+	// are those of package duty.
 	Order(ctx context.Context, g lease.Grant, o scale.Order) error
 }
 
@@ -178,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	err := t.Orderer.Order(ctx, grant, o)
-	return scale.OutcomeOf(err), err
+	return outcomeOf(err), err
 }
 
 // report counts and logs an order.
