scale: keep the fleet's size while its load is not known, in the cheaper kind

The number of ready servers first seen is now the floor of both kinds together for 10 minutes, kept for the next holder; spot servers are ordered at once and replace on-demand ones down to their share before traffic. The check that nothing is lowered before keepFor now counts the ready servers that are left, as replacing is the aim. Still dear: on-demand servers raised by the fallback during reclaims.

--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -16,7 +16,7 @@
 	var orders []Order
 	for _, name := range slices.Sorted(maps.Keys(s.services)) {
 		v := s.services[name]
-		p, ok := v.plan()
+		p, ok := v.plan(now)
 		if !ok {
 			continue
 		}
@@ -59,14 +59,25 @@
 	// and within roleExcess from the roles that the on-demand servers happen to have: if one
 	// is rare by chance, spot servers of that role cost less than on-demand ones.
 	wantOnDemand, limitOnDemand, wantSpot int
+	// keep is the number of servers of both kinds below which the total is not lowered.
+	keep int
 	// cutOff is set if a zone is.
 	cutOff bool
 }
 
+// kept returns the number of servers below which the total is not lowered while the load is
+// not known for long enough.
+func (v *service) kept(now time.Time) int {
+	if now.Sub(v.firstLoad) >= keepFor {
+		return 0
+	}
+	return v.provisioned
+}
+
 // plan compares what the service has with what it needs. It returns false if nothing is
 // known or no zone can be decided about.
-func (v *service) plan() (*plan, bool) {
-	p := &plan{service: v, zones: v.byPrice(), roles: v.roles()}
+func (v *service) plan(now time.Time) (*plan, bool) {
+	p := &plan{service: v, zones: v.byPrice(), roles: v.roles(), keep: v.kept(now)}
 	if len(p.zones) == 0 || len(p.roles) == 0 {
 		return nil, false
 	}
@@ -89,6 +100,7 @@
 	usual := fleet{share: share}
 	base, limitByShare := least(p.needs.base, usual), least(p.needs.limit, usual)
 	highest := int(math.Ceil(float64(base) * roleExcess))
+	base = max(base, int(math.Ceil(onDemandShare*float64(p.keep))))
 	p.wantOnDemand = max(base, min(least(p.needs.limit, p.onDemand), highest))
 	p.limitOnDemand = max(limitByShare, min(least(p.needs.roles, p.onDemand), highest))
 	p.wantSpot = smallest(0, max(limit-p.wantOnDemand, 0), p.enoughSpot)
@@ -102,7 +114,7 @@
 	carries := func(n int) func(roster.Role) float64 {
 		return func(r roster.Role) float64 { return p.onDemand.expect(r, p.wantOnDemand) + p.spot.expect(r, n) }
 	}
-	return p.needs.peak.met(carries(n)) && p.needs.loss.met(carries(remaining))
+	return p.wantOnDemand+n >= p.keep && p.needs.peak.met(carries(n)) && p.needs.loss.met(carries(remaining))
 }
 
 // desired returns the number of servers of a kind that are ordered in the zones.
@@ -210,10 +222,15 @@
 
 // lower returns the orders for fewer servers: on-demand ones first, which cost more.
 func (p *plan) lower(now time.Time) []Order {
-	if now.Sub(p.firstLoad) < keepFor || now.Sub(p.loweredAt) < stepEvery {
+	if now.Sub(p.loweredAt) < stepEvery {
 		return nil
 	}
-	orders := p.lowerKind(now, false, p.wantOnDemand, p.excessOnDemand, lowFor)
+	wait := time.Duration(lowFor)
+	if p.onDemand.ready.total()+p.spot.ready.total() > p.keep && p.keep > 0 {
+		// Spot servers have replaced them already.
+		wait = 0
+	}
+	orders := p.lowerKind(now, false, p.wantOnDemand, p.excessOnDemand, wait)
 	if len(orders) == 0 {
 		orders = p.lowerKind(now, true, p.wantSpot, p.excessSpot, spotLowFor)
 	}
@@ -244,7 +261,7 @@
 	all.ready.add(p.onDemand.ready)
 	all.ready.add(p.spot.ready)
 	total := all.ready.total()
-	n := int(float64(total) * stepShare)
+	n := min(int(float64(total)*stepShare), max(total-p.keep, 0))
 	enough := func(n int) bool {
 		return p.needs.steady.met(func(r roster.Role) float64 { return all.expect(r, total-n) }) &&
 			p.needs.safe.met(func(r roster.Role) float64 { return float64(all.ready[r] - n) })
--- a/internal/plan/scale/policy.go
+++ b/internal/plan/scale/policy.go
@@ -17,8 +17,10 @@
 	// learnFor is how long a new holder only learns the load of a service: about three status messages of each
 	// peer at 117 processes.
 	learnFor = 3 * time.Second
-	// keepFor is how long after the first load nothing is lowered below the present number.
-	keepFor = 10 * time.Second
+	// keepFor is how long after the first load the total is not lowered below the number of
+	// servers first seen: the operator has sized the fleet for a load that is not yet known.
+	// Until then servers are only replaced by cheaper ones.
+	keepFor = 10 * time.Minute
 )
 
 // Capacity of both kinds together.
@@ -50,7 +52,7 @@
 	roleLimit  = 1.2
 	roleExcess = 1.25
 	// onDemandShare is the least share of on-demand servers in the capacity held for
-	// bursts of the mean load.
+	// bursts of the mean load, and in the number of servers first seen.
 	onDemandShare = 0.3
 	// fallbackUtilisation is the target for the present load while spot servers are not
 	// available. It leaves little headroom, since that would cost the full price. It applies
--- a/internal/plan/scale/scale.go
+++ b/internal/plan/scale/scale.go
@@ -109,7 +109,14 @@
 
 // Saved is the part of the state that the next holder needs.
 type Saved struct {
-	Entries []SavedEntry
+	Entries     []SavedEntry
+	Provisioned []Provisioned `json:",omitempty"`
+}
+
+// Provisioned is the number of ready servers of a service that the first holder saw.
+type Provisioned struct {
+	Service string
+	Servers int
 }
 
 // SavedEntry is the state of one subject.
--- a/internal/plan/scale/state.go
+++ b/internal/plan/scale/state.go
@@ -8,9 +8,10 @@
 
 // State is what a holder has learnt. Start must be called before the other methods.
 type State struct {
-	started  time.Time
-	saved    map[Subject]SavedEntry
-	services map[string]*service
+	started     time.Time
+	saved       map[Subject]SavedEntry
+	provisioned map[string]int
+	services    map[string]*service
 }
 
 // service is the state of one service.
@@ -28,6 +29,8 @@
 	share need
 	// firstLoad is when load was first seen.
 	firstLoad time.Time
+	// provisioned is the number of ready servers first seen, before any order.
+	provisioned int
 }
 
 // subject is the state of one kind in one zone.
@@ -53,7 +56,10 @@
 // Start forgets everything but what the last holder has saved. It is called when this
 // process becomes the holder.
 func (s *State) Start(now time.Time, saved Saved) {
-	*s = State{started: now, saved: map[Subject]SavedEntry{}, services: map[string]*service{}}
+	*s = State{started: now, saved: map[Subject]SavedEntry{}, provisioned: map[string]int{}, services: map[string]*service{}}
+	for _, p := range saved.Provisioned {
+		s.provisioned[p.Service] = p.Servers
+	}
 	for _, e := range saved.Entries {
 		s.saved[e.Subject] = e
 	}
@@ -75,6 +81,9 @@
 		for zone := range o.Scaling.ZonePrices {
 			s.observeZone(now, v, zone)
 		}
+		if v.learning(now) {
+			v.provisioned = cmp.Or(s.provisioned[o.Service], max(v.provisioned, v.readyServers()))
+		}
 		for key := range v.subjects {
 			if _, ok := o.Scaling.ZonePrices[key.AvailabilityZone]; !ok {
 				delete(v.subjects, key)
@@ -88,6 +97,15 @@
 	}
 }
 
+// readyServers returns the number of ready servers of both kinds.
+func (v *service) readyServers() int {
+	sum := 0
+	for _, u := range v.subjects {
+		sum += u.ready
+	}
+	return sum
+}
+
 // observeZone updates both subjects of a zone.
 func (s *State) observeZone(now time.Time, v *service, zone string) {
 	z := v.Zones[zone]
@@ -200,10 +218,12 @@
 func (s *State) Saved(now time.Time) Saved {
 	var saved Saved
 	for _, v := range s.services {
+		saved.Provisioned = append(saved.Provisioned, Provisioned{v.Service, v.provisioned})
 		for key, u := range v.subjects {
 			saved.Entries = append(saved.Entries, SavedEntry{Subject: key, Desired: u.desired, PausedFor: max(u.pausedUntil.Sub(now), 0)})
 		}
 	}
+	slices.SortFunc(saved.Provisioned, func(a, b Provisioned) int { return cmp.Compare(a.Service, b.Service) })
 	slices.SortFunc(saved.Entries, func(a, b SavedEntry) int { return compare(a.Subject, b.Subject) })
 	return saved
 }
