--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -192,7 +192,12 @@
 	if p.needs.fallbackLimit.met(carries(ordered)) {
 		return ordered
 	}
-	return smallest(ordered, p.Scaling.Max*len(p.zones), func(n int) bool { return p.needs.fallback.met(carries(n)) })
+	highest := p.Scaling.Max * len(p.zones)
+	if p.keep > 0 {
+		// The fleet's size at the start is taken to carry its load.
+		highest = min(highest, max(p.keep-spot, ordered))
+	}
+	return smallest(ordered, highest, func(n int) bool { return p.needs.fallback.met(carries(n)) })
 }
 
 // raiseToMin returns the orders for zones that have fewer servers than Min.
