feed: processes read the store's objects through relays of their zone

Cause: every process lists and watches five kinds by itself, one call each. Change: package peer/feed (history per kind, choice of relays, long poll for all kinds, fallback to the store), Entry.Changes, Client.Changes, setting Relays; the own entry is confirmed without a call. Without Relays nothing is created.

--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -126,7 +126,7 @@
 	store := &platform.Store{Address: s.Store.Address, Timeout: s.Store.Timeout}
 	p.node = &core.Node{
 		Name: s.Node.Name, Zone: s.Node.AvailabilityZone, Keys: platform.Keys, Feed: store, Store: store, Servers: servers, CloseExpired: servers.Client.CloseExpired,
-		Peers: p.peers, Hops: p.peers, Address: s.Addresses.Peers, Cores: s.Machine.Cores,
+		Peers: p.peers, Hops: p.peers, Relays: int(s.Store.Relays), RelayCalls: p.peers, Address: s.Addresses.Peers, Cores: s.Machine.Cores,
 		RetryLimit: quota.Limit{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack},
 		WatchFor:   s.Store.WatchFor, StoreWrites: s.Store.WritesPerSecond, LeaveWithin: s.Bounds.LeaveWithin, Log: p.log, Seed: uint64(os.Getpid()),
 	}
--- a/internal/fleet/peers/choose.go
+++ b/internal/fleet/peers/choose.go
@@ -105,6 +105,34 @@
 	return slices.Contains(p.lost, key) || slices.Contains(p.lost, LostAll)
 }
 
+// Standing is a member and what is known of whether it runs.
+type Standing struct {
+	Member
+	// Live is set if its status messages arrive, Heard if any has, Stopping during its planned
+	// stop.
+	Live, Heard, Stopping bool
+}
+
+// Standings returns all members in no order, this process included: own is its entry, which
+// need not be in the store.
+func (t *Table) Standings(own Member, stopping bool) []Standing {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	list := make([]Standing, 0, len(t.members)+1)
+	list = append(list, Standing{own, true, true, stopping})
+	for name, m := range t.members {
+		if name == t.Self {
+			continue
+		}
+		s := Standing{Member: m, Heard: !t.heard[name].IsZero()}
+		if p, live := t.peers[name]; live {
+			s.Live, s.Heard, s.Stopping = true, true, p.stopping
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
 // Rank returns the position of this process, from 0, in the rendezvous order of all
 // members for a key, and their number. Silent members count, since they may still run.
 // While others may have removed this process's entry, it is the last: they share out all.
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -3,14 +3,101 @@
 import (
 	"context"
 	"errors"
+	"time"
 
+	"ebonyscale.example/ebonyscale/internal/fleet/peers"
+	"ebonyscale.example/ebonyscale/internal/peer/feed"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 )
 
-// Changes implements wire.DRPCEntryServer. This process does not serve objects of the
-// store to its peers.
-func (n *Node) Changes(context.Context, *wire.FeedQuery) (*wire.FeedAnswer, error) {
-	return &wire.FeedAnswer{Refused: true}, nil
+// prepareRelays makes the followers read through relays if these are configured.
+func (n *Node) prepareRelays() {
+	if n.Relays <= 0 || n.RelayCalls == nil {
+		return
+	}
+	started := time.Now()
+	n.relayed = &feed.Feed{
+		Direct: n.Feed, Caller: n.RelayCalls, Health: &n.health, Meters: n.Meters, Log: n.Log,
+		Choose: func() feed.Choice { return n.chooseRelays(time.Since(started) < feed.Young) },
+		Kinds: []feed.Kind{
+			{Name: n.Keys.TableKind, Strict: true},
+			{Name: n.Keys.ServersKind, Strict: true},
+			{Name: n.Keys.MembersKind, First: true},
+			{Name: n.Keys.QuarantineKind},
+			{Name: n.Keys.OriginsKind},
+		},
+	}
+	n.Feed = n.relayed
+}
+
+// chooseRelays chooses from where this process reads the store's objects now.
+func (n *Node) chooseRelays(young bool) feed.Choice {
+	if n.peers.Members() < feed.MinProcesses {
+		return feed.Choice{}
+	}
+	own := peers.Member{Name: n.Name, AvailabilityZone: n.Zone, Cores: n.Cores}
+	return feed.Choose(n.Name, processes(n.peers.Standings(own, n.stopping.Load())), n.Relays, young)
+}
+
+// processes returns what decides which processes are relays.
+func processes(standings []peers.Standing) []feed.Process {
+	list := make([]feed.Process, len(standings))
+	for i, s := range standings {
+		list[i] = feed.Process{
+			Name: s.Name, AvailabilityZone: s.AvailabilityZone, Address: s.Address, Cores: s.Cores,
+			Live: s.Live, Heard: s.Heard, Stopping: s.Stopping,
+		}
+	}
+	return list
+}
+
+// startDebounce is the pause after changes of the processes while this one starts, when many
+// may start with it. The relays are known from these changes.
+const startDebounce = 100 * time.Millisecond
+
+// debounceRelayed returns the pause after changes of a kind. There is none while the kind is
+// read through a relay: that costs no call, and the relay and the poll of it pause already.
+func (n *Node) debounceRelayed(kind string, debounce func() time.Duration) func() time.Duration {
+	if n.relayed == nil || debounce == nil {
+		return debounce
+	}
+	return func() time.Duration {
+		pause := debounce()
+		switch {
+		case n.relayed.Relayed(kind):
+			return 0
+		case kind == n.Keys.MembersKind && !n.Ready() && !n.stopping.Load():
+			return min(pause, startDebounce)
+		}
+		return pause
+	}
+}
+
+// confirmRelayed reports whether the own entry was in the store a short time ago as it
+// should be, according to what is read through a relay.
+func (n *Node) confirmRelayed(own peers.Member) bool {
+	if n.relayed == nil {
+		return false
+	}
+	object, at, ok := n.relayed.Find(n.Keys.MembersKind, n.memberKey(n.Name))
+	if !ok {
+		return false
+	}
+	m, err := peers.Parse(object.Value)
+	if err != nil || m != own {
+		return false
+	}
+	n.peers.Confirm(at)
+	return true
+}
+
+// Changes implements wire.DRPCEntryServer. It returns objects of the store, or their
+// changes, if this process is a relay.
+func (n *Node) Changes(ctx context.Context, q *wire.FeedQuery) (*wire.FeedAnswer, error) {
+	if n.relayed == nil {
+		return &wire.FeedAnswer{Refused: true}, nil
+	}
+	return n.relayed.Answer(ctx, q), nil
 }
 
 var errNoExplanation = errors.New("this process does not explain placements")
--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -130,6 +130,9 @@
 func (n *Node) announceOnce(ctx context.Context) error {
 	began, key := time.Now(), n.memberKey(n.Name)
 	own := peers.Member{Name: n.Name, AvailabilityZone: n.Zone, Address: n.Address, Incarnation: n.incarnation, Cores: n.Cores}
+	if n.confirmRelayed(own) {
+		return nil
+	}
 	value, err := json.Marshal(own)
 	if err != nil {
 		return fmt.Errorf("encode own entry: %w", err)
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -30,6 +30,7 @@
 //	Fetch      gets a configuration from a peer that has a newer one
 //	Reach      reconnects to unreachable backend servers
 //	Tick       handles timeouts and dispatches queued requests
+//	Feed       reads the store's objects from a relay, or watches them as one (with Relays)
 package core
 
 import (
@@ -53,6 +54,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/broker"
 	"ebonyscale.example/ebonyscale/internal/node/httpd"
 	"ebonyscale.example/ebonyscale/internal/node/meter"
+	"ebonyscale.example/ebonyscale/internal/peer/feed"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
 	"ebonyscale.example/ebonyscale/internal/state/follow"
@@ -100,6 +102,10 @@
 	// StoreWrites is the number of writing calls per second that the store takes from all
 	// processes together.
 	StoreWrites float64
+	// Relays is the number of processes of each availability zone that watch the store for
+	// the others, see package feed; 0 if all do. RelayCalls is the RPC client for that.
+	Relays     int
+	RelayCalls feed.Caller
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration
@@ -110,10 +116,12 @@
 	Broker *broker.Broker
 	Meters *meter.Set
 
-	incarnation      uint64
-	peers            peers.Table
-	tableFollower    *follow.Follower
-	health           follow.Health
+	incarnation   uint64
+	peers         peers.Table
+	tableFollower *follow.Follower
+	health        follow.Health
+	// relayed is nil without Relays.
+	relayed          *feed.Feed
 	roster           roster.Roster
 	usage            usage.Table
 	coordination     *coordination
@@ -178,6 +186,7 @@
 	if n.Hops != nil {
 		n.Broker.Carrier = n.carrier
 	}
+	n.prepareRelays()
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.pollTimeout, n.debounce)
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
 	n.Meters.Gauge("BackendServers", func() int64 { return int64(n.roster.Len()) })
@@ -252,13 +261,16 @@
 	for i := range recordTasks {
 		tasks = append(tasks, task.Task{Name: fmt.Sprint("Record", i+1), Do: n.origins.recorder.Run})
 	}
+	if n.relayed != nil {
+		tasks = append(tasks, task.Task{Name: "Feed", Do: n.relayed.Run})
+	}
 	return task.Run(ctx, n.Name, n.taskRestarted, tasks)
 }
 
 // follower returns the Follower that keeps view up to date with the objects of a
 // kind.
 func (n *Node) follower(kind string, view follow.View, pollTimeout, debounce func() time.Duration) *follow.Follower {
-	return &follow.Follower{Kind: kind, Feed: n.Feed, View: view, PollTimeout: pollTimeout, Debounce: debounce, Health: &n.health, Log: n.Log}
+	return &follow.Follower{Kind: kind, Feed: n.Feed, View: view, PollTimeout: pollTimeout, Debounce: n.debounceRelayed(kind, debounce), Health: &n.health, Log: n.Log}
 }
 
 const (
--- /dev/null
+++ b/internal/peer/feed/start.go
@@ -0,0 +1,60 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// When a process starts, and all may start together, it first lists the processes, from the
+// store, and then waits for a relay to have the other kinds. A relay that has just started
+// as well lists them meanwhile.
+const (
+	// firstDelay and firstSpread are the mean pause before the processes are listed and its
+	// spread. Others that start at the same time have written their entries by then.
+	firstDelay  = 90 * time.Millisecond
+	firstSpread = 40 * time.Millisecond
+	// startWithout is how long a process waits that knows of no relays, startWith how long one
+	// waits for a relay's objects, on the mean. Both are spread by startSpread.
+	startWithout = 200 * time.Millisecond
+	startWith    = 400 * time.Millisecond
+	startSpread  = 60 * time.Millisecond
+	// startTick is the interval at which a process that starts looks for relays.
+	startTick = 20 * time.Millisecond
+	// Young is how long after its start a process takes others that it has not heard yet to
+	// be live.
+	Young = 10 * time.Second
+)
+
+// awaitStart waits, when the process starts, until the objects of a kind can be had from a
+// relay, or until it does not make sense to wait longer.
+func (f *Feed) awaitStart(ctx context.Context, v *view) error {
+	spread := rand.N(startSpread) - startSpread/2
+	for {
+		f.mu.Lock()
+		now := time.Now()
+		if f.started.IsZero() {
+			f.started = now
+		}
+		until := f.started.Add(startWithout + spread)
+		switch {
+		case v.First:
+			until = f.started.Add(firstDelay + spread*firstSpread/startSpread)
+		case f.active:
+			until = f.started.Add(startWith + spread)
+		}
+		news, done := f.news, v.current(now) || !now.Before(until)
+		f.mu.Unlock()
+		if done {
+			return nil
+		}
+		if err := waitFor(ctx, news, min(until.Sub(now), startTick)); err != nil {
+			return err
+		}
+	}
+}
+
+// starting reports whether the process has just started. The caller must hold mu.
+func (f *Feed) starting(now time.Time) bool {
+	return now.Sub(f.started) < startWith+startSpread
+}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -150,6 +150,12 @@
 	return invoke(ctx, c, address, q, newEntryClient, wire.DRPCEntryClient.Table)
 }
 
+// Changes reads objects of the store, or their changes, from an entry process. It waits for
+// changes as long as q says.
+func (c *Client) Changes(ctx context.Context, address netip.AddrPort, q *wire.FeedQuery) (*wire.FeedAnswer, error) {
+	return invoke(ctx, c, address, q, newEntryClient, wire.DRPCEntryClient.Changes)
+}
+
 // Carry opens a call that has a request served by another entry process. It lasts as long
 // as ctx. done must be called; clean says that the call is complete, so that its connection
 // is kept.
--- a/internal/state/follow/health.go
+++ b/internal/state/follow/health.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// RecordOutage records that an outage ended at now that another caller has seen, such as
+// a process from which this one reads the store's objects.
+func (h *Health) RecordOutage(now time.Time) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outageEnded = now
+}
+
 // Outage reports whether the store has an outage at now or had one until recently.
 func (h *Health) Outage(now time.Time) bool {
 	if h == nil {
