feed: tests of calls, failures and starts; outages reported by relays

Cause: a follower that reads from a relay saw no short outage of the store, and took entries that had expired for removed ones (TestStoreDown, red before). Change: relays say for how long their calls fail; a failed call of the follower, or all of several relays, confirm it. A relay that has lost the store reads from another one. Polls last 1.2 s.

--- a/internal/peer/feed/answer.go
+++ b/internal/peer/feed/answer.go
@@ -10,9 +10,9 @@
 )
 
 // maxHold is the longest wait of a poll for changes. A follower asks with it. The worst case
-// of a change is a relay that is paused as the change comes: pollPause, maxHold, pollSlack
-// and a call to another relay or the store, within 3 s.
-const maxHold = 1500 * time.Millisecond
+// of a change is a relay that is paused just before it would have read it: watchPause,
+// pollPause, maxHold, pollSlack, tryTimeout and a call to the store, 2.6 s, within 3 s.
+const maxHold = 1200 * time.Millisecond
 
 // Answer answers the query of another process. A process that is no relay refuses.
 func (f *Feed) Answer(ctx context.Context, q *wire.FeedQuery) *wire.FeedAnswer {
@@ -70,7 +70,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.view("")
-	answer, news, until = &wire.FeedAnswer{}, f.news, now.Add(maxHold)
+	failing := f.failingFor(now).Milliseconds()
+	answer, news, until = &wire.FeedAnswer{FailingMs: failing}, f.news, now.Add(maxHold)
 	if !f.relaying {
 		return &wire.FeedAnswer{Refused: true}, false, news, until
 	}
@@ -78,20 +79,32 @@
 		part := f.part(p, now)
 		busy = busy || part.Listed || len(part.Objects) > 0
 		if !part.Refused {
-			until = earlier(until, f.views[p.Kind].validUntil)
+			until = earlier(until, f.views[p.Kind].servedUntil)
 		}
 		answer.Parts = append(answer.Parts, part)
 	}
 	if refusals(answer) == len(positions) {
-		return &wire.FeedAnswer{Refused: true}, false, news, until
+		return &wire.FeedAnswer{Refused: true, FailingMs: failing}, false, news, until
 	}
 	return answer, busy, news, until
 }
 
+// failingFor returns for how long this process's own watches have failed. The caller must
+// hold mu.
+func (f *Feed) failingFor(now time.Time) time.Duration {
+	var longest time.Duration
+	for _, v := range f.views {
+		if !v.failingSince.IsZero() {
+			longest = max(longest, now.Sub(v.failingSince))
+		}
+	}
+	return longest
+}
+
 // part answers the position of one kind. The caller must hold mu.
 func (f *Feed) part(p *wire.FeedPosition, now time.Time) *wire.FeedPart {
 	v := f.views[p.Kind]
-	if v == nil || !v.current(now) {
+	if v == nil || !v.serves(now) {
 		return &wire.FeedPart{Kind: p.Kind, Refused: true}
 	}
 	page, err := v.since(p.After)
--- /dev/null
+++ b/internal/peer/feed/failure_test.go
@@ -0,0 +1,317 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+const leaveWithin = 3 * time.Second
+
+// settle is how long the processes of a world run before something happens.
+const settle = 15 * time.Second
+
+// play runs a world of 30 processes in 2 zones in a bubble.
+func play(t *testing.T, relays int, do func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 30, 2, relays)
+		ctx, cancel := context.WithCancel(t.Context())
+		w.start(ctx)
+		time.Sleep(settle)
+		do(t, w)
+		for _, p := range w.list {
+			for kind, v := range p.views {
+				assert.Zero(t, v.back, "%s: %s went back", p.Name, kind)
+			}
+		}
+		cancel()
+		w.end()
+	})
+}
+
+// failures are the single failures of a relay, each as it happens to the first of zone z0.
+// It returns the process that cannot learn of changes meanwhile, if any.
+var failures = []struct {
+	name string
+	do   func(w *world, relay *process) (excepted *process)
+}{
+	{"none", func(*world, *process) *process { return nil }},
+	{"relay killed", func(w *world, p *process) *process { w.kill(p); return p }},
+	{"relay paused", func(w *world, p *process) *process { w.freeze(p, 20*time.Second); return p }},
+	{"relay paused for a second", func(w *world, p *process) *process { w.freeze(p, time.Second); return nil }},
+	{"relay cut from the store", func(w *world, p *process) *process {
+		p.link.set(true, time.Time{})
+		if w.relays > 1 {
+			return nil
+		}
+		return p
+	}},
+	{"all relays of the zone killed", func(w *world, _ *process) *process {
+		for _, p := range w.relaysOf("z0") {
+			w.kill(p)
+		}
+		return nil
+	}},
+	{"all relays killed", func(w *world, _ *process) *process {
+		for _, p := range append(w.relaysOf("z0"), w.relaysOf("z1")...) {
+			w.kill(p)
+		}
+		return nil
+	}},
+	{"relay has lost its history", func(w *world, p *process) *process {
+		p.feed.mu.Lock()
+		for _, v := range p.feed.views {
+			v.base, v.changes, v.history.bytes = v.revision, nil, 0
+		}
+		p.feed.mu.Unlock()
+		return nil
+	}},
+	{"the store forgets its changes", func(w *world, _ *process) *process {
+		w.store.mu.Lock()
+		w.store.forgotten = w.store.revision
+		w.store.mu.Unlock()
+		return nil
+	}},
+	{"the store's responses to a relay are slow", func(w *world, p *process) *process {
+		p.link.set(false, time.Now().Add(700*time.Millisecond))
+		return nil
+	}},
+}
+
+// TestChangesArriveInTime guards against a backend server that leaves, or a configuration,
+// that reaches a process later than within 3 s because of one failure, at whatever time of
+// the polls it comes.
+func TestChangesArriveInTime(t *testing.T) {
+	for _, relays := range []int{1, 2} {
+		for _, f := range failures {
+			t.Run(fmt.Sprintf("%s, %d relays", f.name, relays), func(t *testing.T) {
+				var worst time.Duration
+				for _, offset := range []time.Duration{-1200, -600, -480, -300, -50, 0, 50, 400, 900, 1400, 1700, 2500} {
+					play(t, relays, func(t *testing.T, w *world) {
+						worst = max(worst, w.changeAround(t, offset*time.Millisecond, f.do))
+					})
+				}
+				t.Logf("%s: latest after %v", t.Name(), worst)
+			})
+		}
+	}
+}
+
+// changeAround removes a backend server and changes the configuration at a time after a
+// failure, before it if negative. It returns when the last process had both.
+func (w *world) changeAround(t *testing.T, offset time.Duration, fail func(*world, *process) *process) time.Duration {
+	relay := w.relaysOf("z0")[0]
+	// Earlier changes make the polls of the processes pause.
+	w.store.put("servers/s01", "busy")
+	time.Sleep(200 * time.Millisecond)
+	var excepted *process
+	if offset >= 0 {
+		excepted = fail(w, relay)
+		time.Sleep(offset)
+	}
+	changed := time.Now()
+	w.store.put("servers/s00", "")
+	w.store.put("config/main", "next")
+	if offset < 0 {
+		time.Sleep(-offset)
+		excepted = fail(w, relay)
+	}
+	for time.Since(changed) < 2*leaveWithin {
+		if late := w.without("servers/s00", "next", excepted); late == "" {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	took := time.Since(changed)
+	assert.LessOrEqual(t, took, leaveWithin, "changed %v after the failure; not at %s", offset, w.without("servers/s00", "next", excepted))
+	return took
+}
+
+// without returns a process that still has the server or lacks the configuration, except the
+// one and those that have ended.
+func (w *world) without(server, config string, excepted *process) string {
+	for _, p := range w.list {
+		if p == excepted || !p.killed.IsZero() {
+			continue
+		}
+		if p.views["servers"].get(server) != "" || p.views["config"].get("config/main") != config {
+			return p.Name
+		}
+	}
+	return ""
+}
+
+// TestCutRelayServesNothingStale guards against a relay that goes on with a view that the
+// store has not confirmed for 1.5 s, also if it was paused itself and thinks little time has
+// passed since its last call.
+func TestCutRelayServesNothingStale(t *testing.T) {
+	for name, cut := range map[string]func(w *world, p *process){
+		"cut":    func(_ *world, p *process) { p.link.set(true, time.Time{}) },
+		"paused": func(_ *world, p *process) { p.link.set(false, time.Now().Add(10*time.Second)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 2, func(t *testing.T, w *world) {
+				relay := w.relaysOf("z0")[0]
+				query := &wire.FeedQuery{Positions: []*wire.FeedPosition{{Kind: "servers", List: true}, {Kind: "members", List: true}}}
+				assert.False(t, relay.feed.Answer(t.Context(), query).Refused)
+				cut(w, relay)
+				time.Sleep(maxStale)
+				for range 30 {
+					assert.True(t, relay.feed.Answer(t.Context(), query).Refused)
+					time.Sleep(200 * time.Millisecond)
+				}
+				relay.link.set(false, time.Time{})
+				time.Sleep(5 * time.Second)
+				assert.False(t, relay.feed.Answer(t.Context(), query).Refused, "the relay must recover")
+			})
+		})
+	}
+}
+
+// TestRestoredStore guards against objects of the time before the store came back from an
+// older copy, and against a relay that is a step behind the others.
+func TestRestoredStore(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		w.store.mu.Lock()
+		copied, revision := maps.Clone(w.store.objects), w.store.revision
+		w.store.mu.Unlock()
+		w.store.put("servers/lost", "x")
+		w.store.put("config/main", "lost")
+		time.Sleep(3 * time.Second)
+		for _, p := range w.list {
+			assert.Equal(t, "lost", p.views["config"].get("config/main"))
+		}
+		w.store.restore(copied, revision)
+		time.Sleep(leaveWithin)
+		for _, p := range w.list {
+			assert.Equal(t, "0", p.views["config"].get("config/main"), p.Name)
+			assert.Empty(t, p.views["servers"].get("servers/lost"), p.Name)
+			assert.Positive(t, p.views["servers"].outages, "%s: entries may be missing", p.Name)
+		}
+	})
+}
+
+// TestOldEraOfARelay guards against a relay whose objects are older than those of its
+// follower: it is not used, and the store is asked.
+func TestOldEraOfARelay(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		relay := w.relaysOf("z0")[0]
+		w.store.restore(nil, w.store.revision)
+		w.store.put("servers/new", "x")
+		time.Sleep(leaveWithin)
+		w.mu.Lock()
+		w.answer = func(name string, a *wire.FeedAnswer) {
+			for _, part := range a.Parts {
+				if name == relay.Name && !part.Refused {
+					part.Listed, part.Revision, part.Objects = true, store.Revision(part.Revision), nil
+				}
+			}
+		}
+		w.mu.Unlock()
+		time.Sleep(leaveWithin)
+		w.store.put("servers/newer", "x")
+		time.Sleep(leaveWithin)
+		for _, p := range w.list {
+			assert.Equal(t, "x", p.views["servers"].get("servers/new"), p.Name)
+			assert.Equal(t, "x", p.views["servers"].get("servers/newer"), p.Name)
+			if p.AvailabilityZone == "z0" && p != relay {
+				assert.Positive(t, p.meters.Value(RelayFailed), p.Name)
+				assert.Less(t, p.meters.Value(RelayFailed), int64(5), "%s: the relay is avoided for 5 s", p.Name)
+			}
+		}
+	})
+}
+
+// TestFollowerAheadOfRelay guards against a follower that got objects from the store and
+// then older ones from a relay.
+func TestFollowerAheadOfRelay(t *testing.T) {
+	play(t, 1, func(t *testing.T, w *world) {
+		relay := w.relaysOf("z0")[0]
+		i := 0
+		for w.list[i].AvailabilityZone != "z0" || w.list[i] == relay {
+			i++
+		}
+		p := w.list[i]
+		// The relay gets responses, but late.
+		w.freeze(relay, 1400*time.Millisecond)
+		w.store.put("config/main", "ahead")
+		page, err := p.link.List(t.Context(), "config", "")
+		assert.NoError(t, err)
+		p.feed.readDirect(p.feed.views["config"], page, nil)
+		page, err = p.feed.List(t.Context(), "config", "")
+		assert.NoError(t, err)
+		assert.Equal(t, "ahead", string(page.Objects[0].Value))
+		_, err = p.feed.Changes(t.Context(), "config", page.Revision, 2*time.Second)
+		assert.NoError(t, err)
+	})
+}
+
+// TestNoRelayInTheZone guards against a process that waits for relays that do not exist.
+func TestNoRelayInTheZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 30, 2, 1)
+		p := w.list[0]
+		ctx, cancel := context.WithCancel(t.Context())
+		w.run(ctx, p)
+		p.feed.mu.Lock()
+		p.feed.Choose = func() Choice { return Choice{Active: true} }
+		p.feed.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, "0", p.views["config"].get("config/main"))
+		w.store.put("config/main", "1")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, "1", p.views["config"].get("config/main"))
+		calls := w.store.count()
+		time.Sleep(time.Minute)
+		assert.LessOrEqual(t, w.store.count()-calls, 2*7+3*4, "the polls last as long as without relays")
+		cancel()
+		w.end()
+	})
+}
+
+// TestStoreDown guards against an outage of the store that a follower does not see because
+// it reads from a relay, be it long or so short that relays answer all the time.
+func TestStoreDown(t *testing.T) {
+	const short, long = 700 * time.Millisecond, 5 * time.Second
+	for i, down := range []time.Duration{short, short, short, short, long} {
+		t.Run(fmt.Sprint(down, i), func(t *testing.T) {
+			play(t, 2, func(t *testing.T, w *world) {
+				// Outages begin at different times of the polls.
+				time.Sleep(time.Duration(i) * 250 * time.Millisecond)
+				w.store.setDown(true)
+				time.Sleep(down)
+				if down == long {
+					for _, p := range w.list {
+						assert.True(t, p.health.Outage(time.Now()), p.Name)
+					}
+				}
+				// Entries have expired meanwhile.
+				w.store.put("servers/s00", "")
+				w.store.setDown(false)
+				gone := map[string]bool{}
+				for range 300 {
+					time.Sleep(10 * time.Millisecond)
+					for _, p := range w.list {
+						if !gone[p.Name] && p.views["servers"].get("servers/s00") == "" {
+							gone[p.Name] = true
+							assert.True(t, p.health.Outage(time.Now()), "%s takes an entry that expired for one that was removed", p.Name)
+						}
+					}
+				}
+				assert.Len(t, gone, len(w.list))
+				time.Sleep(5 * time.Second)
+				for _, p := range w.list {
+					assert.False(t, p.health.Outage(time.Now()), "%s: the outage has ended", p.Name)
+				}
+			})
+		})
+	}
+}
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -92,6 +92,8 @@
 	source string
 	// avoided has until when a relay is not asked.
 	avoided map[string]time.Time
+	// failing has what relays said of their calls to the store.
+	failing map[string]report
 	onces   map[string]*once
 }
 
@@ -99,22 +101,30 @@
 type view struct {
 	Kind
 	history
-	// validUntil is until when the history counts as current, confirmed a time at which it was.
-	validUntil, confirmed time.Time
+	// validUntil is until when the history counts as current for this process's followers,
+	// servedUntil until when it may be given to others: this process's own watch has confirmed
+	// it. confirmed is a time at which it was current.
+	validUntil, servedUntil, confirmed time.Time
 	// outage is when the source of the history last ended an outage of the store.
 	outage time.Time
 	// steady is set while this process's own watch of the kind does not fail, restart ends the
 	// call in progress.
 	steady  bool
 	restart context.CancelFunc
+	// failingSince is when the first call of that watch failed since the last success.
+	failingSince time.Time
 	// floor is the highest revision that a follower of this process was given.
 	floor uint64
 	// reader names the source from which the followers last read.
 	reader string
 }
 
+// current reports whether this process's followers may read the history.
 func (v *view) current(now time.Time) bool { return v.listed && now.Before(v.validUntil) }
 
+// serves reports whether the history may be given to other processes.
+func (v *view) serves(now time.Time) bool { return v.listed && now.Before(v.servedUntil) }
+
 // maxStale is how long after the last confirmation of a watch its history is given to
 // others. A backend server that leaves must get no requests after 3 s.
 const maxStale = 1500 * time.Millisecond
@@ -130,7 +140,7 @@
 func (f *Feed) view(kind string) *view {
 	if f.views == nil {
 		f.views, f.news = map[string]*view{}, make(chan struct{})
-		f.avoided, f.onces = map[string]time.Time{}, map[string]*once{}
+		f.avoided, f.failing, f.onces = map[string]time.Time{}, map[string]report{}, map[string]*once{}
 		for _, k := range f.Kinds {
 			f.views[k.Name] = &view{Kind: k}
 		}
@@ -156,7 +166,7 @@
 	if v == nil {
 		return f.listOnce(ctx, kind)
 	}
-	if err := f.awaitStart(ctx, v); err != nil {
+	if err := f.awaitStart(ctx, v, false); err != nil {
 		return store.Page{}, err
 	}
 	f.mu.Lock()
@@ -185,6 +195,9 @@
 	f.mu.Unlock()
 	deadline := time.Now().Add(wait)
 	for v != nil {
+		if err := f.awaitStart(ctx, v, true); err != nil {
+			return store.Page{}, err
+		}
 		page, err := f.await(ctx, v, after, deadline)
 		if !errors.Is(err, errStale) && !errors.Is(err, errBehind) {
 			return page, err
@@ -286,7 +299,7 @@
 // read records what a follower was given from the history. The caller must hold mu.
 func (f *Feed) read(v *view, page store.Page) {
 	v.floor = max(v.floor, page.Revision)
-	if !f.relaying {
+	if f.source != ownSource {
 		f.Meters.Add(FromRelay, 1)
 	}
 	f.reads(v, f.source)
@@ -294,11 +307,14 @@
 
 // readDirect records what a follower was given by the store.
 func (f *Feed) readDirect(v *view, page store.Page, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if err != nil {
+		if !errors.Is(err, store.ErrForgotten) && !errors.Is(err, context.Canceled) {
+			f.confirmOutage(time.Now(), v)
+		}
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	v.floor = max(v.floor, page.Revision)
 	f.reads(v, storeSource)
 }
--- a/internal/peer/feed/once.go
+++ b/internal/peer/feed/once.go
@@ -32,7 +32,7 @@
 // listOnce lists the objects of a kind that is not watched: while the process starts from a
 // relay, which lists for all, else the first page from the store.
 func (f *Feed) listOnce(ctx context.Context, kind string) (store.Page, error) {
-	if err := f.awaitStart(ctx, f.anyView()); err != nil {
+	if err := f.awaitStart(ctx, f.anyView(), false); err != nil {
 		return store.Page{}, err
 	}
 	f.mu.Lock()
--- a/internal/peer/feed/poll.go
+++ b/internal/peer/feed/poll.go
@@ -21,7 +21,7 @@
 	// tryTimeout bounds the first call to another relay after one has failed.
 	tryTimeout = 150 * time.Millisecond
 	// pollPause is the pause of a follower after changes. Further ones accumulate in it.
-	pollPause = 500 * time.Millisecond
+	pollPause = 400 * time.Millisecond
 	// chooseInterval is the interval at which a process that does not poll looks for relays.
 	chooseInterval = 200 * time.Millisecond
 	// avoidFailed is how long a relay is not used that did not respond or had older objects,
@@ -54,7 +54,11 @@
 		switch {
 		case relaying:
 			watch.start(ctx, f)
-			timer.Wait(ctx, f.interval(now))
+			if relay, ok := f.next(now, choice); ok && f.lost(now) {
+				f.follow(ctx, relay)
+			} else {
+				timer.Wait(ctx, f.interval(now))
+			}
 		default:
 			watch.stop()
 			if relay, ok := f.next(now, choice); ok {
@@ -68,6 +72,19 @@
 	return ctx.Err()
 }
 
+// lost reports whether this process, a relay, has lost the store: it reads from another relay
+// then, but gives nothing to others.
+func (f *Feed) lost(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.views {
+		if v.Strict && !v.serves(now) {
+			return !f.starting(now)
+		}
+	}
+	return false
+}
+
 // relayTask runs the watches of a relay.
 type relayTask struct {
 	cancel context.CancelFunc
@@ -100,6 +117,7 @@
 func (f *Feed) setRole(active, relaying bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.view("")
 	if f.active == active && f.relaying == relaying {
 		return
 	}
@@ -168,13 +186,14 @@
 	cancel()
 	changed := false
 	if err == nil {
+		f.note(time.Now(), relay, answer)
 		changed, err = f.apply(began, relay, query, answer)
 	}
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
 		f.avoid(time.Now(), relay, err)
-	case changed:
+	case changed && f.complete(time.Now()):
 		timer.Wait(ctx, pollPause)
 	default:
 		// A relay that answers at once without news must not be asked again and again.
@@ -182,6 +201,18 @@
 	}
 }
 
+// complete reports whether the histories of all kinds are current.
+func (f *Feed) complete(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.views {
+		if !v.current(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // minPoll is the least time between two calls to a relay.
 const minPoll = 100 * time.Millisecond
 
@@ -279,7 +310,11 @@
 	f.avoided[relay.Name] = now.Add(pause)
 	f.mu.Unlock()
 	f.Log.Info("relay failed", zap.String("Peer", relay.Name), zap.Duration("Pause", pause), zap.Error(err))
-	if _, ok := f.next(now, f.Choose()); !ok {
+	choice := f.Choose()
+	f.mu.Lock()
+	f.allFail(now, choice.Relays)
+	f.mu.Unlock()
+	if _, ok := f.next(now, choice); !ok {
 		f.invalidate()
 	}
 }
--- a/internal/peer/feed/start.go
+++ b/internal/peer/feed/start.go
@@ -27,9 +27,17 @@
 )
 
 // awaitStart waits, when the process starts, until the objects of a kind can be had from a
-// relay, or until it does not make sense to wait longer.
-func (f *Feed) awaitStart(ctx context.Context, v *view) error {
+// relay, or until it does not make sense to wait longer. watch is set if the objects have
+// been listed: their changes are awaited at the store unless there are relays.
+func (f *Feed) awaitStart(ctx context.Context, v *view, watch bool) error {
 	spread := rand.N(startSpread) - startSpread/2
+	f.mu.Lock()
+	starts := f.started.IsZero() || f.starting(time.Now())
+	f.mu.Unlock()
+	if watch && starts {
+		// What was listed may have the relays.
+		f.lookForRelays()
+	}
 	for {
 		f.mu.Lock()
 		now := time.Now()
@@ -38,10 +46,12 @@
 		}
 		until := f.started.Add(startWithout + spread)
 		switch {
-		case v.First:
+		case v.First && !watch:
 			until = f.started.Add(firstDelay + spread*firstSpread/startSpread)
 		case f.active:
 			until = f.started.Add(startWith + spread)
+		case watch:
+			until = now
 		}
 		news, done := f.news, v.current(now) || !now.Before(until)
 		f.mu.Unlock()
@@ -54,6 +64,14 @@
 	}
 }
 
+// lookForRelays notes that there are relays before Run does.
+func (f *Feed) lookForRelays() {
+	active := f.Choose().Active
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active = f.active || active
+}
+
 // starting reports whether the process has just started. The caller must hold mu.
 func (f *Feed) starting(now time.Time) bool {
 	return now.Sub(f.started) < startWith+startSpread
--- a/internal/peer/feed/watch.go
+++ b/internal/peer/feed/watch.go
@@ -58,6 +58,8 @@
 	defer func() { w.feed.Health.RecordSuccess(time.Now(), caller) }()
 	w.feed.mu.Lock()
 	listed := w.view.listed
+	w.view.steady, w.view.failingSince = false, time.Time{}
+	w.view.validUntil = earlier(w.view.validUntil, time.Now().Add(maxStale))
 	w.feed.mu.Unlock()
 	// fresh is set if the last call was a list: a watch that the store then forgets fails.
 	wait, fresh := time.Duration(0), false
@@ -169,31 +171,40 @@
 // are watched anew. The caller must hold mu.
 func (f *Feed) confirm(v *view, at time.Time, changed bool) {
 	now := time.Now()
-	wasCurrent := v.current(now)
+	was := v.serves(now) && v.current(now)
 	v.steady = true
-	v.extend(at)
+	v.extend(now, at)
 	if v.Strict {
+		f.source = ownSource
 		for _, other := range f.views {
 			switch {
 			case other.Strict || !other.steady:
-			case other.current(now):
-				other.extend(at)
+			case other.serves(now):
+				other.extend(now, at)
 			case other.restart != nil:
 				other.restart()
 			}
 		}
 	}
-	if changed || !wasCurrent {
+	if changed || !was {
 		f.announce()
 	}
 }
 
 // extend moves the time until which the history is current.
-func (v *view) extend(at time.Time) {
+func (v *view) extend(now, at time.Time) {
 	if at.After(v.confirmed) {
 		v.confirmed = at
 	}
-	v.validUntil = v.confirmed.Add(maxStale)
+	until := at.Add(maxStale)
+	if !until.After(v.servedUntil) {
+		return
+	}
+	v.servedUntil = until
+	if until.After(now) {
+		// It may have been set further ahead by an answer of another relay.
+		v.validUntil = until
+	}
 }
 
 // failed records that a call failed.
@@ -205,7 +216,7 @@
 		w.feed.Log.Warn("relay: store calls are failing", zap.String("Kind", w.view.Name), zap.Error(err))
 	}
 	w.feed.mu.Lock()
-	w.view.steady = false
+	w.view.steady, w.view.failingSince = false, w.failingSince
 	w.feed.mu.Unlock()
 }
 
@@ -214,6 +225,9 @@
 func (w *watcher) succeeded(watched bool) {
 	w.feed.Health.RecordSuccess(time.Now(), "Relay."+w.view.Name)
 	w.failingSince, w.timedOut = time.Time{}, false
+	w.feed.mu.Lock()
+	w.view.failingSince = time.Time{}
+	w.feed.mu.Unlock()
 	if watched {
 		w.retry = 0
 	}
