--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -83,8 +83,8 @@
 	views map[string]*view
 	// news is closed and replaced when a history changes or may no longer be current.
 	news chan struct{}
-	// started is when Run began, heard when the objects of the kind First were listed.
-	started, heard time.Time
+	// started is when the Feed was first used.
+	started time.Time
 	// active is set if relays are in use, relaying while this process watches the store for
 	// others.
 	active, relaying bool
