--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -30,6 +30,7 @@
 //	Fetch      gets a configuration from a peer that has a newer one
 //	Reach      reconnects to unreachable backend servers
 //	Tick       handles timeouts and dispatches queued requests
+//	Feed       reads the store's objects from a relay, or watches them as one (with Relays)
 //
 // With duties, the calls to the platform that one process makes for all, there are also:
 //
@@ -60,6 +61,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/broker"
 	"ebonyscale.example/ebonyscale/internal/node/httpd"
 	"ebonyscale.example/ebonyscale/internal/node/meter"
+	"ebonyscale.example/ebonyscale/internal/peer/feed"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/route/auth"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
@@ -110,6 +112,10 @@
 	// StoreWrites is the number of writing calls per second that the store takes from all
 	// processes together.
 	StoreWrites float64
+	// Relays is the number of processes of each availability zone that watch the store for
+	// the others, see package feed; 0 if all do. RelayCalls is the RPC client for that.
+	Relays     int
+	RelayCalls feed.Caller
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration
@@ -132,12 +138,14 @@
 	peers         peers.Table
 	tableFollower *follow.Follower
 	health        follow.Health
-	roster        roster.Roster
-	usage         usage.Table
-	coordination  *coordination
-	quarantine    *quarantine
-	origins       *origins
-	carrier       *carrier
+	// relayed is nil without Relays.
+	relayed      *feed.Feed
+	roster       roster.Roster
+	usage        usage.Table
+	coordination *coordination
+	quarantine   *quarantine
+	origins      *origins
+	carrier      *carrier
 	// fresh is nil unless StrictRevoke is set.
 	fresh *auth.Freshness
 	// holder holds the lease of the duties; nil if there are none.
@@ -211,6 +219,7 @@
 		n.accounting = newAccounting(n)
 		n.Broker.Counter = n.accounting
 	}
+	n.prepareRelays()
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.tablePollTimeout, n.debounce)
 	n.tableFollower.Feed = n.tableFeed()
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
@@ -287,13 +296,16 @@
 		tasks = append(tasks, task.Task{Name: fmt.Sprint("Record", i+1), Do: n.origins.recorder.Run})
 	}
 	tasks = append(tasks, n.dutyTasks()...)
+	if n.relayed != nil {
+		tasks = append(tasks, task.Task{Name: "Feed", Do: n.relayed.Run})
+	}
 	return task.Run(ctx, n.Name, n.taskRestarted, tasks)
 }
 
 // follower returns the Follower that keeps view up to date with the objects of a
 // kind.
 func (n *Node) follower(kind string, view follow.View, pollTimeout, debounce func() time.Duration) *follow.Follower {
-	return &follow.Follower{Kind: kind, Feed: n.Feed, View: view, PollTimeout: pollTimeout, Debounce: debounce, Health: &n.health, Log: n.Log}
+	return &follow.Follower{Kind: kind, Feed: n.Feed, View: view, PollTimeout: pollTimeout, Debounce: n.debounceRelayed(kind, debounce), Health: &n.health, Log: n.Log}
 }
 
 const (
