feed: a circuit breaker for the calls of a process to the store

From the third failure in a row on one list at a time is let through as a probe, every 0.1 to 0.8 s; watches are no probes, as they answer late. Only with relays in use.

--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -95,6 +95,7 @@
 	// failing has what relays said of their calls to the store.
 	failing map[string]report
 	onces   map[string]*once
+	breaker breaker
 }
 
 // view is the history of a kind and what is known of its age.
@@ -184,8 +185,7 @@
 
 // listDirect lists a page from the store.
 func (f *Feed) listDirect(ctx context.Context, kind, after string) (store.Page, error) {
-	f.Meters.Add(FromStore, 1)
-	return f.Direct.List(ctx, kind, after)
+	return callStore(ctx, f, true, func() (store.Page, error) { return f.Direct.List(ctx, kind, after) })
 }
 
 // Changes implements follow.Feed.
@@ -207,8 +207,7 @@
 			return page, err
 		}
 	}
-	f.Meters.Add(FromStore, 1)
-	return f.Direct.Changes(ctx, kind, after, wait)
+	return callStore(ctx, f, false, func() (store.Page, error) { return f.Direct.Changes(ctx, kind, after, wait) })
 }
 
 // await waits for a change of the history.
@@ -266,8 +265,7 @@
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.cancelOnceCurrent(callCtx, cancel, v, store.Era(after))
-	f.Meters.Add(FromStore, 1)
-	page, err := f.Direct.Changes(callCtx, v.Name, after, wait)
+	page, err := callStore(callCtx, f, false, func() (store.Page, error) { return f.Direct.Changes(callCtx, v.Name, after, wait) })
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(callCtx), errCurrent) {
 		return store.Page{}, errCurrent
 	}
--- a/internal/peer/feed/watch.go
+++ b/internal/peer/feed/watch.go
@@ -116,8 +116,7 @@
 	after := v.revision
 	f.mu.Unlock()
 	began := time.Now()
-	f.Meters.Add(FromStore, 1)
-	page, err := f.Direct.Changes(callCtx, v.Name, after, wait)
+	page, err := callStore(callCtx, f, false, func() (store.Page, error) { return f.Direct.Changes(callCtx, v.Name, after, wait) })
 	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
 		return false, errRestarted
 	}
