lease: a delayed write of an earlier token owns and frees nothing

Callers see: two processes may call the platform with one fencing token, or a lower token after a higher one. Cause: a renewal or release that was sent before the store was restored can replace the record of a later acquisition; the earlier record then got the later token, so that its writer renewed with the token of the other holder, and a release freed the lease while the other had a grant. Fix: of a record with a lower token than the one known, nothing but the known token is used. The test fails without the fix; go test ./internal/state/lease ./internal/state/duty passes.

--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -126,8 +126,12 @@
 	if len(object.Value) > 0 && json.Unmarshal(object.Value, &record) != nil {
 		record = Record{}
 	}
-	// Another writer may have replaced the record: the token never goes back.
-	record.Fence = max(record.Fence, l.record.Fence)
+	if record.Fence < l.record.Fence {
+		// A delayed write, or another writer, has replaced a later record. The token never
+		// goes back, and what the earlier record says does not apply to the later one: its
+		// holder may still have a grant.
+		record = Record{Fence: l.record.Fence}
+	}
 	l.record, l.version, l.observedAt, l.observed = record, object.Version, now, true
 	if record.Holder != l.Holder || record.Released {
 		l.held = false
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -185,3 +185,21 @@
 		})
 	}
 }
+
+// TestDelayedWriteOwnsNothing guards against a process that takes the token of another one, or
+// the lease while the other has a grant: a write that was sent before the store was restored
+// arrives after the other has acquired the lease.
+func TestDelayedWriteOwnsNothing(t *testing.T) {
+	now := time.Unix(1, 0)
+	for name, delayed := range map[string]string{
+		"renewal": `{"Holder":"a","Fence":5,"Write":"w"}`, "release": `{"Holder":"a","Fence":5,"Write":"w","Released":true}`,
+	} {
+		l := lease.Lease{Holder: "a"}
+		l.Observe(now, store.Object{Key: "k", Value: []byte(`{"Holder":"b","Fence":4294967302}`), Version: store.Version(1, 10)})
+		l.Observe(now, store.Object{Key: "k", Value: []byte(delayed), Version: store.Version(1, 11)})
+		assert.False(t, l.Own(), name)
+		assert.False(t, l.Free(now.Add(time.Second)), name)
+		_, record := l.AcquireWrite("k", "w")
+		assert.Greater(t, record.Fence, uint64(4294967302), name)
+	}
+}
