orders: orders that are under way end with the grant

Callers see: the platform may get an order of a former holder up to 1.5 s after the grant was withdrawn, while the lease is released 0.8 s after. Cause: orders had only the deadline of the grant and waited for the rate limit and the response meanwhile; usage reports ended with the grant in duty.While. Fix: duty.Bind, taken out of While, ends the context of orders as well. The test fails without the fix (2 orders under way 100 ms after the grant); go test ./internal/state/... passes.

--- a/internal/state/duty/duty.go
+++ b/internal/state/duty/duty.go
@@ -160,20 +160,9 @@
 		if !ok {
 			continue
 		}
-		held, cancel := context.WithCancel(ctx)
-		watched := make(chan struct{})
-		go func() {
-			defer close(watched)
-			defer cancel()
-			for timer.Wait(held, checkInterval) {
-				if g, ok := a.Grant(); !ok || g.Fence != grant.Fence {
-					return
-				}
-			}
-		}()
+		held, release := Bind(ctx, a, grant.Fence)
 		err := do(held, grant.Fence)
-		cancel()
-		<-watched
+		release()
 		if err != nil && !timer.Wait(ctx, retryInterval) {
 			break
 		}
@@ -183,3 +172,24 @@
 
 // retryInterval is the pause after a failed call of what While runs.
 const retryInterval = 200 * time.Millisecond
+
+// Bind returns a context that ends within checkInterval once the authority no longer grants
+// the token, so that calls under it end before the next holder's begin. release must be
+// called when the context is no longer used.
+func Bind(ctx context.Context, a Authority, fence uint64) (held context.Context, release func()) {
+	held, cancel := context.WithCancel(ctx)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		defer cancel()
+		for timer.Wait(held, checkInterval) {
+			if g, ok := a.Grant(); !ok || g.Fence != fence {
+				return
+			}
+		}
+	}()
+	return held, func() {
+		cancel()
+		<-watched
+	}
+}
--- a/internal/state/orders/orders.go
+++ b/internal/state/orders/orders.go
@@ -30,6 +30,7 @@
 	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/node/meter"
 	"ebonyscale.example/ebonyscale/internal/plan/scale"
+	"ebonyscale.example/ebonyscale/internal/state/duty"
 	"ebonyscale.example/ebonyscale/internal/state/lease"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
@@ -159,6 +160,8 @@
 		}
 		return
 	}
+	ctx, release := duty.Bind(ctx, t.Authority, grant.Fence)
+	defer release()
 	var sending sync.WaitGroup
 	for i, o := range list {
 		sending.Go(func() { outcomes[i], failures[i] = t.sendOne(ctx, grant, o) })
--- a/internal/state/orders/orders_test.go
+++ b/internal/state/orders/orders_test.go
@@ -37,6 +37,8 @@
 	stored scale.Saved
 	err    error
 	took   time.Duration
+	// underWay is the number of orders without a response.
+	underWay int
 }
 
 func (p *platform) Grant() (lease.Grant, bool) {
@@ -76,7 +78,13 @@
 		_ = json.Unmarshal(p.object.Value, &p.stored)
 	}
 	p.orders, p.fences = append(p.orders, o), append(p.fences, g.Fence)
+	p.underWay++
 	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.underWay--
+	}()
 	if !sleep(ctx, p.took) {
 		return ctx.Err()
 	}
@@ -176,6 +184,26 @@
 	assert.Empty(t, p.sent())
 }
 
+// TestOrdersEndWithTheGrant guards against an order that arrives after the next holder has
+// acquired the lease: that is released 0.8 s after its grant was withdrawn.
+func TestOrdersEndWithTheGrant(t *testing.T) {
+	p := &platform{fence: 1, took: time.Hour}
+	underWay := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.underWay
+	}
+	run(t, p, func(*Task) {
+		after(3500 * time.Millisecond)
+		assert.NotZero(t, underWay())
+		p.mu.Lock()
+		p.fence = 0
+		p.mu.Unlock()
+		after(100 * time.Millisecond)
+		assert.Zero(t, underWay())
+	})
+}
+
 // TestNoOrderIfItCannotBeRecorded guards against orders beside another holder, and while
 // the store is away.
 func TestNoOrderIfItCannotBeRecorded(t *testing.T) {
