scale: orders stay within the bounds of a changed configuration

Callers see: after Max is lowered, orders above it (12 servers, Max 5: orders for 9, 7, 6), which the platform may refuse for ever, and repetitions of an order above it. Cause: only raised numbers were compared with Max, and an order with an unknown outcome was repeated whatever the configuration. Fix: a changed number moves into the bounds at once, an order that stays outside is not sent, and a repetition outside them is given up. Numbers within the bounds are decided as before. Where both kinds of a zone exceed Max alone, no order can be within the bounds and none is sent. The test fails without the fix; go test ./internal/plan/scale ./internal/state/orders passes.

--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -34,12 +34,17 @@
 	return orders
 }
 
-// repeats returns the orders whose outcome is unknown and that are due again.
+// repeats returns the orders whose outcome is unknown and that are due again. One that is
+// outside the bounds of a later configuration is given up: what it effected will be seen.
 func (v *service) repeats(now time.Time) []Order {
 	var list []Order
 	for _, u := range v.subjects {
-		if u.unsettled != nil && !now.Before(u.retryAt) {
+		switch {
+		case u.unsettled == nil || now.Before(u.retryAt):
+		case v.within(u, u.unsettled.Desired):
 			list = append(list, *u.unsettled)
+		default:
+			u.unsettled = nil
 		}
 	}
 	slices.SortFunc(list, func(a, b Order) int { return compare(a.Subject, b.Subject) })
--- a/internal/plan/scale/scale_test.go
+++ b/internal/plan/scale/scale_test.go
@@ -239,6 +239,57 @@
 	assert.Equal(t, 44, desired)
 }
 
+// TestOrdersWithinNewBounds guards against orders outside the bounds of a configuration that
+// has changed: numbers were lowered, or raised, by a step from where they were, and an order
+// whose outcome was unknown was repeated.
+func TestOrdersWithinNewBounds(t *testing.T) {
+	for _, c := range []struct {
+		name                    string
+		ready, minimum, maximum int
+		load                    float64
+		// then replaces maximum later, while each outcome is unknown.
+		then int
+	}{
+		{"Max below the number present", 12, 1, 5, 2, 5},
+		{"Min above the number present", 1, 4, 9, 3, 9},
+		{"Max lowered after an order", 2, 1, 9, 6, 3},
+	} {
+		scaling := newPlayed(0, 0).scaling
+		scaling.Min, scaling.Max = c.minimum, c.maximum
+		o := Observation{Service: "p", Scaling: scaling, Zones: map[string]Zone{}, Load: Load{"": c.load}}
+		for zone := range prices {
+			o.Zones[zone] = Zone{OnDemand: Counts{"": c.ready}, Spot: Counts{}}
+		}
+		var s State
+		s.Start(epoch, Saved{})
+		ordered, outcome := 0, Done
+		if c.then != c.maximum {
+			outcome = Unknown
+		}
+		for at := time.Duration(0); at < keepFor+time.Minute; at += tick {
+			if at == learnFor+time.Second {
+				o.Scaling.Max = c.then
+			}
+			s.Observe(epoch.Add(at), []Observation{o})
+			list := Decide(epoch.Add(at), &s)
+			for _, order := range list {
+				ordered++
+				sum := order.Desired + s.services["p"].subject(order.AvailabilityZone, !order.Spot).desired
+				assert.LessOrEqual(t, sum, o.Scaling.Max, "%s: %v", c.name, order)
+				assert.GreaterOrEqual(t, sum, o.Scaling.Min, "%s: %v", c.name, order)
+			}
+			for _, order := range list {
+				if outcome == Done {
+					z := o.Zones[order.AvailabilityZone]
+					map[bool]Counts{false: z.OnDemand, true: z.Spot}[order.Spot][""] = order.Desired
+				}
+				s.Record(epoch.Add(at), order, outcome)
+			}
+		}
+		assert.NotZero(t, ordered, c.name)
+	}
+}
+
 // TestMeasure checks that waiting work counts: a saturated fleet would look just busy.
 func TestMeasure(t *testing.T) {
 	servers := []Server{
--- a/internal/plan/scale/zones.go
+++ b/internal/plan/scale/zones.go
@@ -124,10 +124,33 @@
 		if change == 0 {
 			continue
 		}
+		desired := s.service.bounded(u, u.desired+change)
+		if !s.service.within(u, desired) {
+			continue
+		}
 		u.before = u.desired
-		u.desired += change
+		u.desired = desired
 		list = append(list, Order{u.Subject, u.desired, reason})
 	}
 	slices.SortFunc(list, func(a, b Order) int { return compare(a.Subject, b.Subject) })
 	return list
 }
+
+// within reports whether a number for the subject, with the other kind's in its zone, is
+// within Min and Max.
+func (v *service) within(u *subject, desired int) bool {
+	sum := desired + v.subject(u.AvailabilityZone, !u.Spot).desired
+	return sum >= v.Scaling.Min && sum <= v.Scaling.Max
+}
+
+// bounded returns the number nearest to a changed one for which the zone is within its
+// bounds: a later configuration may have other bounds than those of the present numbers. It
+// is not raised further than the platform's count of the other kind leaves room for.
+func (v *service) bounded(u *subject, desired int) int {
+	other := v.subject(u.AvailabilityZone, !u.Spot)
+	least, most := v.Scaling.Min-other.desired, v.Scaling.Max-other.desired
+	if desired > u.desired {
+		least = min(least, max(desired, v.Scaling.Max-other.told))
+	}
+	return max(min(max(desired, least), most), 0)
+}
