broker: no panic behind a resumed stream that waits for paused servers

Callers see: with Policy = CostToCallers the process crashes, or hangs with the lock of all queues held, once a request arrives in a full queue after a resumed stream whose servers are paused. Cause: such a waiter has no cost and was appended at the end of the queue, while shedQueue expects those without one at its beginning until the next tick sorts it. Fix: it is inserted before the first waiter that is not a resumed stream. The order at each tick is as before for both policies. The test panics without the fix; go test ./internal/node/broker passes.

--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -174,7 +174,7 @@
 	}
 	if v.first.usable == 0 {
 		if b.pauseEnds(w) {
-			q.waiting = append(q.waiting, w)
+			q.waiting = slices.Insert(q.waiting, q.firstUnbound(), w)
 			return
 		}
 		w.deliver(nil, errNoServer)
--- a/internal/node/broker/queue_test.go
+++ b/internal/node/broker/queue_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/origin"
+	"ebonyscale.example/ebonyscale/internal/route/shed"
 )
 
 // restrictedTo is a fake Origins while no record can be written: new streams should begin at
@@ -156,3 +157,31 @@
 		assert.True(t, c.ended, "it may wait half of the time to its deadline")
 	})
 }
+
+// TestArrivalBehindResumedStreamThatWaits guards against a panic, with the lock of all queues
+// held, if a request arrives in a full queue after a resumed stream that waits for paused
+// servers of its version, and before the next tick.
+func TestArrivalBehindResumedStreamThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newVersions(t, false)
+		f.Admission = shed.CostToCallers
+		f.Origins = beganAt{origin: origin.Origin{Service: "model", Version: "v1"}}
+		f.fleet.fallback = paced(20, 25*time.Millisecond)
+		f.pause(200*time.Millisecond, "a1", "b1")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range 200 {
+			go f.serve(ctx, newStream(i))
+		}
+		synctest.Wait()
+		resumed := make(chan *client, 1)
+		go func() { resumed <- f.serve(t.Context(), resumedStream(0)) }()
+		synctest.Wait()
+		for i := range 20 {
+			go f.serve(ctx, newStream(200+i))
+		}
+		synctest.Wait()
+		go f.tick(t.Context())
+		assert.True(t, (<-resumed).ended)
+	})
+}
--- a/internal/node/broker/shed.go
+++ b/internal/node/broker/shed.go
@@ -237,10 +237,7 @@
 		q.shedding = &shedding{}
 	}
 	s := q.shedding
-	first := slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.bound })
-	if first < 0 {
-		first = len(q.waiting)
-	}
+	first := q.firstUnbound()
 	s.works = s.works[:0]
 	for _, w := range q.waiting[first:] {
 		s.works = append(s.works, &w.cost.work)
@@ -256,6 +253,17 @@
 	b.refuseChosen(now, q, first, arrival, rate)
 }
 
+// firstUnbound returns the index of the first waiter that is not a resumed stream. Those come
+// first.
+func (q *queue) firstUnbound() int {
+	for i, w := range q.waiting {
+		if !w.need.software.bound {
+			return i
+		}
+	}
+	return len(q.waiting)
+}
+
 // ownRate returns how many units per second are completed for the waiters of the queue,
 // and how many units are ahead of them. Without a coordinator each process orders its own
 // waiters, and gets permits in proportion to them (see mayAcquire). b.mu must be held.
