report: no second report of a window by a holder whose time falls back

Callers see: two reports of one window. Cause: a holder whose estimate of true time is more than two windows behind the store's record (it has lost its peers and its own clock is wrong) took the record for invalid and went on with the windows that it took for the present ones, which were reported. Fix: windows before the record's next one are not reported unless that is more than 2 minutes ahead, which stops no reports as before; the holder waits meanwhile. The test fails without the fix (the record is refused); go test ./internal/plan/report and the tests of usage reports in node/core pass.

--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -170,6 +170,30 @@
 	assert.EqualValues(t, 1000, a.Record.Report.Window)
 }
 
+// TestTimeFallsBack guards against a second report of a window by a holder whose time falls back
+// by 20 s, as it has lost its peers and its own clock is wrong, and by a new holder of that kind.
+// It neither reports before its time has caught up nor reads the store all the time.
+func TestTimeFallsBack(t *testing.T) {
+	c := &Collector{Window: 5 * time.Second}
+	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1009}
+	m.Begin(at(45))
+	require.NoError(t, m.Read(at(45), 0, nil, c))
+	fixed := m.Decide(at(58), 0, c, nil)
+	require.EqualValues(t, 1009, fixed.Record.Report.Window)
+	m.Fixed(1, fixed)
+	m.Delivered(fixed.Record.Report)
+	next := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1006}
+	next.Begin(at(38))
+	require.NoError(t, next.Read(at(38), 1, fixed.Record.Encode(), c))
+	next.Delivered(fixed.Record.Report)
+	for _, m := range []*Machine{m, next} {
+		for second := 38.0; second < 56; second++ {
+			require.Equal(t, Wait, m.Decide(at(second), 0, c, nil).Kind, "%v s", second)
+		}
+		assert.EqualValues(t, 1010, m.Decide(at(56), 0, c, nil).Record.Report.Window)
+	}
+}
+
 // TestOddRecords checks that what another writer has put into the object stops no reports,
 // and that they go on with the present window.
 func TestOddRecords(t *testing.T) {
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -21,8 +21,11 @@
 	// time of the process that may have reported them may be ahead.
 	skipMargin = time.Second
 	// maxAhead is the number of windows after the present one beyond which the next window
-	// of a record cannot be right.
+	// was chosen, or the present time is estimated, by a wrong clock.
 	maxAhead = 2
+	// maxWrong is how far clocks may be wrong without a second report of a window: a window
+	// that is further ahead stops no reports. Clocks were seen to jump by seconds.
+	maxWrong = 2 * time.Minute
 	// maxRefusals is how often the platform must refuse a report in a row for it to be
 	// given up, so that it does not hold up the later ones.
 	maxRefusals = 5
@@ -85,6 +88,8 @@
 	begun time.Time
 	// next is the next window to report. It does not decrease unless it is too far ahead.
 	next int64
+	// floor is the next window by the store's object. Those before may have been reported.
+	floor int64
 	// done is the window whose report is delivered or given up, refusals counts the
 	// refusals of the report that was fixed last.
 	done     int64
@@ -107,7 +112,7 @@
 	if !m.known {
 		return Action{Kind: Read}
 	}
-	if m.next > WindowAt(now, m.Window)+maxAhead {
+	if m.next > WindowAt(now, m.Window)+maxAhead && (m.next > m.floor || m.next > m.latest(now)) {
 		// True time was not known as the window was chosen.
 		m.known, m.next = false, 0
 		return Action{Kind: Read}
@@ -134,6 +139,11 @@
 	return Action{Kind: Fix, Record: record, Version: m.version}
 }
 
+// latest returns the last window that the next one of a record may be.
+func (m *Machine) latest(now time.Time) int64 {
+	return WindowAt(now.Add(skipMargin), m.Window) + max(int64(maxWrong/m.Window), maxAhead)
+}
+
 // pending reports whether the report that was fixed last has to be sent.
 func (m *Machine) pending() bool {
 	r := m.record.Report
@@ -144,7 +154,7 @@
 // store's era and revision 0 if there is none. The error says that the value is not a record
 // of this package; it is then replaced.
 func (m *Machine) Read(now time.Time, version uint64, value []byte, c *Collector) error {
-	m.version, m.record, m.refusals = version, Record{}, 0
+	m.version, m.record, m.floor, m.refusals = version, Record{}, 0, 0
 	present := WindowAt(now.Add(skipMargin), m.Window)
 	if store.Revision(version) == 0 {
 		m.version, m.known = 0, true
@@ -160,10 +170,13 @@
 	}
 	var r Record
 	err := json.Unmarshal(value, &r)
-	if err == nil && (r.Next > present+maxAhead || r.Report.Body != "" && r.Report.Window >= r.Next) {
+	if err == nil && (r.Next > m.latest(now) || r.Report.Body != "" && r.Report.Window >= r.Next) {
 		err = fmt.Errorf("next window %d, report of %d, now is %d", r.Next, r.Report.Window, present)
 	}
 	m.known = true
+	if err == nil {
+		m.floor = r.Next
+	}
 	switch {
 	case err != nil:
 		m.skipTo(present)
@@ -196,7 +209,7 @@
 		m.known = false
 		return
 	}
-	m.version, m.record, m.refusals = version, a.Record, 0
+	m.version, m.record, m.floor, m.refusals = version, a.Record, a.Record.Next, 0
 	m.next = max(m.next, a.Record.Next)
 }
 
