check-table: faults of Scaling are reported

Users see: 'no faults' and exit code 0 for a configuration whose Scaling is not used. Cause: only the faults of Accounts were printed. Fix: Table.Faults are printed too.

--- a/cmd/ebonyscale/checktable.go
+++ b/cmd/ebonyscale/checktable.go
@@ -25,7 +25,8 @@
 
 Reads a configuration, as an entry process reads it from the store. Reports an
 error that makes the whole configuration unusable, or every fault in its list of
-accounts: these are left out, and the rest of the configuration is used.
+accounts and in the Scaling of its services: these are left out, and the rest of
+the configuration is used.
 
 Example:
   ebonyscale check-table main.json
@@ -51,12 +52,12 @@
 	if err != nil {
 		return fail("check-table", err)
 	}
-	if len(t.AccountFaults) > 0 {
+	if faults := tableFaults(t); len(faults) > 0 {
 		var text strings.Builder
-		for _, fault := range t.AccountFaults {
+		for _, fault := range faults {
 			fmt.Fprintf(&text, "%s: %s\n", f.Arg(0), fault)
 		}
-		c.output.print(t.AccountFaults, text.String())
+		c.output.print(faults, text.String())
 		return subcommands.ExitFailure
 	}
 	summary := tableSummary{t.Version, len(t.Routes), t.Accounts.Len()}
@@ -64,6 +65,18 @@
 	return subcommands.ExitSuccess
 }
 
+// tableFaults returns the parts of a configuration that are not used.
+func tableFaults(t *table.Table) []fmt.Stringer {
+	var faults []fmt.Stringer
+	for _, f := range t.AccountFaults {
+		faults = append(faults, f)
+	}
+	for _, f := range t.Faults {
+		faults = append(faults, f)
+	}
+	return faults
+}
+
 // tableSummary is the result for a configuration without faults.
 type tableSummary struct {
 	Version          uint64
