broker: idle servers serve requests that are predicted to be late

Callers see: with Policy = CostToCallers every request whose time to its deadline is below the mean time of its queue gets 503 at once, beside idle servers and without an end: as none is served, the mean stays that of the long requests. Cause: the prediction that a deadline cannot be met was applied before the attempt to get a free permit. Fix: with nobody waiting and a free permit such a request is served unless its deadline has passed. Thresholds and the order of waiters are unchanged. The test fails without the fix (three 503); go test ./internal/node/broker passes.

--- a/internal/node/broker/shed.go
+++ b/internal/node/broker/shed.go
@@ -148,11 +148,11 @@
 		q.shedding = &shedding{}
 	}
 	w.cost = b.newCost(w, q)
+	stage := &q.shedding.stage
 	if w.since.After(w.cost.work.Latest) {
-		b.shed(w, &shedError{reason: shedUseless})
+		b.admitLate(w, q, v)
 		return
 	}
-	stage := &q.shedding.stage
 	w.cost.member = stage.Arrive(w.since, &w.cost.work)
 	if len(q.waiting) > 0 {
 		w.assess(w.since, stage)
@@ -178,6 +178,22 @@
 	w.cost.work.StartBy = w.cost.work.StartBy.Add(waitSlack)
 }
 
+// admitLate issues a permit to an arrival that is predicted to miss its deadline if there is
+// capacity that nobody waits for, else rejects it. The prediction is from the mean time of all
+// requests of the queue: without this, requests with short deadlines among long ones would
+// all be rejected beside idle servers. b.mu must be held.
+func (b *Broker) admitLate(w *waiter, q *queue, v views) {
+	if c := w.need.caller; len(q.waiting) == 0 && c != nil && w.since.Before(c.deadline) {
+		if p := b.tryAcquire(w.since, w, v); p != nil {
+			w.cost.member = q.shedding.stage.Arrive(w.since, &w.cost.work)
+			q.countServed(w.since, w)
+			w.deliver(p, nil)
+			return
+		}
+	}
+	b.shed(w, &shedError{reason: shedUseless})
+}
+
 // assess computes the rank of a waiter.
 func (w *waiter) assess(now time.Time, stage *shed.Stage) {
 	stage.Assess(now, &w.cost.work, w.cost.member)
--- a/internal/node/broker/shed_test.go
+++ b/internal/node/broker/shed_test.go
@@ -325,3 +325,27 @@
 		}
 	}
 }
+
+// TestIdleServersServeShortDeadlines guards against rejections of all requests with short
+// deadlines, for as long as they come, because others of the same service take longer: while
+// servers are idle the prediction from the mean time says nothing about one request.
+func TestIdleServersServeShortDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.Admission = shed.CostToCallers
+		f.fleet.fallback = delays(400*time.Millisecond, succeeds)
+		go f.tick(t.Context())
+		for range 40 {
+			assert.Equal(t, 200, f.serve(t.Context(), newRequest("/read/slow")).replies[0].Status)
+		}
+		f.fleet.fallback = delays(10*time.Millisecond, succeeds)
+		for i := range 3 {
+			r := newRequest(fmt.Sprint("/read/", i))
+			r.Deadline = time.Now().Add(300 * time.Millisecond)
+			assert.Equal(t, 200, f.serve(t.Context(), r).replies[0].Status)
+		}
+		r := newRequest("/read/late")
+		r.Deadline = time.Now().Add(-time.Millisecond)
+		assert.NotEqual(t, 200, f.serve(t.Context(), r).replies[0].Status)
+	})
+}
