--- a/internal/state/orders/orders_test.go
+++ b/internal/state/orders/orders_test.go
@@ -102,6 +102,8 @@
 
 // observe is a service of two servers in each of two zones, with load for six.
 func (p *platform) observe(time.Time) ([]scale.Observation, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.idle {
 		return nil, true
 	}
@@ -204,6 +206,22 @@
 	})
 }
 
+// TestGaugesOfFormerService guards against metrics that show the servers of a service that is
+// scaled no more.
+func TestGaugesOfFormerService(t *testing.T) {
+	p := &platform{fence: 1}
+	run(t, p, func(task *Task) {
+		after(4 * time.Second)
+		assert.Equal(t, int64(4), task.Meters.Value("ScaleReady.s"))
+		p.mu.Lock()
+		p.idle = true
+		p.mu.Unlock()
+		after(time.Second)
+		assert.Zero(t, task.Meters.Value("ScaleReady.s"))
+		assert.Zero(t, task.Meters.Value("ScaleDesired.s"))
+	})
+}
+
 // TestNoOrderIfItCannotBeRecorded guards against orders beside another holder, and while
 // the store is away.
 func TestNoOrderIfItCannotBeRecorded(t *testing.T) {
