broker: the work that a client claims is bounded

Callers see: with Policy = CostToCallers one client that names 2^62 output tokens precedes all other accounts, and fair shares end for all for minutes. Cause: the named numbers were charged as they are; 5 tokens of work per output token overflow an int, and a large sum outweighs all other use until it has decayed. Fix: a request counts as at most 2^21 tokens of work, more than an engine's KV cache holds.

--- a/internal/node/broker/shed.go
+++ b/internal/node/broker/shed.go
@@ -73,6 +73,11 @@
 // left then.
 const lateWaitShare = 0.25
 
+// maxWorkTokens bounds the work of a request, in tokens: clients name their numbers of tokens,
+// and the KV cache of a known engine holds 1.5 million. More would outweigh the use of all accounts
+// for minutes.
+const maxWorkTokens = 1 << 21
+
 // byCost reports whether requests are ordered by their cost to callers.
 func (b *Broker) byCost() bool { return b.Admission == shed.CostToCallers }
 
@@ -132,7 +137,7 @@
 	}
 	c.work.Account, c.work.Returning = n.caller.account, n.caller.returning
 	if uncached > 0 || n.caller.output > 0 {
-		c.work.Tokens = shed.Tokens(uncached, n.caller.output)
+		c.work.Tokens = min(shed.Tokens(uncached, n.caller.output), maxWorkTokens)
 	}
 	c.work.Latest = n.caller.deadline.Add(-service)
 	if end := w.since.Add(n.longestWait(w.since)); !n.begun && end.Before(c.work.Latest) {
--- a/internal/node/broker/shed_test.go
+++ b/internal/node/broker/shed_test.go
@@ -349,3 +349,32 @@
 		assert.NotEqual(t, 200, f.serve(t.Context(), r).replies[0].Status)
 	})
 }
+
+// TestClaimedTokensAreBounded guards against a client account that is preferred to all others, or
+// ends the fair shares of all for minutes, by the number of output tokens that it claims.
+func TestClaimedTokensAreBounded(t *testing.T) {
+	f := newFixture(t)
+	f.Admission = shed.CostToCallers
+	now := time.Now()
+	for _, output := range []int{1 << 40, 1 << 62} {
+		var stage shed.Stage
+		charge := func(account string, output int) *cost {
+			w := &waiter{since: now, need: need{caller: &caller{account: account, output: output, deadline: now.Add(time.Minute)}}}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			c := f.newCost(w, f.queue(queueKey{service: "plain"}))
+			stage.Serve(now, &c.work, shed.Member{})
+			return c
+		}
+		claims := charge("claims", output)
+		used := charge("used", 10_000)
+		stage.Assess(now, &claims.work, shed.Member{})
+		assert.Greater(t, claims.work.Over, 1.0, "%d tokens", output)
+		later := now.Add(time.Minute)
+		for range 10 {
+			stage.Serve(later, &used.work, shed.Member{})
+		}
+		stage.Assess(later, &used.work, shed.Member{})
+		assert.Greater(t, used.work.Over, 1.0, "%d tokens", output)
+	}
+}
