--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -8,10 +8,10 @@
 //	go b.Reconnect(ctx)
 //	b.Serve(ctx, &request, output)
 //
-// Serve matches the route, finds the client account of the request's key, waits in a queue for a permit, sends the request to
-// the backend server of the permit, and relays the response or handles the
-// failure. A permit admits one request to one backend server of the route's
-// service. Queues depend on Tick, which the process calls every 20 ms.
+// Serve matches the route, finds the client account of the request's key, waits in a
+// queue for a permit, sends the request to the backend server of the permit, and relays
+// the response or handles the failure. A permit admits one request to one backend server
+// of the route's service. Queues depend on Tick, which the process calls every 20 ms.
 //
 // Each failure has a retry.Outcome. A request is retried only if it has not run
 // or may run more than once, within the route's attempts and the retry quota that
--- a/internal/node/core/scaling.go
+++ b/internal/node/core/scaling.go
@@ -28,20 +28,20 @@
 		return nil, false
 	}
 	var list []scale.Observation
-	var seen *sights
+	var shared *loads
 	for _, name := range slices.Sorted(maps.Keys(t.Services)) {
 		if s := t.Services[name]; s.Scaling != nil {
-			if seen == nil {
-				seen = n.sights()
+			if shared == nil {
+				shared = n.measureLoads()
 			}
-			list = append(list, n.observeService(now, s, seen))
+			list = append(list, n.observeService(now, s, shared))
 		}
 	}
 	return list, true
 }
 
-// sights is what observations of all services share.
-type sights struct {
+// loads is what the observations of all services have in common.
+type loads struct {
 	// own has this process's requests in progress by backend server.
 	own map[usage.Incarnation]usage.Snapshot
 	// queues has the load of this process's queues by their hash.
@@ -50,8 +50,9 @@
 	silent map[string]float64
 }
 
-func (n *Node) sights() *sights {
-	s := &sights{own: map[usage.Incarnation]usage.Snapshot{}, queues: map[uint64]peers.Load{}, silent: n.silentShares()}
+// measureLoads returns the loads that this process has and knows now.
+func (n *Node) measureLoads() *loads {
+	s := &loads{own: map[usage.Incarnation]usage.Snapshot{}, queues: map[uint64]peers.Load{}, silent: n.silentShares()}
 	n.usage.Each(func(id string, born int64, counts usage.Snapshot) {
 		s.own[usage.Incarnation{ID: id, Born: born}] = counts
 	})
@@ -77,10 +78,10 @@
 }
 
 // observeService returns what is seen of one service.
-func (n *Node) observeService(now time.Time, s table.Service, seen *sights) scale.Observation {
+func (n *Node) observeService(now time.Time, s table.Service, shared *loads) scale.Observation {
 	var servers []scale.Server
 	for _, r := range n.roster.All(s.Name) {
-		own, others := seen.own[usage.Incarnation{ID: r.ID, Born: r.Born}], n.peers.Server(r.Key())
+		own, others := shared.own[usage.Incarnation{ID: r.ID, Born: r.Born}], n.peers.Server(r.Key())
 		server := scale.Server{
 			AvailabilityZone: r.Zone, Role: r.Role, Spot: r.Spot, Leaving: r.State == roster.Leaving, Slots: r.Slots,
 			Running: own.Running + others.Running, Prefills: own.Prefills + others.Prefills, PrefillTokens: own.PrefillTokens + others.PrefillTokens,
@@ -94,7 +95,7 @@
 		sum := 0
 		for _, work := range kinds {
 			hash := broker.QueueHash(s.Name, role, work)
-			sum += seen.queues[hash].Waiting + n.peers.Queue(hash).Waiting
+			sum += shared.queues[hash].Waiting + n.peers.Queue(hash).Waiting
 		}
 		return sum
 	}
@@ -105,7 +106,7 @@
 	zones, load := scale.Measure(servers, waiting)
 	for zone := range s.Scaling.ZonePrices {
 		z := zones[zone]
-		z.Silent = seen.silent[zone]
+		z.Silent = shared.silent[zone]
 		zones[zone] = z
 	}
 	return scale.Observation{Service: s.Name, Scaling: *s.Scaling, Zones: zones, Load: load}
--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -222,8 +222,8 @@
 }
 
 // expected returns the processes whose counts a report waits for: the live members, and those
-// that have become silent lately without a planned end. They may be partitioned from this process and still serve
-// clients.
+// that have become silent lately without a planned end. They may be partitioned from this
+// process and still serve clients.
 func (a *accounting) expected(at time.Time) []string {
 	names := a.node.peers.LiveMembers()
 	for name, heard := range a.node.peers.Quiet() {
--- a/internal/plan/scale/policy.go
+++ b/internal/plan/scale/policy.go
@@ -14,8 +14,8 @@
 	// averageOver is the span of one load value. Load above target for this long is acted
 	// upon; shorter peaks are queued.
 	averageOver = time.Second
-	// learnFor is how long a new holder only learns the load of a service: about three status messages of each
-	// peer at 117 processes.
+	// learnFor is how long a new holder only learns the load of a service: about three
+	// status messages of each peer at 117 processes.
 	learnFor = 3 * time.Second
 	// keepFor is how long after the first load the total is not lowered below the number of
 	// servers first seen: the operator has sized the fleet for a load that is not yet known.
--- a/internal/state/orders/orders.go
+++ b/internal/state/orders/orders.go
@@ -10,7 +10,9 @@
 //
 // # Usage
 //
-//	task := &orders.Task{Authority: holder, Orderer: duties, Store: store, Observe: observe, Meters: meters, Log: log}
+//	task := &orders.Task{
+//		Authority: holder, Orderer: duties, Store: store, Observe: observe, Meters: meters, Log: log,
+//	}
 //	err := task.Run(ctx)
 //
 // Run is the only method that a Task needs; the gauges that it sets are safe for
