report: a process whose clock is ahead has not ended

Callers see: a report without the counts of a process that was partitioned shortly, fixed too early. Cause: final counts that arrived before the end of their window by the collector's clock marked their process as ended until it started again, although its clock may only be ahead. Fix: counts of a later window of the same incarnation show that it runs. The test fails without the fix; go test ./internal/plan/report and the tests of usage in node/core pass.

--- a/internal/plan/report/collector.go
+++ b/internal/plan/report/collector.go
@@ -20,9 +20,15 @@
 
 	mu      sync.Mutex
 	windows map[int64]map[string]*tally
-	// ended has the last incarnation of the processes that have ended as planned: those that
-	// sent final counts of a window before its end.
-	ended map[string]uint64
+	// ended has the processes that have ended as planned: those that sent final counts of a
+	// window before its end, and none of a later one.
+	ended map[string]ending
+}
+
+// ending is the last incarnation of a process and the last window that it counted in.
+type ending struct {
+	incarnation uint64
+	window      int64
 }
 
 // tally has the counts of the incarnations of one process in one window.
@@ -55,7 +61,8 @@
 			delete(c.windows, number)
 		}
 	}
-	if last, ended := c.ended[process]; ended && incarnation > last {
+	if last, ended := c.ended[process]; ended && (incarnation > last.incarnation || incarnation == last.incarnation && p.Window > last.window) {
+		// It has started again, or its clock is ahead and the counts were only early.
 		delete(c.ended, process)
 	}
 	s := c.share(p.Window, process, incarnation)
@@ -72,20 +79,20 @@
 	if p.Final && p.Parts > 0 {
 		s.addFinal(p)
 		if now.Before(EndOf(p.Window, c.Window)) {
-			c.addEnding(process, incarnation)
+			c.addEnding(process, ending{incarnation, p.Window})
 		}
 	}
 }
 
 // addEnding records the planned end of a process. The caller must hold mu.
-func (c *Collector) addEnding(process string, incarnation uint64) {
+func (c *Collector) addEnding(process string, e ending) {
 	if c.ended == nil {
-		c.ended = map[string]uint64{}
+		c.ended = map[string]ending{}
 	}
 	if len(c.ended) >= maxProcesses {
 		clear(c.ended)
 	}
-	c.ended[process] = incarnation
+	c.ended[process] = e
 }
 
 // Ended reports whether a process has ended as planned and was not heard again.
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -122,6 +122,12 @@
 	assert.True(t, c.Ended("b"))
 	c.Add(at(4), "b", 2, Part{Window: 1000})
 	assert.False(t, c.Ended("b"))
+	c.Add(at(4.9), "d", 1, final)
+	c.Add(at(7), "d", 1, Part{Window: 1001})
+	assert.False(t, c.Ended("d"), "its clock is ahead: it counts on in the next window")
+	c.Add(at(4.9), "e", 1, final)
+	c.Add(at(5), "e", 1, Part{Window: 1000})
+	assert.True(t, c.Ended("e"), "an earlier message that arrives later")
 }
 
 // TestMachineWaits checks when a report is fixed: once all live processes have sent their final
