duty: no grants between refused releases

Callers see: a holder that is chosen no more grants calls for 50 ms at a time, and logs 'duty acquired', while the store refuses its release. Cause: grants resumed after each attempt to release. Fix: they resume only once the lease is not held, or the process is chosen again and renews it. The test fails without the fix; go test -race -count=3 ./internal/state/duty passes.

--- a/internal/state/duty/duty.go
+++ b/internal/state/duty/duty.go
@@ -68,7 +68,7 @@
 	Log  *zap.Logger
 
 	mu sync.Mutex
-	// withdrawn is set while the lease is to be released.
+	// withdrawn is set while the lease is to be released. Nothing is granted then.
 	withdrawn bool
 	// fence is the token of the grant that was logged last, 0 if that has ended.
 	fence uint64
@@ -103,6 +103,8 @@
 			h.release()
 			nextStep = time.Time{}
 		case !now.Before(nextStep):
+			// A lease that could not be released is still held.
+			h.withdraw(false)
 			h.Keeper.Step(ctx)
 			nextStep = now.Add(h.Keeper.Interval())
 		}
@@ -115,7 +117,8 @@
 }
 
 // release stops granting, waits until the calls that were granted have arrived or are
-// aborted, and releases the lease.
+// aborted, and releases the lease. If the store refuses the release, the lease is held on,
+// without a grant, and released at the next check.
 func (h *Holder) release() {
 	if !h.Keeper.Held() {
 		return
@@ -124,7 +127,7 @@
 	h.log()
 	time.Sleep(h.Keeper.Delay())
 	h.Keeper.Release()
-	h.withdraw(false)
+	h.withdraw(h.Keeper.Held())
 }
 
 func (h *Holder) withdraw(withdrawn bool) {
--- a/internal/state/duty/duty_test.go
+++ b/internal/state/duty/duty_test.go
@@ -190,6 +190,51 @@
 	})
 }
 
+// refusing is a store that refuses writes while it is set.
+type refusing struct {
+	store.Writer
+	set atomic.Bool
+}
+
+func (r *refusing) Put(ctx context.Context, o store.Object) (uint64, error) {
+	if r.set.Load() {
+		return 0, store.ErrRefused
+	}
+	return r.Writer.Put(ctx, o)
+}
+
+// TestRefusedRelease guards against calls by a holder that is chosen no more and whose release
+// the store refuses. If it is chosen again before the lease has expired, it goes on.
+func TestRefusedRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &refusing{Writer: &platf.Platform{}}
+		s := newSystem(w)
+		ctx, cancel := context.WithCancel(t.Context())
+		s.start(ctx, "a")
+		s.choose("a")
+		s.run(t, 5*time.Second)
+		before, ok := s.holders["a"].Grant()
+		require.True(t, ok)
+		w.set.Store(true)
+		s.choose("")
+		time.Sleep(100 * time.Millisecond)
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			_, ok := s.holders["a"].Grant()
+			require.False(t, ok)
+		}
+		s.choose("a")
+		s.run(t, time.Second)
+		w.set.Store(false)
+		s.run(t, 2*time.Second)
+		after, ok := s.holders["a"].Grant()
+		assert.True(t, ok)
+		assert.Equal(t, before.Fence, after.Fence)
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // TestLostResponses checks that a renewal of unknown outcome grants nothing until the
 // outcome is known, and that the token is kept then.
 func TestLostResponses(t *testing.T) {
