--- a/internal/node/broker/shed.go
+++ b/internal/node/broker/shed.go
@@ -73,6 +73,11 @@
 // left then.
 const lateWaitShare = 0.25
 
+// maxWorkTokens bounds the work of a request, in tokens: clients name their numbers of tokens,
+// and the KV cache of a known engine holds 1.5 million. More would outweigh the use of all accounts
+// for minutes.
+const maxWorkTokens = 1 << 21
+
 // byCost reports whether requests are ordered by their cost to callers.
 func (b *Broker) byCost() bool { return b.Admission == shed.CostToCallers }
 
@@ -132,7 +137,7 @@
 	}
 	c.work.Account, c.work.Returning = n.caller.account, n.caller.returning
 	if uncached > 0 || n.caller.output > 0 {
-		c.work.Tokens = shed.Tokens(uncached, n.caller.output)
+		c.work.Tokens = min(shed.Tokens(uncached, n.caller.output), maxWorkTokens)
 	}
 	c.work.Latest = n.caller.deadline.Add(-service)
 	if end := w.since.Add(n.longestWait(w.since)); !n.begun && end.Before(c.work.Latest) {
@@ -148,11 +153,11 @@
 		q.shedding = &shedding{}
 	}
 	w.cost = b.newCost(w, q)
+	stage := &q.shedding.stage
 	if w.since.After(w.cost.work.Latest) {
-		b.shed(w, &shedError{reason: shedUseless})
+		b.admitLate(w, q, v)
 		return
 	}
-	stage := &q.shedding.stage
 	w.cost.member = stage.Arrive(w.since, &w.cost.work)
 	if len(q.waiting) > 0 {
 		w.assess(w.since, stage)
@@ -178,6 +183,22 @@
 	w.cost.work.StartBy = w.cost.work.StartBy.Add(waitSlack)
 }
 
+// admitLate issues a permit to an arrival that is predicted to miss its deadline if there is
+// capacity that nobody waits for, else rejects it. The prediction is from the mean time of all
+// requests of the queue: without this, requests with short deadlines among long ones would
+// all be rejected beside idle servers. b.mu must be held.
+func (b *Broker) admitLate(w *waiter, q *queue, v views) {
+	if c := w.need.caller; len(q.waiting) == 0 && c != nil && w.since.Before(c.deadline) {
+		if p := b.tryAcquire(w.since, w, v); p != nil {
+			w.cost.member = q.shedding.stage.Arrive(w.since, &w.cost.work)
+			q.countServed(w.since, w)
+			w.deliver(p, nil)
+			return
+		}
+	}
+	b.shed(w, &shedError{reason: shedUseless})
+}
+
 // assess computes the rank of a waiter.
 func (w *waiter) assess(now time.Time, stage *shed.Stage) {
 	stage.Assess(now, &w.cost.work, w.cost.member)
@@ -237,10 +258,7 @@
 		q.shedding = &shedding{}
 	}
 	s := q.shedding
-	first := slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.bound })
-	if first < 0 {
-		first = len(q.waiting)
-	}
+	first := q.firstUnbound()
 	s.works = s.works[:0]
 	for _, w := range q.waiting[first:] {
 		s.works = append(s.works, &w.cost.work)
@@ -256,6 +274,17 @@
 	b.refuseChosen(now, q, first, arrival, rate)
 }
 
+// firstUnbound returns the index of the first waiter that is not a resumed stream. Those come
+// first.
+func (q *queue) firstUnbound() int {
+	for i, w := range q.waiting {
+		if !w.need.software.bound {
+			return i
+		}
+	}
+	return len(q.waiting)
+}
+
 // ownRate returns how many units per second are completed for the waiters of the queue,
 // and how many units are ahead of them. Without a coordinator each process orders its own
 // waiters, and gets permits in proportion to them (see mayAcquire). b.mu must be held.
--- a/internal/node/broker/shed_test.go
+++ b/internal/node/broker/shed_test.go
@@ -325,3 +325,56 @@
 		}
 	}
 }
+
+// TestIdleServersServeShortDeadlines guards against rejections of all requests with short
+// deadlines, for as long as they come, because others of the same service take longer: while
+// servers are idle the prediction from the mean time says nothing about one request.
+func TestIdleServersServeShortDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.Admission = shed.CostToCallers
+		f.fleet.fallback = delays(400*time.Millisecond, succeeds)
+		go f.tick(t.Context())
+		for range 40 {
+			assert.Equal(t, 200, f.serve(t.Context(), newRequest("/read/slow")).replies[0].Status)
+		}
+		f.fleet.fallback = delays(10*time.Millisecond, succeeds)
+		for i := range 3 {
+			r := newRequest(fmt.Sprint("/read/", i))
+			r.Deadline = time.Now().Add(300 * time.Millisecond)
+			assert.Equal(t, 200, f.serve(t.Context(), r).replies[0].Status)
+		}
+		r := newRequest("/read/late")
+		r.Deadline = time.Now().Add(-time.Millisecond)
+		assert.NotEqual(t, 200, f.serve(t.Context(), r).replies[0].Status)
+	})
+}
+
+// TestClaimedTokensAreBounded guards against a client account that is preferred to all others, or
+// ends the fair shares of all for minutes, by the number of output tokens that it claims.
+func TestClaimedTokensAreBounded(t *testing.T) {
+	f := newFixture(t)
+	f.Admission = shed.CostToCallers
+	now := time.Now()
+	for _, output := range []int{1 << 40, 1 << 62} {
+		var stage shed.Stage
+		charge := func(account string, output int) *cost {
+			w := &waiter{since: now, need: need{caller: &caller{account: account, output: output, deadline: now.Add(time.Minute)}}}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			c := f.newCost(w, f.queue(queueKey{service: "plain"}))
+			stage.Serve(now, &c.work, shed.Member{})
+			return c
+		}
+		claims := charge("claims", output)
+		used := charge("used", 10_000)
+		stage.Assess(now, &claims.work, shed.Member{})
+		assert.Greater(t, claims.work.Over, 1.0, "%d tokens", output)
+		later := now.Add(time.Minute)
+		for range 10 {
+			stage.Serve(later, &used.work, shed.Member{})
+		}
+		stage.Assess(later, &used.work, shed.Member{})
+		assert.Greater(t, used.work.Over, 1.0, "%d tokens", output)
+	}
+}
--- a/internal/state/orders/orders_test.go
+++ b/internal/state/orders/orders_test.go
@@ -37,6 +37,8 @@
 	stored scale.Saved
 	err    error
 	took   time.Duration
+	// underWay is the number of orders without a response.
+	underWay int
 }
 
 func (p *platform) Grant() (lease.Grant, bool) {
@@ -76,7 +78,13 @@
 		_ = json.Unmarshal(p.object.Value, &p.stored)
 	}
 	p.orders, p.fences = append(p.orders, o), append(p.fences, g.Fence)
+	p.underWay++
 	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.underWay--
+	}()
 	if !sleep(ctx, p.took) {
 		return ctx.Err()
 	}
@@ -94,6 +102,8 @@
 
 // observe is a service of two servers in each of two zones, with load for six.
 func (p *platform) observe(time.Time) ([]scale.Observation, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.idle {
 		return nil, true
 	}
@@ -176,6 +186,42 @@
 	assert.Empty(t, p.sent())
 }
 
+// TestOrdersEndWithTheGrant guards against an order that arrives after the next holder has
+// acquired the lease: that is released 0.8 s after its grant was withdrawn.
+func TestOrdersEndWithTheGrant(t *testing.T) {
+	p := &platform{fence: 1, took: time.Hour}
+	underWay := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.underWay
+	}
+	run(t, p, func(*Task) {
+		after(3500 * time.Millisecond)
+		assert.NotZero(t, underWay())
+		p.mu.Lock()
+		p.fence = 0
+		p.mu.Unlock()
+		after(100 * time.Millisecond)
+		assert.Zero(t, underWay())
+	})
+}
+
+// TestGaugesOfFormerService guards against metrics that show the servers of a service that is
+// scaled no more.
+func TestGaugesOfFormerService(t *testing.T) {
+	p := &platform{fence: 1}
+	run(t, p, func(task *Task) {
+		after(4 * time.Second)
+		assert.Equal(t, int64(4), task.Meters.Value("ScaleReady.s"))
+		p.mu.Lock()
+		p.idle = true
+		p.mu.Unlock()
+		after(time.Second)
+		assert.Zero(t, task.Meters.Value("ScaleReady.s"))
+		assert.Zero(t, task.Meters.Value("ScaleDesired.s"))
+	})
+}
+
 // TestNoOrderIfItCannotBeRecorded guards against orders beside another holder, and while
 // the store is away.
 func TestNoOrderIfItCannotBeRecorded(t *testing.T) {
