broker, assign: separate the choice of a permit from issuing it

Cause: what explains a decision must use the same functions as Serve without issuing anything. Behavior is the same.

--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -117,10 +117,24 @@
 	if n.key.prefills() {
 		return b.choosePrefill(now, n)
 	}
+	v, candidates, options := b.candidates(now, n)
+	request := assign.Request{PrefixHash: n.prompt.PrefixHash, Affinity: n.affinity, Zone: b.Zone}
+	if b.Peers.Live() > peers.MaxFresh {
+		request.Seed = b.nextRandom()
+	}
+	if i := assign.Choose(candidates, request); i >= 0 {
+		v.server = options[i]
+	}
+	return v
+}
+
+// candidates evaluates the backend servers for work other than prefills. The server of the
+// view is not chosen yet. b.mu must be held.
+func (b *Broker) candidates(now time.Time, n need) (v view, candidates []assign.Candidate, options []roster.Server) {
 	servers := b.Roster.Service(n.key.service)
-	candidates := make([]assign.Candidate, 0, len(servers))
-	options := make([]roster.Server, 0, len(servers))
-	v := view{peerLoad: b.Peers.Queue(n.key.hash()), ejected: true}
+	candidates = make([]assign.Candidate, 0, len(servers))
+	options = make([]roster.Server, 0, len(servers))
+	v = view{peerLoad: b.Peers.Queue(n.key.hash()), ejected: true}
 	ejected, throttled := 0, 0.0
 	for _, s := range servers {
 		if s.Role != n.key.role || !n.software.accepts(s) {
@@ -152,14 +166,7 @@
 		v.capacity -= ejected
 	}
 	v.rate = float64(v.capacity)/b.queue(n.key).expectedHold() + throttled
-	request := assign.Request{PrefixHash: n.prompt.PrefixHash, Affinity: n.affinity, Zone: b.Zone}
-	if b.Peers.Live() > peers.MaxFresh {
-		request.Seed = b.nextRandom()
-	}
-	if i := assign.Choose(candidates, request); i >= 0 {
-		v.server = options[i]
-	}
-	return v
+	return v, candidates, options
 }
 
 // candidate combines the load of this process and its peers at a backend server
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -151,14 +151,25 @@
 
 // choosePrefill evaluates the engines for a prefill. b.mu must be held.
 func (b *Broker) choosePrefill(now time.Time, n need) view {
+	v, engines, states, query := b.prefillers(now, n)
+	v.forecast = assign.Prefill(engines, query)
+	if i := v.forecast.Index; i >= 0 {
+		v.server, v.ahead = states[i].server, engines[i].Backlog
+	}
+	return v
+}
+
+// prefillers evaluates the engines for a prefill. The server of the view is not chosen yet.
+// engines is valid until the next call. b.mu must be held.
+func (b *Broker) prefillers(now time.Time, n need) (v view, engines []assign.Engine, states []*engineState, query assign.Query) {
 	set := b.engineSet(now, n.key.service)
-	v := view{peerLoad: b.withoutGrants(n.key.service, b.Peers.Queue(n.key.hash())), ejected: true}
-	states := set.byRole[n.key.role]
+	v = view{peerLoad: b.withoutGrants(n.key.service, b.Peers.Queue(n.key.hash())), ejected: true}
+	states = set.byRole[n.key.role]
 	if n.software.limited() && n.key.role == roster.Decode {
 		states = slices.DeleteFunc(slices.Clone(states), func(s *engineState) bool { return !n.software.accepts(s.server) })
 	}
 	lookup := b.kept.Lookup(n.chain)
-	engines := b.engineBuffer[:0]
+	engines = b.engineBuffer[:0]
 	for _, s := range states {
 		e := s.engine
 		e.Full, e.Excluded, e.Cached = s.running >= s.limit || s.throttled, n.excluded[s.server.ID], lookup.Tokens(e.Key)
@@ -168,7 +179,7 @@
 		engines = append(engines, e)
 	}
 	b.engineBuffer = engines
-	query := assign.Query{Prompt: n.prompt, Window: n.window(), AssumePreferred: b.elected[n.key.service] != "", Average: assign.Average(engines)}
+	query = assign.Query{Prompt: n.prompt, Window: n.window(), AssumePreferred: b.elected[n.key.service] != "", Average: assign.Average(engines)}
 	if n.key.work == usage.LocalPrefill && set.hasPrefill {
 		query.Longest = b.gapTarget(n.key.service)
 	}
@@ -184,11 +195,7 @@
 		v.rate += rate
 		v.capacity += max(int(math.Min(rate*query.Window.Seconds(), maxCapacity)), n.size())
 	}
-	v.forecast = assign.Prefill(engines, query)
-	if i := v.forecast.Index; i >= 0 {
-		v.server, v.ahead = states[i].server, engines[i].Backlog
-	}
-	return v
+	return v, engines, states, query
 }
 
 // maxCapacity bounds the tokens that one engine can take within the window.
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -318,31 +318,6 @@
 	return false
 }
 
-const (
-	// retryAfterShare is the share of the time to the deadline after which a
-	// rejected client should retry. With less, the retry falls into the same
-	// burst; clients do not wait longer than a third of that time.
-	retryAfterShare = 0.28
-	// minRetryAfter and maxRetryAfter bound that time.
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 700 * time.Millisecond
-)
-
-// retryAfter returns how long a rejected client should wait before it retries.
-// Jitter of a quarter in both directions spreads clients that are rejected
-// together. A request in quarantine isn't served before the end of that.
-func (j *job) retryAfter() time.Duration {
-	if left := time.Until(j.quarantinedUntil); left > 0 {
-		return left
-	}
-	if j.broker.byCost() {
-		return j.shedRetryAfter()
-	}
-	wait := time.Duration(retryAfterShare * float64(time.Until(j.deadline)))
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
-	return wait*3/4 + time.Duration(j.broker.random()%uint64(wait/2))
-}
-
 // giveUp ends a request that got no permit or was canceled. cause is the error
 // of acquire or the cancellation cause.
 func (j *job) giveUp(cause error) {
--- a/internal/node/broker/permit.go
+++ b/internal/node/broker/permit.go
@@ -37,6 +37,63 @@
 	requester requester
 }
 
+// tryAcquire issues a permit to the waiter if one is free. b.mu must be held.
+func (b *Broker) tryAcquire(now time.Time, w *waiter, v views) *permit {
+	n, chosen, free := b.freePermit(now, w, v)
+	if !free {
+		return nil
+	}
+	return b.issueTo(now, w, n, chosen)
+}
+
+// freePermit returns the need and the view of the queue that has a free permit for the
+// waiter, preferably the one that is predicted to serve it sooner; false if there is none.
+// Ejected backend servers are used only if those of both queues are ejected. b.mu must be
+// held.
+func (b *Broker) freePermit(now time.Time, w *waiter, v views) (need, view, bool) {
+	if v.alternative == nil {
+		return w.need, v.first, b.isFree(now, w.need, v.first)
+	}
+	preferred, other := w.need, *w.alternative
+	preferredView, otherView := v.first, *v.alternative
+	if preferAlternative(v.first, *v.alternative) {
+		preferred, other, preferredView, otherView = other, preferred, otherView, preferredView
+	}
+	if b.isFree(now, preferred, preferredView) {
+		return preferred, preferredView, true
+	}
+	return other, otherView, preferredView.ejected == otherView.ejected && b.isFree(now, other, otherView)
+}
+
+// isFree reports whether the view has a backend server with a free permit and this process
+// does not have its share already. b.mu must be held.
+func (b *Broker) isFree(now time.Time, n need, v view) bool {
+	if v.server.ID == "" {
+		return false
+	}
+	// A coordinator decides for all, so that there is nothing to share. The queue's load is
+	// that of all versions, which says nothing of the servers of a single one.
+	return n.software.limited() || b.coordinates(n.key) || b.queue(n.key).mayAcquire(now, v, n.size(), b.Seed)
+}
+
+// issueTo issues a permit at the backend server of v to the waiter. b.mu must be held.
+func (b *Broker) issueTo(now time.Time, w *waiter, n need, v view) *permit {
+	q := b.queue(n.key)
+	p := &permit{broker: b, need: n, server: v.server, since: now, units: n.size(), ahead: v.ahead}
+	if n.key.prefills() {
+		p.units = max(v.forecast.Tokens, 1)
+		p.forecast = v.forecast
+	}
+	if w.requester.process != "" {
+		p.requester = w.requester
+		b.grant(q, p)
+		return p
+	}
+	p.waited = now.Sub(w.since)
+	b.issue(q, p)
+	return p
+}
+
 // release gives the permit back with the request's result. Further calls have
 // no effect.
 func (p *permit) release(result usage.Result) {
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -167,11 +167,7 @@
 // held.
 func (b *Broker) admit(w *waiter) {
 	q := b.queue(w.need.key)
-	v := b.views(w.since, w)
-	if w.need.software.restricted && (v.first.usable == 0 || v.first.ejected) {
-		w.unrestrict()
-		v = b.views(w.since, w)
-	}
+	v := b.arrivalViews(w)
 	if v.first.usable == 0 {
 		if b.pauseEnds(w) {
 			q.waiting = append(q.waiting, w)
@@ -190,17 +186,33 @@
 			return
 		}
 	}
-	ahead := q.ahead(w.need) + w.need.size()
-	if !w.need.software.limited() {
-		ahead += v.first.peerLoad.Waiting
-	}
-	if expectedWait(ahead, v.throughput(w.need)) > w.need.maxWait {
+	if q.arrivalWait(w.need, v) > w.need.maxWait {
 		w.deliver(nil, errOverloaded)
 		return
 	}
 	q.waiting = append(q.waiting, w)
 }
 
+// arrivalViews evaluates the queues for an arrival. One that should begin at a version that
+// can't serve it may begin at any. b.mu must be held.
+func (b *Broker) arrivalViews(w *waiter) views {
+	v := b.views(w.since, w)
+	if w.need.software.restricted && (v.first.usable == 0 || v.first.ejected) {
+		w.unrestrict()
+		v = b.views(w.since, w)
+	}
+	return v
+}
+
+// arrivalWait returns the expected wait of an arrival, in the order of arrival.
+func (q *queue) arrivalWait(n need, v views) time.Duration {
+	ahead := q.ahead(n) + n.size()
+	if !n.software.limited() {
+		ahead += v.first.peerLoad.Waiting
+	}
+	return expectedWait(ahead, v.throughput(n))
+}
+
 // unrestrict allows backend servers of any version.
 func (w *waiter) unrestrict() {
 	w.need.software = software{}
@@ -236,51 +248,6 @@
 	}
 }
 
-// tryAcquire issues a permit to the waiter if one is free, preferably from the
-// queue that is predicted to serve it sooner. Ejected backend servers are used
-// only if those of both queues are ejected. b.mu must be held.
-func (b *Broker) tryAcquire(now time.Time, w *waiter, v views) *permit {
-	if v.alternative == nil {
-		return b.tryAcquireFrom(now, w, w.need, v.first)
-	}
-	preferred, other := w.need, *w.alternative
-	preferredView, otherView := v.first, *v.alternative
-	if preferAlternative(v.first, *v.alternative) {
-		preferred, other, preferredView, otherView = other, preferred, otherView, preferredView
-	}
-	if p := b.tryAcquireFrom(now, w, preferred, preferredView); p != nil || preferredView.ejected != otherView.ejected {
-		return p
-	}
-	return b.tryAcquireFrom(now, w, other, otherView)
-}
-
-// tryAcquireFrom issues a permit at the backend server of v. It returns nil if
-// there is none or this process has its share already. b.mu must be held.
-func (b *Broker) tryAcquireFrom(now time.Time, w *waiter, n need, v view) *permit {
-	q := b.queue(n.key)
-	if v.server.ID == "" {
-		return nil
-	}
-	// A coordinator decides for all, so that there is nothing to share. The queue's load is
-	// that of all versions, which says nothing of the servers of a single one.
-	if !n.software.limited() && !b.coordinates(n.key) && !q.mayAcquire(now, v, n.size(), b.Seed) {
-		return nil
-	}
-	p := &permit{broker: b, need: n, server: v.server, since: now, units: n.size(), ahead: v.ahead}
-	if n.key.prefills() {
-		p.units = max(v.forecast.Tokens, 1)
-		p.forecast = v.forecast
-	}
-	if w.requester.process != "" {
-		p.requester = w.requester
-		b.grant(q, p)
-		return p
-	}
-	p.waited = now.Sub(w.since)
-	b.issue(q, p)
-	return p
-}
-
 // add adds a permit to those of the queue.
 func (q *queue) add(p *permit) {
 	if q.permits == nil {
--- a/internal/node/broker/shed.go
+++ b/internal/node/broker/shed.go
@@ -157,13 +157,8 @@
 	if len(q.waiting) > 0 {
 		w.assess(w.since, stage)
 	}
-	at, _ := slices.BinarySearchFunc(q.waiting, w, func(o, w *waiter) int {
-		if w.ranksBefore(o) {
-			return 1
-		}
-		return -1
-	})
-	if !slices.ContainsFunc(q.waiting[:at], func(o *waiter) bool { return w.need.competes(o.need) }) {
+	at, first := q.position(w)
+	if first {
 		if p := b.tryAcquire(w.since, w, v); p != nil {
 			q.countServed(w.since, w)
 			w.deliver(p, nil)
@@ -178,6 +173,18 @@
 	w.cost.work.StartBy = w.cost.work.StartBy.Add(waitSlack)
 }
 
+// position returns where a waiter is to be inserted, and whether none of those before
+// competes with it.
+func (q *queue) position(w *waiter) (at int, first bool) {
+	at, _ = slices.BinarySearchFunc(q.waiting, w, func(o, w *waiter) int {
+		if w.ranksBefore(o) {
+			return 1
+		}
+		return -1
+	})
+	return at, !slices.ContainsFunc(q.waiting[:at], func(o *waiter) bool { return w.need.competes(o.need) })
+}
+
 // assess computes the rank of a waiter.
 func (w *waiter) assess(now time.Time, stage *shed.Stage) {
 	stage.Assess(now, &w.cost.work, w.cost.member)
@@ -237,10 +244,7 @@
 		q.shedding = &shedding{}
 	}
 	s := q.shedding
-	first := slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.bound })
-	if first < 0 {
-		first = len(q.waiting)
-	}
+	first := q.firstUnbound()
 	s.works = s.works[:0]
 	for _, w := range q.waiting[first:] {
 		s.works = append(s.works, &w.cost.work)
@@ -256,6 +260,15 @@
 	b.refuseChosen(now, q, first, arrival, rate)
 }
 
+// firstUnbound returns the index of the first waiter that is no resumed stream, or the
+// number of waiters if there is none.
+func (q *queue) firstUnbound() int {
+	if first := slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.bound }); first >= 0 {
+		return first
+	}
+	return len(q.waiting)
+}
+
 // ownRate returns how many units per second are completed for the waiters of the queue,
 // and how many units are ahead of them. Without a coordinator each process orders its own
 // waiters, and gets permits in proportion to them (see mayAcquire). b.mu must be held.
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -106,7 +106,10 @@
 
 // startTime is expectedStart with b.mu held.
 func (b *Broker) startTime(service string) time.Duration {
-	holdTime := b.queue(queueKey{service: service, role: roster.Prefill}).holdTime
+	holdTime := initialHold
+	if q, known := b.queues[queueKey{service: service, role: roster.Prefill}]; known {
+		holdTime = q.holdTime
+	}
 	return time.Duration(prefillMargin*holdTime*float64(time.Second)) + decodeStart
 }
 
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -217,5 +217,15 @@
 	}
 }
 
+// Clone returns a copy that shares nothing with the ledger.
+func (l *Ledger) Clone() Ledger {
+	c := Ledger{HalfLife: l.HalfLife, total: l.total, accounts: make(map[string]*usage, len(l.accounts))}
+	for name, u := range l.accounts {
+		copied := *u
+		c.accounts[name] = &copied
+	}
+	return c
+}
+
 // Accounts returns the number of accounts in the ledger.
 func (l *Ledger) Accounts() int { return len(l.accounts) }
--- a/internal/route/assign/assign.go
+++ b/internal/route/assign/assign.go
@@ -99,8 +99,23 @@
 
 // available reports whether the candidate can be chosen. allEjected is whether every
 // candidate is ejected or excluded.
-func (c Candidate) available(allEjected bool) bool {
-	return !c.Excluded && c.Running < c.Limit && c.SameWork < c.SameWorkLimit && (!c.Ejected || allEjected) && (!c.Suspect || c.OwnRunning == 0)
+func (c Candidate) available(allEjected bool) bool { return c.unfit(allEjected) == Fit }
+
+// unfit returns why the candidate can't be chosen.
+func (c Candidate) unfit(allEjected bool) Unfit {
+	switch {
+	case c.Excluded:
+		return Excluded
+	case c.Ejected && !allEjected:
+		return Ejected
+	case c.Running >= c.Limit:
+		return Full
+	case c.SameWork >= c.SameWorkLimit:
+		return FullOfWork
+	case c.Suspect && c.OwnRunning > 0:
+		return Probation
+	}
+	return Fit
 }
 
 // secondLowestScore returns the second lowest score for seed among the available
--- a/internal/route/assign/prefill.go
+++ b/internal/route/assign/prefill.go
@@ -120,43 +120,80 @@
 // number of requests. Tokens in the engine's KV cache take no time, tokens that it
 // fetches a fraction.
 func Prefill(engines []Engine, q Query) Forecast {
-	allEjected := true
-	for _, e := range engines {
-		allEjected = allEjected && (e.Ejected || e.Excluded)
-	}
-	preferred := -1
-	if q.AssumePreferred {
-		preferred = preferredEngine(engines, q.PrefixHash, allEjected)
-	}
+	c := newComparison(engines, q)
 	best := Forecast{Index: -1}
-	for i, e := range engines {
-		if !e.available(allEjected) {
-			continue
-		}
-		e.Times = e.Or(q.Average)
-		if e.Prefills > 0 && e.Rate == 0 {
-			continue
-		}
-		e.Times = e.Or(q.Guess)
-		if i == preferred {
-			e.Cached = q.Shared
-		}
-		f := e.forecast(q)
-		f.Index = i
-		if e.Prefills > 0 && f.Wait > q.Window || q.Longest > 0 && f.Finish-e.Delay > q.Longest {
-			continue
-		}
-		if best.Index < 0 || f.before(best) {
+	for i := range engines {
+		if f, unfit := c.forecast(i); unfit == Fit && (best.Index < 0 || f.before(best)) {
 			best = f
 		}
 	}
 	return best
 }
 
+// comparison is a comparison of the engines for one prompt.
+type comparison struct {
+	engines    []Engine
+	query      Query
+	allEjected bool
+	// preferred is the index of the engine that is assumed to have the prefix, or -1.
+	preferred int
+}
+
+func newComparison(engines []Engine, q Query) comparison {
+	c := comparison{engines: engines, query: q, allEjected: true, preferred: -1}
+	for _, e := range engines {
+		c.allEjected = c.allEjected && (e.Ejected || e.Excluded)
+	}
+	if q.AssumePreferred {
+		c.preferred = preferredEngine(engines, q.PrefixHash, c.allEjected)
+	}
+	return c
+}
+
+// forecast predicts the prefill at the engine with the index, and returns why the engine
+// can't be chosen. There is no prediction for an engine that can't be chosen for any
+// prompt, or whose times are not known.
+func (c *comparison) forecast(i int) (Forecast, Unfit) {
+	e, q := c.engines[i], &c.query
+	if unfit := e.unfit(c.allEjected); unfit != Fit {
+		return Forecast{Index: i}, unfit
+	}
+	e.Times = e.Or(q.Average)
+	if e.Prefills > 0 && e.Rate == 0 {
+		return Forecast{Index: i}, Unmeasured
+	}
+	e.Times = e.Or(q.Guess)
+	if i == c.preferred {
+		e.Cached = q.Shared
+	}
+	f := e.forecast(*q)
+	f.Index = i
+	switch {
+	case e.Prefills > 0 && f.Wait > q.Window:
+		return f, WaitTooLong
+	case q.Longest > 0 && f.Finish-e.Delay > q.Longest:
+		return f, PrefillTooLong
+	}
+	return f, Fit
+}
+
 // available reports whether the engine can be chosen. allEjected is whether every
 // engine is ejected or excluded.
-func (e Engine) available(allEjected bool) bool {
-	return !e.Excluded && !e.Full && (!e.Ejected || allEjected) && (!e.Suspect || e.OwnRunning == 0)
+func (e Engine) available(allEjected bool) bool { return e.unfit(allEjected) == Fit }
+
+// unfit returns why the engine can't be chosen for any prompt.
+func (e Engine) unfit(allEjected bool) Unfit {
+	switch {
+	case e.Excluded:
+		return Excluded
+	case e.Ejected && !allEjected:
+		return Ejected
+	case e.Full:
+		return Full
+	case e.Suspect && e.OwnRunning > 0:
+		return Probation
+	}
+	return Fit
 }
 
 // wait predicts how long the prefills ahead still occupy the engine. They have made
--- a/internal/route/auth/decide.go
+++ b/internal/route/auth/decide.go
@@ -40,3 +40,33 @@
 	}
 	return account, nil
 }
+
+// ErrNoAccount means that no account of the list has the name.
+var ErrNoAccount = errors.New("no such client account")
+
+// DecideNamed is Decide for a request with a valid key of the named account, or without a
+// key if name is empty. It returns ErrNoAccount if there is no such account.
+func DecideNamed(a *Accounts, public bool, name string, unconfirmed bool) (Account, error) {
+	account, known := a.named(name)
+	switch {
+	case name != "" && !known:
+		return Account{}, ErrNoAccount
+	case unconfirmed && !public:
+		return Account{}, ErrUnconfirmed
+	case unconfirmed:
+		return Account{}, nil
+	case name == "" && !public:
+		return Account{}, ErrMissing
+	}
+	return account, nil
+}
+
+// named returns the account with the name. If several entries have it, the first one counts.
+func (a *Accounts) named(name string) (Account, bool) {
+	for _, e := range a.entries {
+		if e.Name == name {
+			return e.account(), true
+		}
+	}
+	return Account{}, false
+}
--- a/internal/route/shed/stage.go
+++ b/internal/route/shed/stage.go
@@ -27,6 +27,19 @@
 	arrivalHalfLife = 500 * time.Millisecond
 )
 
+// Clone returns a copy that shares nothing with the stage, to find out what would become of
+// a request. The Members of requests at the stage belong to the stage only.
+func (s *Stage) Clone() *Stage {
+	c := *s
+	c.ledger = s.ledger.Clone()
+	c.floors.groups = make(map[group]*tally, len(s.floors.groups))
+	for g, t := range s.floors.groups {
+		copied := *t
+		c.floors.groups[g] = &copied
+	}
+	return &c
+}
+
 // Arrive counts the arrival of a request.
 func (s *Stage) Arrive(now time.Time, w *Work) Member {
 	s.decay(now)
