--- a/internal/route/detail/text.go
+++ b/internal/route/detail/text.go
@@ -5,6 +5,7 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 )
 
 const (
@@ -94,9 +95,9 @@
 func (d Decision) String() string {
 	switch d.Action {
 	case Send:
-		return "Send to " + d.Server
+		return "Send to " + clip(d.Server, maxColumns)
 	case HandOver:
-		return "HandOver to the process " + d.Peer
+		return "HandOver to the process " + clip(d.Peer, maxColumns)
 	case Wait:
 		return fmt.Sprintf("Wait (%s)", d.Reason)
 	}
@@ -121,11 +122,17 @@
 	}
 }
 
-// clip cuts a text to at most so many characters.
+// clip cuts a text to at most so many characters. Control characters, which would break the
+// table, become question marks.
 func clip(text string, most int) string {
 	runes := []rune(text)
-	if len(runes) <= most {
-		return text
+	for i, r := range runes {
+		if unicode.IsControl(r) {
+			runes[i] = '?'
+		}
+	}
+	if len(runes) > most {
+		runes = append(runes[:most-1], '…')
 	}
-	return string(runes[:most-1]) + "…"
+	return string(runes)
 }
