cmd, core, link: the command explain and its RPC

Cause: operators have to read the logs of several processes to see why a request waits or is rejected. The unused assign.Engine.available is removed. Result: go test ./cmd/ebonyscale ./internal/route/... passes.

--- a/cmd/ebonyscale/main.go
+++ b/cmd/ebonyscale/main.go
@@ -27,7 +27,7 @@
 	for _, c := range []subcommands.Command{&checkCommand{}, &checkEntryCommand{}, &checkTableCommand{}, &diffCommand{}, &applyCommand{}, &getCommand{}, &historyCommand{}} {
 		subcommands.Register(c, "configuration")
 	}
-	for _, c := range []subcommands.Command{&statusCommand{}, &drainCommand{}, &drainCommand{undo: true}, &timelineCommand{}, &versionCommand{}} {
+	for _, c := range []subcommands.Command{&statusCommand{}, &drainCommand{}, &drainCommand{undo: true}, &timelineCommand{}, &explainCommand{}, &versionCommand{}} {
 		subcommands.Register(c, "operation")
 	}
 	flag.Parse()
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 )
@@ -12,10 +11,3 @@
 func (n *Node) Changes(context.Context, *wire.FeedQuery) (*wire.FeedAnswer, error) {
 	return &wire.FeedAnswer{Refused: true}, nil
 }
-
-var errNoExplanation = errors.New("this process does not explain placements")
-
-// Explain implements wire.DRPCEntryServer.
-func (n *Node) Explain(context.Context, *wire.ExplainQuery) (*wire.ExplainAnswer, error) {
-	return nil, errNoExplanation
-}
--- a/internal/route/assign/prefill.go
+++ b/internal/route/assign/prefill.go
@@ -177,11 +177,8 @@
 	return f, Fit
 }
 
-// available reports whether the engine can be chosen. allEjected is whether every
+// unfit returns why the engine can't be chosen for any prompt. allEjected is whether every
 // engine is ejected or excluded.
-func (e Engine) available(allEjected bool) bool { return e.unfit(allEjected) == Fit }
-
-// unfit returns why the engine can't be chosen for any prompt.
 func (e Engine) unfit(allEjected bool) Unfit {
 	switch {
 	case e.Excluded:
--- a/internal/route/detail/text.go
+++ b/internal/route/detail/text.go
@@ -33,6 +33,9 @@
 	fmt.Fprintf(w, "work\t%s\n", e.Work)
 	for _, q := range e.Queues {
 		fmt.Fprintf(w, "queue\t%s\n", q)
+		if q.Coordinator != "" {
+			fmt.Fprintf(w, "\tgranted by the coordinator %s, which may decide otherwise\n", clip(q.Coordinator, maxName))
+		}
 	}
 	_ = w.Flush()
 	fmt.Fprintln(&table)
@@ -70,12 +73,8 @@
 
 // String describes the queue.
 func (q Queue) String() string {
-	text := fmt.Sprintf("%s by %s: %d of %d ahead (%d units), wait %s of at most %s", q.Work, q.Order, q.Ahead, q.Waiting, q.UnitsAhead,
+	return fmt.Sprintf("%s by %s: %d of %d ahead (%d units), wait %s of at most %s", q.Work, q.Order, q.Ahead, q.Waiting, q.UnitsAhead,
 		short(q.WaitMs), short(q.LongestWaitMs))
-	if q.Coordinator != "" {
-		text += ", decided by " + clip(q.Coordinator, maxID)
-	}
-	return text
 }
 
 // row returns the cells of the table.
