--- a/internal/node/broker/explain_test.go
+++ b/internal/node/broker/explain_test.go
@@ -358,3 +358,29 @@
 	_, err = f.Explain(ExplainQuery{Host: "h", Path: "/read/"})
 	require.ErrorIs(t, err, ErrNoConfiguration)
 }
+
+// TestExplainNamesThePeer guards against an explanation that names a backend server to which
+// this process has no link, and one that hides that another process decides.
+func TestExplainNamesThePeer(t *testing.T) {
+	f := newFixture(t)
+	f.Carrier = &hops{names: []string{"p1"}}
+	f.addEnginePairs()
+	for _, s := range f.roster.Service("plain") {
+		f.Usage.MarkUnreachable(time.Now(), s)
+	}
+	f.undialable.Store(1)
+	e, err := f.Explain(ExplainQuery{Host: "h", Path: "/read/"})
+	require.NoError(t, err)
+	assert.Equal(t, detail.Decision{Action: detail.HandOver, Peer: "p1"}, e.Decision)
+	assert.Equal(t, detail.Unreachable, e.Servers[0].NotUsed)
+	f.Peers = coordinatedPeers{}
+	f.Name, f.Coordination = "self", noCoordination{}
+	f.Tick(time.Now())
+	e, err = f.Explain(ExplainQuery{Host: "h", Path: "/chat/", PromptTokens: 4000})
+	require.NoError(t, err)
+	assert.Equal(t, []string{"peer", "peer"}, []string{e.Queues[0].Coordinator, e.Queues[1].Coordinator})
+	f.avoid("peer")
+	e, err = f.Explain(ExplainQuery{Host: "h", Path: "/chat/", PromptTokens: 4000})
+	require.NoError(t, err)
+	assert.Empty(t, e.Queues[0].Coordinator, "it does not respond, so that this process decides")
+}
