broker: the test of a cached prefix needs the cache to choose

Cause: the engine with the prefix was also the first of two equal ones, so that the state would have passed without a cache. Change: the other engine keeps the prefix; its cached tokens are checked. The package comment names Explain; formatting of the command.

--- a/cmd/ebonyscale/explain.go
+++ b/cmd/ebonyscale/explain.go
@@ -29,7 +29,7 @@
 	json                bool
 }
 
-func (*explainCommand) Name() string { return "explain" }
+func (*explainCommand) Name() string     { return "explain" }
 func (*explainCommand) Synopsis() string { return "show where a request would be sent now, and why" }
 
 func (*explainCommand) Usage() string {
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -13,6 +13,9 @@
 // failure. A permit admits one request to one backend server of the route's
 // service. Queues depend on Tick, which the process calls every 20 ms.
 //
+// Explain returns where a request would be sent now and why, without sending it. It calls
+// the same decisions as Serve and changes nothing.
+//
 // Each failure has a retry.Outcome. A request is retried only if it has not run
 // or may run more than once, within the route's attempts and the retry quota that
 // all processes share.
--- a/internal/node/broker/explain_test.go
+++ b/internal/node/broker/explain_test.go
@@ -32,6 +32,8 @@
 	work    detail.Work
 	// notUsed has the causes for some backend servers.
 	notUsed map[string]detail.Cause
+	// cached is how many tokens the backend server that is used has in its KV cache.
+	cached int
 }
 
 // occupy counts so many requests of this process at a backend server.
@@ -143,10 +145,11 @@
 	{name: "prefill", path: "/chat/x", tokens: 4000, action: detail.Send, work: detail.Prefill, prepare: func(_ context.Context, f *fixture) { f.addEnginePairs() }},
 	{name: "small prompt", path: "/chat/x", tokens: 100, action: detail.Send, work: detail.DecodeShort, prepare: func(_ context.Context, f *fixture) { f.addEnginePairs() }},
 	{
-		name: "prefix cached", path: "/chat/x", tokens: 4000, action: detail.Send, work: detail.Prefill,
+		name: "prefix cached", path: "/chat/x", tokens: 4000, action: detail.Send, work: detail.Prefill, cached: 2000,
+		notUsed: map[string]detail.Cause{"p": detail.NotBest, "q": ""},
 		prepare: func(ctx context.Context, f *fixture) {
 			f.addEnginePairs()
-			p, _ := f.roster.Find("q", 1)
+			p, _ := f.roster.Find("p", 1)
 			f.Notice(p, Notice{Pause: time.Millisecond})
 			f.serve(ctx, newPromptRequest("/chat/x", 4000, 80))
 			time.Sleep(10 * time.Millisecond)
@@ -226,6 +229,9 @@
 			assert.Equal(t, cause, server.NotUsed, server.ID)
 		}
 		assert.Equal(t, server.ID == e.Decision.Server, server.NotUsed == "", "%s", e)
+		if server.NotUsed == "" {
+			assert.Equal(t, s.cached, server.CachedTokens)
+		}
 	}
 	before := len(f.fleet.sent)
 	var c *client
