--- a/internal/route/assign/prefill.go
+++ b/internal/route/assign/prefill.go
@@ -141,8 +141,8 @@
 
 func newComparison(engines []Engine, q Query) comparison {
 	c := comparison{engines: engines, query: q, allEjected: true, preferred: -1}
-	for _, e := range engines {
-		c.allEjected = c.allEjected && (e.Ejected || e.Excluded)
+	for i := range engines {
+		c.allEjected = c.allEjected && (engines[i].Ejected || engines[i].Excluded)
 	}
 	if q.AssumePreferred {
 		c.preferred = preferredEngine(engines, q.PrefixHash, c.allEjected)
@@ -154,10 +154,10 @@
 // can't be chosen. There is no prediction for an engine that can't be chosen for any
 // prompt, or whose times are not known.
 func (c *comparison) forecast(i int) (Forecast, Unfit) {
-	e, q := c.engines[i], &c.query
-	if unfit := e.unfit(c.allEjected); unfit != Fit {
+	if unfit := c.engines[i].unfit(c.allEjected); unfit != Fit {
 		return Forecast{Index: i}, unfit
 	}
+	e, q := c.engines[i], &c.query
 	e.Times = e.Or(q.Average)
 	if e.Prefills > 0 && e.Rate == 0 {
 		return Forecast{Index: i}, Unmeasured
@@ -166,7 +166,7 @@
 	if i == c.preferred {
 		e.Cached = q.Shared
 	}
-	f := e.forecast(*q)
+	f := e.forecast(q)
 	f.Index = i
 	switch {
 	case e.Prefills > 0 && f.Wait > q.Window:
@@ -179,7 +179,7 @@
 
 // unfit returns why the engine can't be chosen for any prompt. allEjected is whether every
 // engine is ejected or excluded.
-func (e Engine) unfit(allEjected bool) Unfit {
+func (e *Engine) unfit(allEjected bool) Unfit {
 	switch {
 	case e.Excluded:
 		return Excluded
@@ -196,13 +196,13 @@
 // wait predicts how long the prefills ahead still occupy the engine. They have made
 // progress since the last completion, at most half of their time: an engine that
 // completes nothing makes none.
-func (e Engine) wait() time.Duration {
+func (e *Engine) wait() time.Duration {
 	total := time.Duration(e.Prefills)*e.Base + timeFor(e.Backlog, e.Rate)
 	return total - min(max(e.Progress, 0), total/2)
 }
 
 // forecast predicts the prefill of a prompt by the engine.
-func (e Engine) forecast(q Query) Forecast {
+func (e *Engine) forecast(q *Query) Forecast {
 	cached := min(max(e.Cached, 0), q.Shared)
 	fetched := max(min(q.Fetchable, q.Shared)-cached, 0)
 	f := Forecast{Tokens: q.Own + q.Shared - cached - fetched + int(fetchCost*float64(fetched)), Cached: cached, Fetched: fetched}
