--- a/internal/node/broker/shed.go
+++ b/internal/node/broker/shed.go
@@ -162,13 +162,8 @@
 	if len(q.waiting) > 0 {
 		w.assess(w.since, stage)
 	}
-	at, _ := slices.BinarySearchFunc(q.waiting, w, func(o, w *waiter) int {
-		if w.ranksBefore(o) {
-			return 1
-		}
-		return -1
-	})
-	if !slices.ContainsFunc(q.waiting[:at], func(o *waiter) bool { return w.need.competes(o.need) }) {
+	at, first := q.position(w)
+	if first {
 		if p := b.tryAcquire(w.since, w, v); p != nil {
 			q.countServed(w.since, w)
 			w.deliver(p, nil)
@@ -188,7 +183,7 @@
 // requests of the queue: without this, requests with short deadlines among long ones would
 // all be rejected beside idle servers. b.mu must be held.
 func (b *Broker) admitLate(w *waiter, q *queue, v views) {
-	if c := w.need.caller; len(q.waiting) == 0 && c != nil && w.since.Before(c.deadline) {
+	if q.servesLate(w) {
 		if p := b.tryAcquire(w.since, w, v); p != nil {
 			w.cost.member = q.shedding.stage.Arrive(w.since, &w.cost.work)
 			q.countServed(w.since, w)
@@ -199,6 +194,29 @@
 	b.shed(w, &shedError{reason: shedUseless})
 }
 
+// servesLate reports whether an arrival that is predicted to miss its deadline may be served
+// all the same if a permit is free.
+func (q *queue) servesLate(w *waiter) bool {
+	c := w.need.caller
+	return len(q.waiting) == 0 && c != nil && w.since.Before(c.deadline)
+}
+
+// position returns where an arrival is to be inserted, and whether none of those before
+// competes with it.
+func (q *queue) position(w *waiter) (at int, first bool) {
+	// Those that wait have got waitSlack: without it an arrival would go before its equals.
+	startBy := w.cost.work.StartBy
+	w.cost.work.StartBy = startBy.Add(waitSlack)
+	defer func() { w.cost.work.StartBy = startBy }()
+	at, _ = slices.BinarySearchFunc(q.waiting, w, func(o, w *waiter) int {
+		if w.ranksBefore(o) {
+			return 1
+		}
+		return -1
+	})
+	return at, !slices.ContainsFunc(q.waiting[:at], func(o *waiter) bool { return w.need.competes(o.need) })
+}
+
 // assess computes the rank of a waiter.
 func (w *waiter) assess(now time.Time, stage *shed.Stage) {
 	stage.Assess(now, &w.cost.work, w.cost.member)
@@ -274,13 +292,11 @@
 	b.refuseChosen(now, q, first, arrival, rate)
 }
 
-// firstUnbound returns the index of the first waiter that is not a resumed stream. Those come
-// first.
+// firstUnbound returns the index of the first waiter that is no resumed stream, or the
+// number of waiters if there is none.
 func (q *queue) firstUnbound() int {
-	for i, w := range q.waiting {
-		if !w.need.software.bound {
-			return i
-		}
+	if first := slices.IndexFunc(q.waiting, func(w *waiter) bool { return !w.need.software.bound }); first >= 0 {
+		return first
 	}
 	return len(q.waiting)
 }
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -145,10 +144,3 @@
 	}
 	return n.relayed.Answer(ctx, q), nil
 }
-
-var errNoExplanation = errors.New("this process does not explain placements")
-
-// Explain implements wire.DRPCEntryServer.
-func (n *Node) Explain(context.Context, *wire.ExplainQuery) (*wire.ExplainAnswer, error) {
-	return nil, errNoExplanation
-}
