broker, spool, httpd: read streams on while their clients are slow

Cause: a stream's events were relayed synchronously, so that a backend server aborted the response after about 2 s in which the client read nothing. Change: an event that can't be written within 50 ms starts a bounded queue (package spool: 256 KB per stream, MaxBuffered for all together with whole responses) and a goroutine that writes it; where the common bound is reached, the stream furthest behind is aborted. Prompt clients have neither. Result: go test ./internal/node/{spool,httpd,broker} pass; in the broker one race in the fixture's list of origins was found and is avoided there. Conclusion: memory for slow readers is bounded, and streams survive pauses.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -41,6 +41,7 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/node/meter"
+	"ebonyscale.example/ebonyscale/internal/node/spool"
 	"ebonyscale.example/ebonyscale/internal/route/assign"
 	"ebonyscale.example/ebonyscale/internal/route/limit"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
@@ -222,7 +223,9 @@
 	// Counter, if set, counts the requests that begin to run, by client account.
 	Counter Counter
 	// MaxBuffered bounds the bytes of the responses of backend servers that are kept in
-	// memory, of all requests together; 0 means no bound.
+	// memory, of all requests together; 0 means no bound. The events that wait for slow
+	// clients are among them: where the bound is reached, the stream of the client that is
+	// furthest behind is aborted.
 	MaxBuffered int64
 	// RetryLimit limits the retries of each service, for all processes
 	// together.
@@ -238,7 +241,7 @@
 	Seed uint64
 
 	shutdown atomic.Pointer[shutdown]
-	buffered atomic.Int64
+	buffered spool.Pool
 	// undialable is how many backend servers could not be connected to at the last check, or
 	// 1 if none was and one has failed since.
 	undialable atomic.Int64
@@ -374,7 +377,8 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errTimeout)
 	defer cancel()
-	j.ctx = ctx
+	j.ctx, j.cancel = ctx, cancel
+	defer j.finishSlow()
 	if j.hop == nil {
 		b.countRequest(j.service.Name)
 		b.Meters.Add("Requests", 1)
--- a/internal/node/broker/buffer.go
+++ b/internal/node/broker/buffer.go
@@ -1,16 +1,16 @@
 package broker
 
 import (
-	"errors"
 	"fmt"
 	"io"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
+	"ebonyscale.example/ebonyscale/internal/node/spool"
 )
 
 // errBuffersFull means that the bodies of all responses together are too large to be
 // kept in memory.
-var errBuffersFull = errors.New("too many bytes of responses are buffered")
+var errBuffersFull = spool.ErrFull
 
 const (
 	// maxResponseBytes is the maximum size of a response that is not a stream.
@@ -23,22 +23,16 @@
 // reserve reserves n bytes of MaxBuffered for a response to the request. They are freed
 // when the request has ended.
 func (j *job) reserve(n int) error {
-	b := j.broker
-	for {
-		before := b.buffered.Load()
-		if b.MaxBuffered > 0 && before+int64(n) > b.MaxBuffered {
-			return errBuffersFull
-		}
-		if b.buffered.CompareAndSwap(before, before+int64(n)) {
-			j.reserved += n
-			return nil
-		}
+	if err := j.broker.buffered.Reserve(n, j.broker.MaxBuffered); err != nil {
+		return fmt.Errorf("reserve %d bytes: %w", n, err)
 	}
+	j.reserved += n
+	return nil
 }
 
 // freeBuffers frees what the request has reserved.
 func (j *job) freeBuffers() {
-	j.broker.buffered.Add(-int64(j.reserved))
+	j.broker.buffered.Free(j.reserved)
 	j.reserved = 0
 }
 
--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -267,11 +267,11 @@
 	if !j.headerSent {
 		j.recordOutcome(f.Outcome)
 	}
-	cause := context.Cause(j.ctx)
+	cause := j.cause()
 	again := j.attempts < j.route.Attempts && j.route.Repeatable()
 	switch {
 	case j.headerSent && (cause != nil || !again || !j.broker.tryRetry(j.service.Name)):
-		j.logEnd(0, carryReason(cause), f)
+		j.logEnd(0, cutReason(cause), f)
 	case j.headerSent:
 		return false
 	case cause != nil:
@@ -288,17 +288,6 @@
 	return true
 }
 
-// carryReason returns the reason of a stream that broke off at a peer.
-func carryReason(cause error) Reason {
-	switch {
-	case errors.Is(cause, errTimeout):
-		return timedOut
-	case cause != nil:
-		return clientGone
-	}
-	return streamBroken
-}
-
 // carryRelay relays what a peer sends to the client.
 type carryRelay struct {
 	job *job
@@ -350,7 +339,7 @@
 		r.job.resumeAfter = strconv.FormatUint(reader.LastID, 10)
 	}
 	r.job.measureGap(time.Now())
-	return r.delivered(r.job.out.Event(text))
+	return r.delivered(r.job.sendEvent(text))
 }
 
 // End implements Output.
@@ -364,7 +353,7 @@
 func (r *carryRelay) delivered(err error) error {
 	if err != nil && !r.ended {
 		r.ended = true
-		r.job.logEnd(0, notDelivered, err)
+		r.job.logEnd(0, r.job.sendReason(err), err)
 	}
 	return err
 }
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -35,6 +35,7 @@
 	serverLost      Reason = "ServerLost"    // no complete, verified response
 	streamBroken    Reason = "StreamBroken"
 	notDelivered    Reason = "NotDelivered"  // sending to the client failed
+	tooSlow         Reason = "TooSlow"       // too many bytes wait for the client
 	originUnknown   Reason = "OriginUnknown" // nobody knows who began the stream
 	quarantined     Reason = "Quarantined"   // the request crashes backend servers
 	notRecorded     Reason = "NotRecorded"   // the stream begins again elsewhere
@@ -57,6 +58,9 @@
 	accounts bool
 	account  auth.Account
 	ctx      context.Context
+	cancel   context.CancelFunc
+	// slow is set while the client of a stream is behind.
+	slow *slowClient
 	// deadline is when the request must have its final response.
 	deadline time.Time
 	// attempts counts the attempts, failed prefills included. Those that failed
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -195,7 +194,7 @@
 		}
 		if err := j.relayEvent(response, e); err != nil {
 			p.release(usage.Result{})
-			j.logEnd(0, notDelivered, err)
+			j.logEnd(0, j.sendReason(err), err)
 			return nil
 		}
 	}
@@ -260,7 +259,7 @@
 	if err := j.sendHeader(response.Status, response.Fields); err != nil {
 		return err
 	}
-	return j.out.Event(e.Text)
+	return j.sendEvent(e.Text)
 }
 
 // sendHeader sends the header of the first response. A resumed stream keeps it.
@@ -277,8 +276,12 @@
 	return nil
 }
 
-// endStream ends a complete stream.
+// endStream ends a complete stream once the client has got its events.
 func (j *job) endStream() {
+	if err := j.awaitWritten(); err != nil {
+		j.logEnd(0, j.sendReason(err), err)
+		return
+	}
 	j.finished = true
 	if err := j.out.End(); err != nil {
 		j.logEnd(0, notDelivered, err)
@@ -297,7 +300,7 @@
 	if !j.headerSent {
 		return f
 	}
-	cause := context.Cause(j.ctx)
+	cause := j.cause()
 	if cause == nil && j.route.Repeatable() && j.attempts < j.route.Attempts && j.broker.tryRetry(j.service.Name) {
 		j.broker.Log.Info("stream broke, resuming on another engine", zap.String("Request", j.request.ID), zap.String("Server", p.server.ID),
 			zap.String("Software", p.server.Version), zap.Uint64("After", r.LastID), zap.Error(err))
@@ -307,14 +310,10 @@
 		j.resume(p.server.ID)
 		return nil
 	}
-	reason := streamBroken
-	switch {
-	case errors.Is(cause, errTimeout):
-		reason = timedOut
-	case cause != nil:
-		reason = clientGone
+	if isTooSlow(cause) || errors.Is(cause, errUnwritten) {
+		err = cause
 	}
-	j.logEnd(0, reason, err)
+	j.logEnd(0, cutReason(cause), err)
 	return nil
 }
 
--- a/internal/node/httpd/conn.go
+++ b/internal/node/httpd/conn.go
@@ -18,9 +18,11 @@
 const (
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
-	// writeTimeout bounds the write of a response, or of one event, to a client
-	// that does not read it.
+	// writeTimeout bounds the write of a response to a client that does not read
+	// it, eventTimeout that of one event. Clients on poor links read nothing for 5 s;
+	// the bytes that wait for them are bounded by package spool.
 	writeTimeout = 5 * time.Second
+	eventTimeout = 10 * time.Second
 	// bodyTimeout bounds the time to receive a request's body.
 	bodyTimeout = 10 * time.Second
 	// idleSlack is how much longer than IdleTimeout an idle connection is kept,
@@ -35,6 +37,7 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	gate   gate
 	// pending is a byte that the watcher read while a request was being served.
 	// It is the first byte of the next request.
 	pending    byte
@@ -57,7 +60,8 @@
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw, accepted: time.Now()}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
-	c.writer = bufio.NewWriterSize(raw, writeBufferBytes)
+	c.gate.raw = raw
+	c.writer = bufio.NewWriterSize(&c.gate, writeBufferBytes)
 	return c
 }
 
--- a/internal/node/httpd/exchange.go
+++ b/internal/node/httpd/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,8 @@
 	begun, finished bool
 	// closeAfter is set if the connection is closed after this response.
 	closeAfter bool
+	// aborted is set by Abort.
+	aborted atomic.Bool
 }
 
 // Respond writes a complete response. The body is not sent if the request's method
@@ -71,11 +74,16 @@
 // Event writes one part of a streamed response and flushes it. An empty part is
 // ignored, since an empty chunk would end the body.
 func (x *Exchange) Event(part []byte) error {
+	x.setWriteDeadline(eventTimeout)
+	return x.writePart(part)
+}
+
+// writePart writes and flushes one part of a streamed response.
+func (x *Exchange) writePart(part []byte) error {
 	if len(part) == 0 {
 		return nil
 	}
 	w := x.conn.writer
-	x.extendWriteDeadline()
 	var size [18]byte
 	if _, err := w.Write(append(strconv.AppendUint(size[:0], uint64(len(part)), 16), '\r', '\n')); err != nil {
 		return fmt.Errorf("write event: %w", err)
@@ -94,7 +102,7 @@
 
 // End completes a streamed response.
 func (x *Exchange) End() error {
-	x.extendWriteDeadline()
+	x.setWriteDeadline(eventTimeout)
 	if _, err := x.conn.writer.WriteString("0\r\n\r\n"); err != nil {
 		return fmt.Errorf("write end: %w", err)
 	}
@@ -105,16 +113,10 @@
 	return nil
 }
 
-// extendWriteDeadline sets the deadline of the next write. The error is ignored: a
-// connection that does not accept a deadline fails the write that follows.
-func (x *Exchange) extendWriteDeadline() {
-	_ = x.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-}
-
 // header writes the header of a response whose body has length bytes, or is chunked
 // if length is negative.
 func (x *Exchange) header(status int, fields []call.Field, length int) error {
-	x.extendWriteDeadline()
+	x.setWriteDeadline(writeTimeout)
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
 	h.SetStatusCode(status)
