broker, hold: keep the prompts in progress at an engine within its memory

Cause: an engine with 317,000 tokens of KV cache and 32 slots got up to 40 requests, which with prompts of 9,190 tokens are 367,600 tokens. No new message. Result: go test ./internal/route/hold ./internal/node/broker pass.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -267,6 +267,7 @@
 	returns shed.Returns
 	endings crash.Endings[usage.Incarnation, roster.Server]
 	blamed  blamed
+	promptState
 	coordinatorState
 	requesterState
 }
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -175,7 +175,7 @@
 		Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted, Ejected: snapshot.Ejected, Excluded: n.excluded[s.ID],
 	}
 	c.SameWork = c.Running
-	if b.connectionsUsed(s.Service, snapshot) {
+	if b.connectionsUsed(s.Service, snapshot) || !b.promptFits(n, s.Key(), share, peerLoad) {
 		c.Limit = min(c.Limit, c.Running)
 	}
 	if n.key.work == usage.Long {
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -190,6 +190,7 @@
 // grant issues a permit of the queue to a peer. b.mu must be held.
 func (b *Broker) grant(q *queue, p *permit) {
 	b.startPrefill(p)
+	b.holdPrompt(p)
 	q.add(p)
 	q.granted += p.units
 	addGrant(b.grantedByEngine, p.server.Key(), Grants{1, 1, p.units})
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ebonyscale.example/ebonyscale/internal/fleet/peers"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/assign"
@@ -36,6 +37,10 @@
 	began time.Time
 	// running counts the requests of all processes, limit bounds it.
 	running, limit int
+	// peerLoad is the load of the peers without the permits that this process granted, share
+	// the share of the engine that live processes may use.
+	peerLoad peers.Load
+	share    float64
 	// throughput is the share of the engine's throughput that this process may
 	// count on: less behind a slow link, or if silent peers may use the engine.
 	throughput float64
@@ -114,7 +119,7 @@
 	peerLoad := b.withoutGrants(s.Service, b.Peers.Server(key))
 	granted := b.grantedByEngine[key]
 	e := &engineState{
-		server: s, began: b.progress[key], running: snapshot.Running + peerLoad.Running + granted.Requests,
+		server: s, peerLoad: peerLoad, share: share, began: b.progress[key], running: snapshot.Running + peerLoad.Running + granted.Requests,
 		limit: scaled(decodePerSlot*float64(s.Slots), share), throughput: share, fetchable: !snapshot.Unreachable && !snapshot.Stalled, throttled: snapshot.Throttled || b.connectionsUsed(s.Service, snapshot),
 		engine: assign.Engine{
 			Key: key, Hash: xxhash.Sum64String(s.ID),
@@ -161,7 +166,7 @@
 	engines := b.engineBuffer[:0]
 	for _, s := range states {
 		e := s.engine
-		e.Full, e.Excluded, e.Cached = s.running >= s.limit || s.throttled, n.excluded[s.server.ID], lookup.Tokens(e.Key)
+		e.Full, e.Excluded, e.Cached = s.running >= s.limit || s.throttled || !b.promptFits(n, e.Key, s.share, s.peerLoad), n.excluded[s.server.ID], lookup.Tokens(e.Key)
 		e.Progress = now.Sub(s.began)
 		v.usable++
 		v.ejected = v.ejected && (e.Ejected || e.Excluded)
--- a/internal/node/broker/permit.go
+++ b/internal/node/broker/permit.go
@@ -22,6 +22,8 @@
 	// ahead is how many tokens the engine had to prefill before, forecast the
 	// prediction for the prefill.
 	units, ahead int
+	// promptTokens is what the permit has in Broker.promptTokens.
+	promptTokens int
 	forecast     assign.Forecast
 	// fetch is the address of an engine from which the prefix is fetched; it is
 	// invalid if none is known.
@@ -60,6 +62,7 @@
 // free removes a permit from its queue and serves the queues that can use the
 // capacity. b.mu must be held.
 func (b *Broker) free(now time.Time, p *permit, result usage.Result) {
+	b.freePrompt(p)
 	q := b.queue(p.need.key)
 	delete(q.permits, p)
 	b.adjustEngine(p.server, Grants{Requests: -1})
@@ -116,6 +119,7 @@
 		added.Prefills, added.Tokens = 1, p.units
 	}
 	b.adjustEngine(p.server, added)
+	b.holdPrompt(p)
 	q.add(p)
 }
 
