entry: bound the bodies of all requests of 'ebonyscale serve' together

Change: package entry reads the bodies itself and reserves their bytes before it reads them, until the end of the response; [Limits] MaxBodies, 256 MiB; beyond it 503 BodiesFull, not run.

--- a/internal/config/setup/setup.go
+++ b/internal/config/setup/setup.go
@@ -91,6 +91,9 @@
 type Limits struct {
 	// MaxBody is the largest body of a request, in bytes.
 	MaxBody int64 `validate:"gte=1024"`
+	// MaxBodies bounds the bodies of all requests in progress together, in
+	// bytes. A request beyond it is rejected with status 503.
+	MaxBodies int64 `validate:"gte=1024"`
 	// MaxHeader is the largest header of a request, in bytes.
 	MaxHeader int64 `validate:"gte=1024"`
 	// MaxRequests is the number of requests that the process handles at once.
@@ -121,7 +124,7 @@
 	return Settings{
 		Platform: Platform{Timeout: 12 * time.Second, WatchFor: 30 * time.Second, ListEvery: 5 * time.Second},
 		Limits: Limits{
-			MaxBody: 8 << 20, MaxHeader: 16 << 10, MaxRequests: 4096,
+			MaxBody: 8 << 20, MaxBodies: 256 << 20, MaxHeader: 16 << 10, MaxRequests: 4096,
 			HeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 			MaxDeadline: 6 * time.Hour, StallTimeout: 10 * time.Second, StopWait: time.Second,
 		},
--- a/internal/node/broker/slow.go
+++ b/internal/node/broker/slow.go
@@ -110,9 +110,8 @@
 // finishSlow ends the writer of a stream that has not ended as a whole. The client gets what
 // is queued, unless it is gone or its time is over.
 func (j *job) finishSlow() {
-	if err := j.awaitWritten(); err != nil {
-		j.broker.Meters.Add("SlowStreamsCut", 1)
-	}
+	// The reason was logged with the end of the request.
+	_ = j.awaitWritten()
 }
 
 // cause returns why the request was canceled, nil if it was not. The end of its queue comes
--- /dev/null
+++ b/internal/node/entry/body.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ebonyscale.example/ebonyscale/internal/route/retry"
+)
+
+// bodies counts the bytes of the bodies of all requests. The zero value has no limit.
+type bodies struct {
+	limit int64
+	held  atomic.Int64
+}
+
+// reserve reserves n bytes, or returns false if they exceed the limit.
+func (b *bodies) reserve(n int) bool {
+	if b.held.Add(int64(n)) > b.limit && b.limit > 0 {
+		b.held.Add(-int64(n))
+		return false
+	}
+	return true
+}
+
+// body is the body of a request, whose bytes are reserved.
+type body struct {
+	all      *bodies
+	reserved atomic.Int64
+	text     []byte
+}
+
+// release frees the bytes of the body. Further calls have no effect.
+func (b *body) release() { b.all.held.Add(-b.reserved.Swap(0)) }
+
+const (
+	// firstBody is the size of the first buffer of a body; it doubles when it is full.
+	firstBody = 4 << 10
+	// bodiesRetryAfter is when a client may retry after the limit was reached. It is about
+	// the duration of a plain request.
+	bodiesRetryAfter = time.Second
+)
+
+// errBodiesFull means that the bodies of all requests together are too large.
+var errBodiesFull = errors.New("too many bytes of requests are buffered")
+
+// read reads the body of a request of at most maximum bytes. Its bytes are reserved before they
+// are read, those of a body in chunks as well. The body must be released also after an error.
+func (b *bodies) read(c *fasthttp.RequestCtx, maximum int) (*body, error) {
+	r := &body{all: b}
+	stream, length := c.RequestBodyStream(), c.Request.Header.ContentLength()
+	if length > maximum {
+		return r, fasthttp.ErrBodyTooLarge
+	}
+	if stream == nil || length == 0 {
+		return r, nil
+	}
+	most := maximum + 1 // One byte more than allowed shows that there are too many.
+	if length > 0 {
+		most = length
+	}
+	for {
+		if len(r.text) == cap(r.text) {
+			if err := r.grow(most); err != nil {
+				return r, err
+			}
+		}
+		n, err := stream.Read(r.text[len(r.text):cap(r.text)])
+		r.text = r.text[:len(r.text)+n]
+		switch {
+		case len(r.text) > maximum:
+			return r, fasthttp.ErrBodyTooLarge
+		case err == io.EOF && length > len(r.text):
+			return r, io.ErrUnexpectedEOF
+		case err == io.EOF || length == len(r.text):
+			return r, nil
+		case err != nil:
+			return r, err
+		}
+	}
+}
+
+// grow doubles the buffer, up to most bytes.
+func (b *body) grow(most int) error {
+	size := min(max(firstBody, 2*cap(b.text)), most)
+	if !b.all.reserve(size) {
+		return errBodiesFull
+	}
+	before := cap(b.text)
+	b.text = append(make([]byte, 0, size), b.text...)
+	b.reserved.Add(int64(size - before))
+	b.all.held.Add(-int64(before))
+	return nil
+}
+
+// rejectUnread rejects a request whose body could not be read, and closes its connection.
+func rejectUnread(c *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, errBodiesFull) {
+		writeReply(c, rejection(503, retry.NotRun, "BodiesFull", "too many requests with large bodies", bodiesRetryAfter))
+		c.SetConnectionClose()
+		return
+	}
+	handleReadError(c, err)
+}
+
+// releasing is the body of a streamed reply. The request's body may be needed until its end,
+// since another engine may have to resume the reply.
+type releasing struct {
+	io.ReadCloser
+	request *body
+}
+
+// Close implements io.Closer.
+func (r releasing) Close() error {
+	defer r.request.release()
+	return r.ReadCloser.Close()
+}
--- a/internal/node/entry/form_test.go
+++ b/internal/node/entry/form_test.go
@@ -22,7 +22,9 @@
 	s.Prepare()
 	got := make(chan string, 1)
 	s.http.Handler = func(c *fasthttp.RequestCtx) {
-		r, err := readRequest(c, time.Now())
+		body, err := s.bodies.read(c, int(s.Limits.MaxBody))
+		assert.NoError(t, err)
+		r, err := readRequest(c, body.text, time.Now())
 		assert.NoError(t, err)
 		got <- string(r.Body)
 	}
--- a/internal/node/entry/server.go
+++ b/internal/node/entry/server.go
@@ -45,7 +45,8 @@
 	Core   *Core
 	Limits setup.Limits
 
-	http *fasthttp.Server
+	http   *fasthttp.Server
+	bodies bodies
 }
 
 // Serve serves requests on the listener until Shutdown.
@@ -55,16 +56,19 @@
 
 // Prepare sets up the server. It is called before Serve.
 func (s *Server) Prepare() {
+	s.bodies.limit = s.Limits.MaxBodies
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          handleReadError,
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    int(s.Limits.MaxBody),
-		ReadBufferSize:        int(s.Limits.MaxHeader),
-		ReadTimeout:           s.Limits.HeaderTimeout,
-		IdleTimeout:           s.Limits.IdleTimeout,
-		CloseOnShutdown:       true,
-		Logger:                discardLogger{},
+		// Package entry reads the bodies, since the library bounds each but not all together.
+		StreamRequestBody: true,
+		ReadBufferSize:    int(s.Limits.MaxHeader),
+		ReadTimeout:       s.Limits.HeaderTimeout,
+		IdleTimeout:       s.Limits.IdleTimeout,
+		CloseOnShutdown:   true,
+		Logger:            discardLogger{},
 		// Header names are normalized: plain services receive the canonical
 		// form, not the client's spelling.
 		DisableHeaderNamesNormalizing: false,
@@ -107,14 +111,29 @@
 // handle serves one request.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
 	defer s.recoverPanic(c)
-	request, err := readRequest(c, time.Now())
+	body, err := s.bodies.read(c, int(s.Limits.MaxBody))
+	streamed := false
+	defer func() {
+		if !streamed {
+			body.release()
+		}
+	}()
+	if err != nil {
+		rejectUnread(c, err)
+		return
+	}
+	request, err := readRequest(c, body.text, time.Now())
 	if e, ok := asRequestError(err); ok {
 		writeReply(c, rejection(e.status, retry.NotRun, e.code, e.detail, 0))
 		return
 	}
 	// The connection's context is not used: it ends when the handler returns,
 	// which is before the end of a streamed response.
-	writeReply(c, s.Core.Serve(context.Background(), request))
+	reply := s.Core.Serve(context.Background(), request)
+	if reply.Streamed {
+		streamed, reply.Body = true, releasing{reply.Body, body}
+	}
+	writeReply(c, reply)
 	if s.Core.closing.Load() {
 		c.SetConnectionClose()
 	}
@@ -161,11 +180,11 @@
 	c.SetBody(body.Bytes())
 }
 
-// readRequest converts a client's HTTP request to a Request. Every error is a
+// readRequest converts a client's HTTP request with the body to a Request. Every error is a
 // requestError.
-func readRequest(c *fasthttp.RequestCtx, now time.Time) (Request, error) {
+func readRequest(c *fasthttp.RequestCtx, body []byte, now time.Time) (Request, error) {
 	header := &c.Request.Header
-	r := Request{Method: string(c.Method()), Path: string(c.RequestURI()), Body: append([]byte(nil), c.PostBody()...)}
+	r := Request{Method: string(c.Method()), Path: string(c.RequestURI()), Body: body}
 	for _, name := range []string{DeadlineHeader, PriorityHeader, AccountHeader, KeyHeader} {
 		if len(header.PeekAll(name)) > 1 {
 			return r, newRequestError(400, "DuplicateHeader", "%s was given more than once", name)
--- a/internal/node/httpd/gate_test.go
+++ b/internal/node/httpd/gate_test.go
@@ -91,3 +91,19 @@
 	_, err = io.ReadAll(openResponse(t, conn).Body)
 	assert.Error(t, err, "the response is truncated")
 }
+
+// TestTryEventAllocatesNothing guards against a cost of slow clients for all others.
+func TestTryEventAllocatesNothing(t *testing.T) {
+	allocated := make(chan float64, 2)
+	conn := start(t, &Server{Handler: handler(func(_ context.Context, x *Exchange) {
+		_ = x.Begin(200, nil)
+		part := []byte("id: 1\ndata: x\n\n")
+		allocated <- testing.AllocsPerRun(200, func() { _ = x.Event(part) })
+		allocated <- testing.AllocsPerRun(200, func() { _, _ = x.TryEvent(part, time.Second) })
+		_ = x.End()
+	})})
+	_, err := io.WriteString(conn, get)
+	require.NoError(t, err)
+	readChunks(t, conn)
+	assert.LessOrEqual(t, -<-allocated+<-allocated, 0.0, "not more than Event")
+}
--- a/internal/node/httpd/httpd.go
+++ b/internal/node/httpd/httpd.go
@@ -18,7 +18,8 @@
 // A Handler responds to an Exchange once: with a complete response by Respond, or
 // with a streamed one by Begin, Event and End. An exchange without a complete
 // response closes its connection, so that a truncated response never looks
-// complete.
+// complete. TryEvent writes an event without waiting for a client that does not
+// read; Flush writes what is left of it, and Abort ends both.
 package httpd
 
 import (
