--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -17,6 +17,9 @@
 // or may run more than once, within the route's attempts and the retry quota that
 // all processes share.
 //
+// A stream's events are read on while its client does not read: package spool bounds what
+// waits for slow clients. Package hold bounds the prompts at each engine.
+//
 // Prompts are served disaggregated where the fleet has engines for both stages:
 // a prefill engine computes the prompt's KV cache, and a decode engine fetches
 // it and generates the events. Short prompts, and prompts for which no prefill
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -168,6 +168,11 @@
 			j.broker.recordHold(j.route.Name, time.Since(p.since))
 			p.release(usage.Result{Verdict: usage.OK})
 			j.recordServed(response)
+			if j.slow != nil {
+				// Others may use the connection before the client has read everything. The
+				// error does not matter, as the response is complete.
+				_ = response.Body.Close()
+			}
 			j.endStream()
 			return nil
 		}
