wire: carry what clients send as bytes, not as text

Cause: a carried request with bytes that are not UTF-8 in its header, path or prompt parts could not be encoded, as proto3 string fields have to be UTF-8. It was refused as not run by a process that reaches no server itself. Change: HeaderField.Name and Value, PromptPart.ID, and ID, Host, Method, Path, After and Origin of CarriedRequest are bytes fields. The encoding of text is the same; the build before refuses a message with other bytes as it refused to send it. Conclusion: such requests are handed over unchanged. Permit requests and messages about quarantine still have text fields.

--- a/cmd/ebonyscale/explain.go
+++ b/cmd/ebonyscale/explain.go
@@ -223,7 +223,7 @@
 		if err != nil {
 			return fmt.Errorf("part %q: %w", item[:colon], err)
 		}
-		*p = append(*p, &wire.PromptPart{ID: item[:colon], Tokens: tokens})
+		*p = append(*p, &wire.PromptPart{ID: []byte(item[:colon]), Tokens: tokens})
 	}
 	return nil
 }
--- a/cmd/ebonyscale/explain_test.go
+++ b/cmd/ebonyscale/explain_test.go
@@ -86,7 +86,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, "acme", f.query.Account)
 	assert.EqualValues(t, 2000, f.query.PromptTokens, "the sum of the parts")
-	assert.Equal(t, "a:b", f.query.Parts[0].ID)
+	assert.Equal(t, "a:b", string(f.query.Parts[0].ID))
 	var e broker.Explanation
 	require.NoError(t, json.Unmarshal([]byte(text), &e))
 	assert.Equal(t, "p1", e.Decision.Server)
--- a/internal/node/core/accounts_test.go
+++ b/internal/node/core/accounts_test.go
@@ -55,7 +55,7 @@
 	c.Authenticated, c.Account, c.Priority = true, "acme", 2
 	got := decodeCarried(time.Now(), encodeCarried("a", time.Now(), c), nil)
 	assert.Equal(t, []any{true, "acme", 2}, []any{got.Authenticated, got.Account, got.Priority})
-	assert.False(t, decodeCarried(time.Now(), &wire.CarriedRequest{ID: "r"}, nil).Authenticated)
+	assert.False(t, decodeCarried(time.Now(), &wire.CarriedRequest{ID: []byte("r")}, nil).Authenticated)
 }
 
 // unreachableFeed is a store whose calls fail while down is set.
--- a/internal/node/core/carried.go
+++ b/internal/node/core/carried.go
@@ -41,7 +41,7 @@
 	if part, err := stream.Recv(); err != nil || !part.Go {
 		return errProtocol
 	}
-	n.Log.Info("serving a request for a peer", zap.String("Request", q.ID), zap.String("Peer", q.From), zap.String("Service", q.Service), zap.Duration("Left", left))
+	n.Log.Info("serving a request for a peer", zap.ByteString("Request", q.ID), zap.String("Peer", q.From), zap.String("Service", q.Service), zap.Duration("Left", left))
 	n.Broker.ServeCarried(stream.Context(), decodeCarried(received, q, body), &carriedOutput{stream: stream})
 	return nil
 }
--- a/internal/node/core/carrywire.go
+++ b/internal/node/core/carrywire.go
@@ -28,15 +28,15 @@
 func encodeCarried(from string, now time.Time, c broker.Carried) *wire.CarriedRequest {
 	r := c.Request
 	q := &wire.CarriedRequest{
-		From: from, ID: r.ID, Host: r.Host, Method: r.Method, Path: r.Path, Fields: encodeFields(r.Fields), BodyBytes: uint64(len(r.Body)),
+		From: from, ID: []byte(r.ID), Host: []byte(r.Host), Method: []byte(r.Method), Path: []byte(r.Path), Fields: encodeFields(r.Fields), BodyBytes: uint64(len(r.Body)),
 		AgeMicroseconds: now.Sub(r.Arrived).Microseconds(), LeftMicroseconds: r.Deadline.Sub(now).Microseconds(),
-		PromptTokens: uint64(max(r.PromptTokens, 0)), MaxOutputTokens: uint64(max(r.MaxOutputTokens, 0)), After: r.After, Origin: r.Origin,
+		PromptTokens: uint64(max(r.PromptTokens, 0)), MaxOutputTokens: uint64(max(r.MaxOutputTokens, 0)), After: []byte(r.After), Origin: []byte(r.Origin),
 		Service: c.Service, TableVersion: c.TableVersion, Attempts: uint32(c.Attempts), Failed: c.Failed, Bound: c.Bound, Software: c.Software,
 		Kind: string(c.Kind), Repeatable: c.Repeatable, MaxAttempts: uint32(c.MaxAttempts),
 		Hops: uint32(c.Hops), Authenticated: c.Authenticated, Account: c.Account, Priority: int32(c.Priority),
 	}
 	for _, p := range r.Parts {
-		q.Parts = append(q.Parts, &wire.PromptPart{ID: p.ID, Tokens: uint32(max(p.Tokens, 0))})
+		q.Parts = append(q.Parts, &wire.PromptPart{ID: []byte(p.ID), Tokens: uint32(max(p.Tokens, 0))})
 	}
 	return q
 }
@@ -44,12 +44,12 @@
 // decodeCarried returns the request of a message that was received at the time now.
 func decodeCarried(now time.Time, q *wire.CarriedRequest, body []byte) broker.Carried {
 	r := &broker.Request{
-		ID: q.ID, Host: q.Host, Method: q.Method, Path: q.Path, Fields: decodeFields(q.Fields), Body: body,
+		ID: string(q.ID), Host: string(q.Host), Method: string(q.Method), Path: string(q.Path), Fields: decodeFields(q.Fields), Body: body,
 		Arrived: now.Add(-microseconds(q.AgeMicroseconds)), Deadline: now.Add(microseconds(q.LeftMicroseconds)),
-		PromptTokens: int(q.PromptTokens), MaxOutputTokens: int(q.MaxOutputTokens), After: q.After, Origin: q.Origin,
+		PromptTokens: int(q.PromptTokens), MaxOutputTokens: int(q.MaxOutputTokens), After: string(q.After), Origin: string(q.Origin),
 	}
 	for _, p := range q.Parts {
-		r.Parts = append(r.Parts, broker.Part{ID: p.ID, Tokens: int(p.Tokens)})
+		r.Parts = append(r.Parts, broker.Part{ID: string(p.ID), Tokens: int(p.Tokens)})
 	}
 	return broker.Carried{
 		Request: r, Service: q.Service, TableVersion: q.TableVersion, Attempts: int(q.Attempts), Failed: q.Failed, Bound: q.Bound, Software: q.Software,
@@ -61,7 +61,7 @@
 func encodeFields(fields []call.Field) []*wire.HeaderField {
 	list := make([]*wire.HeaderField, 0, len(fields))
 	for _, f := range fields {
-		list = append(list, &wire.HeaderField{Name: f.Name, Value: f.Value})
+		list = append(list, &wire.HeaderField{Name: []byte(f.Name), Value: []byte(f.Value)})
 	}
 	return list
 }
@@ -69,7 +69,7 @@
 func decodeFields(list []*wire.HeaderField) []call.Field {
 	fields := make([]call.Field, 0, len(list))
 	for _, f := range list {
-		fields = append(fields, call.Field{Name: f.Name, Value: f.Value})
+		fields = append(fields, call.Field{Name: string(f.Name), Value: string(f.Value)})
 	}
 	return fields
 }
--- a/internal/node/core/explain.go
+++ b/internal/node/core/explain.go
@@ -22,7 +22,7 @@
 		Host: q.Host, Path: q.Path, Account: q.Account, PromptTokens: int(q.PromptTokens), MaxOutputTokens: int(q.MaxOutputTokens),
 	}
 	for _, p := range q.Parts {
-		query.Parts = append(query.Parts, broker.Part{ID: p.ID, Tokens: int(p.Tokens)})
+		query.Parts = append(query.Parts, broker.Part{ID: string(p.ID), Tokens: int(p.Tokens)})
 	}
 	explanation, err := n.Broker.Explain(query)
 	if err != nil {
