table: remove every list of accounts from what peers get

Cause: the decoder ignores the case of names and takes the last value, so that "accounts": [...] followed by "Accounts": null configures no accounts. WithoutKeys returned such a configuration as it was, with its keys. Change: WithoutKeys looks for the list in the document itself, not in the parsed table; a document without one is returned as it is. It costs one more pass over the document when a configuration becomes active or passes through a relay.

--- a/internal/config/table/accounts.go
+++ b/internal/config/table/accounts.go
@@ -108,29 +108,44 @@
 
 // WithoutKeys returns the JSON form of the table t with the digests of keys in place of
 // the keys, for messages between processes. data is the form that t was parsed from; it
-// is returned as it is if no accounts are configured. Accounts and keys with faults are
+// is returned as it is if it has no list of accounts. Accounts and keys with faults are
 // left out.
 func WithoutKeys(t *Table, data []byte) ([]byte, error) {
-	if !t.Accounts.Required() {
-		return data, nil
-	}
 	var fields map[string]json.RawMessage
 	if json.Unmarshal(data, &fields) != nil {
 		return nil, fmt.Errorf("%w: not an object", ErrInvalid)
 	}
+	// A list with keys may be present although no accounts are configured: the decoder
+	// ignores the case of names, and a later null takes precedence.
+	listed := false
 	for name := range fields {
-		// The decoder ignores the case of names.
 		if strings.EqualFold(name, accountsField) {
 			delete(fields, name)
+			listed = true
 		}
 	}
+	if !listed {
+		return data, nil
+	}
+	if t.Accounts.Required() {
+		encoded, err := encodeAccounts(&t.Accounts)
+		if err != nil {
+			return nil, err
+		}
+		fields[accountsField] = encoded
+	}
+	return json.Marshal(fields)
+}
+
+// encodeAccounts returns the JSON form of the list of accounts with digests of keys.
+func encodeAccounts(accounts *auth.Accounts) ([]byte, error) {
 	type account struct {
 		Name     string
 		Priority *int `json:",omitempty"`
 		Digests  []string
 	}
-	list := make([]account, 0, t.Accounts.Len())
-	for _, e := range t.Accounts.Entries() {
+	list := make([]account, 0, accounts.Len())
+	for _, e := range accounts.Entries() {
 		a := account{Name: e.Name}
 		if e.Ranked {
 			a.Priority = &e.Priority
@@ -144,8 +159,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode accounts: %w", err)
 	}
-	fields[accountsField] = encoded
-	return json.Marshal(fields)
+	return encoded, nil
 }
 
 // accountsField is the name of the list of accounts.
--- a/internal/config/table/accounts_test.go
+++ b/internal/config/table/accounts_test.go
@@ -88,6 +88,28 @@
 	assert.Equal(t, table.Routes, received.Routes)
 }
 
+// TestKeysOfRepeatedListsStayHere guards against keys in messages between processes if the
+// list of accounts is given more than once: the decoder ignores the case of names and the last
+// list counts, also null.
+func TestKeysOfRepeatedListsStayHere(t *testing.T) {
+	const first = `[{"Name":"a","Keys":["secret-1"]}]`
+	for list, required := range map[string]bool{
+		first + `,"accounts":null`: false, first + `,"Accounts":null`: false, first + `,"\u0061ccounts":null`: false,
+		`null,"ACCOUNTS":null`: false, first + `,"accounts":[{"Name":"b","Keys":["secret-2"]}]`: true,
+	} {
+		data := []byte(withAccounts(list))
+		table, err := Parse(data)
+		require.NoError(t, err, list)
+		require.Equal(t, required, table.Accounts.Required(), list)
+		sent, err := WithoutKeys(table, data)
+		require.NoError(t, err, list)
+		assert.NotContains(t, string(sent), "secret", list)
+		received, err := Parse(sent)
+		require.NoError(t, err, list)
+		assert.Equal(t, table, received, list)
+	}
+}
+
 // FuzzAccounts checks that no list of accounts makes Parse panic or loses the rest of the
 // table, and that peers get the same accounts.
 func FuzzAccounts(f *testing.F) {
