report: count only refusals in a row

Cause: a usage report was given up after five refusals in total, also if calls without a known outcome or beyond the rate limit came between, although five in a row are meant. Change: Machine.Failed counts refusals anew; core calls it after any error that is no refusal. Conclusion: a platform that is overloaded for a moment no longer loses a report.

--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -295,7 +295,9 @@
 	if err != nil {
 		a.node.Meters.Add("UsageReportsFailed", 1)
 		a.node.Log.Info("usage report was not delivered", append(fields, zap.Error(err))...)
-		if (errors.Is(err, duty.ErrRefused) || errors.Is(err, duty.ErrNoneLeft)) && a.machine.Refused(r) {
+		if !errors.Is(err, duty.ErrRefused) && !errors.Is(err, duty.ErrNoneLeft) {
+			a.machine.Failed()
+		} else if a.machine.Refused(r) {
 			a.node.Log.Error("usage report is given up, the platform refuses it", fields...)
 		}
 		return err
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -55,8 +55,8 @@
 	Read
 	// Fix means to write Record to the object, and to call Machine.Fixed or Unsettled.
 	Fix
-	// Send means to send the report, and to call Machine.Delivered or Refused. After an
-	// unknown outcome nothing is called.
+	// Send means to send the report, and to call Machine.Delivered, Refused or, after any
+	// other error, Failed.
 	Send
 )
 
@@ -91,7 +91,7 @@
 	// floor is the next window by the store's object. Those before may have been reported.
 	floor int64
 	// done is the window whose report is delivered or given up, refusals counts the
-	// refusals of the report that was fixed last.
+	// refusals in a row of the report that was fixed last.
 	done     int64
 	anyDone  bool
 	refusals int
@@ -234,6 +234,10 @@
 	return true
 }
 
+// Failed records that a report was sent with an unknown outcome, or that the platform was too
+// busy to decide on it. It is sent again, and refusals are counted anew.
+func (m *Machine) Failed() { m.refusals = 0 }
+
 // Encode returns the value of the store's object for a record.
 func (r Record) Encode() []byte {
 	// Marshal cannot fail for this type.
