report: bound the final parts that a collector keeps

Cause: the set of final parts of a share was bounded only by the number of parts that the peer names, up to 2^32. Change: final counts in more than maxAccounts parts are ignored, as each part has an account of its own, and a part whose first account is not among the kept counts does not count as arrived. Complete is then false; the report is fixed at the latest time, as without the process. Conclusion: the set takes no more entries than the counts, which were bounded before.

--- a/internal/plan/report/collector.go
+++ b/internal/plan/report/collector.go
@@ -76,7 +76,7 @@
 		}
 		s.counts[n.Account] = max(known, n.Requests)
 	}
-	if p.Final && p.Parts > 0 {
+	if p.Final && p.Parts > 0 && p.Parts <= maxAccounts {
 		s.addFinal(p)
 		if now.Before(EndOf(p.Window, c.Window)) {
 			c.addEnding(process, ending{incarnation, p.Window})
@@ -103,7 +103,8 @@
 	return ended
 }
 
-// addFinal records that a part of the final counts has arrived.
+// addFinal records that a part of the final counts has arrived. Parts is at most maxAccounts,
+// as each part has an account of its own.
 func (s *share) addFinal(p Part) {
 	if s.parts != p.Parts {
 		// Requests were counted after the first final counts.
@@ -112,6 +113,10 @@
 	first := ""
 	if len(p.Counts) > 0 {
 		first = p.Counts[0].Account
+		if _, counted := s.counts[first]; !counted {
+			// The part is incomplete here: its first account is too long or one too many.
+			return
+		}
 	}
 	if len(s.finals) < p.Parts {
 		s.finals[first] = true
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,6 +111,27 @@
 	assert.Empty(t, c.Totals(1000), "forgotten")
 }
 
+// TestFinalPartsAreBounded guards against a peer that fills the memory with final parts, by a
+// number of parts that no process has or by accounts whose counts are not kept.
+func TestFinalPartsAreBounded(t *testing.T) {
+	c := Collector{Window: 5 * time.Second}
+	for i := range 3 * maxAccounts {
+		final := Part{Window: 1000, Final: true, Parts: math.MaxInt32, Counts: []Count{{fmt.Sprint(i), 1}}}
+		c.Add(at(5.5), "many", 1, final)
+		final.Parts = maxAccounts
+		c.Add(at(5.5), "most", 1, final)
+	}
+	c.Add(at(5.5), "long", 1, Part{Window: 1000, Final: true, Parts: 2, Counts: []Count{{strings.Repeat("x", maxName+1), 1}}})
+	for name, most := range map[string]int{"many": 0, "most": maxAccounts, "long": 0} {
+		s := c.windows[1000][name].shares[1]
+		assert.LessOrEqual(t, len(s.finals), most, name)
+		assert.LessOrEqual(t, len(s.counts), maxAccounts, name)
+	}
+	assert.True(t, c.Complete(1000, []string{"most"}), "the most accounts that a process counts, each in a part of its own")
+	assert.False(t, c.Complete(1000, []string{"many"}))
+	assert.False(t, c.Complete(1000, []string{"long"}))
+}
+
 // TestEnded checks that a process that has ended as planned is known by the final counts of the
 // window that was open, until it is heard again.
 func TestEnded(t *testing.T) {
