core: count a peer's word from its own confirmation at the store

Cause: with StrictRevoke a status message of a peer with the same version confirmed the configuration at its arrival, so that processes cut off from the store together confirmed each other without end and revoked keys went on working. Change: News.ConfirmedMs is the age of the sender's own confirmation at the store, sent only with StrictRevoke; a peer's word counts for what is left of RevokeWithin and is not passed on. Messages without the field, as those of older releases, and configurations fetched from a peer confirm nothing by themselves. Conclusion: keys are rejected RevokeWithin after the last contact of any live peer with the store.

--- a/internal/node/core/accounts.go
+++ b/internal/node/core/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,14 +71,27 @@
 	return min(n.pollTimeout(), n.RevokeWithin/2)
 }
 
-// confirmByPeer handles a status message of a live peer: if it has the same configuration,
-// that is confirmed.
+// confirmByPeer handles a status message of a live peer: if it has the same configuration and
+// has confirmed that at the store, it is confirmed here for as long as it is there.
 func (n *Node) confirmByPeer(now time.Time, message *wire.News) {
-	if n.fresh != nil && message.TableVersion != 0 && message.TableVersion == n.Version() {
-		n.fresh.Confirm(now)
+	if n.fresh != nil && message.ConfirmedMs != 0 && message.TableVersion != 0 && message.TableVersion == n.Version() {
+		n.fresh.ConfirmByPeer(now, time.Duration(message.ConfirmedMs)*time.Millisecond)
 	}
 }
 
+// confirmedTold returns the age of the last confirmation at the store in a status message,
+// rounded up, or 0 if no process uses it or there is none that holds.
+func (n *Node) confirmedTold(now time.Time) uint32 {
+	if n.fresh == nil {
+		return 0
+	}
+	age, confirmed := n.fresh.Age(now)
+	if !confirmed {
+		return 0
+	}
+	return uint32(min(age.Milliseconds()+1, math.MaxUint32))
+}
+
 // confirmingFeed confirms the configuration with each successful call. A list shows the
 // state when it was called, and changes that when they arrived: none came before. It
 // implements follow.Feed.
--- a/internal/node/core/accounts_test.go
+++ b/internal/node/core/accounts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -100,17 +101,26 @@
 		feed.down.Store(true)
 		time.Sleep(8 * time.Second)
 		assert.True(t, n.Broker.Unconfirmed(time.Now()))
-		tell := func(version uint64) {
+		tell := func(version uint64, confirmedMs uint32) {
 			n.sequence++
-			n.handleStatus(&wire.News{From: "b", Incarnation: 1, Sequence: n.sequence, TableVersion: version})
+			n.handleStatus(&wire.News{From: "b", Incarnation: 1, Sequence: n.sequence, TableVersion: version, ConfirmedMs: confirmedMs})
 		}
-		tell(3)
-		tell(5)
+		tell(3, 1)
+		tell(5, 1)
 		assert.True(t, n.Broker.Unconfirmed(time.Now()), "peers with another version confirm nothing")
-		tell(4)
+		tell(4, 0)
+		tell(4, 5000)
+		tell(4, 1<<32-1)
+		assert.True(t, n.Broker.Unconfirmed(time.Now()), "peers of an older release, or that have lost the store, confirm nothing")
+		tell(4, 2000)
+		time.Sleep(3*time.Second - 1)
 		assert.False(t, n.Broker.Unconfirmed(time.Now()))
+		time.Sleep(1)
+		assert.True(t, n.Broker.Unconfirmed(time.Now()), "for what is left of RevokeWithin")
+		tell(4, 1)
+		status, _ := n.composeStatus()
+		assert.Zero(t, status.ConfirmedMs, "a peer's word is not passed on")
 		time.Sleep(5 * time.Second)
-		assert.True(t, n.Broker.Unconfirmed(time.Now()))
 		feed.down.Store(false)
 		time.Sleep(4 * time.Second)
 		assert.False(t, n.Broker.Unconfirmed(time.Now()))
@@ -119,6 +129,50 @@
 	})
 }
 
+// TestProcessesCutOffTogether guards against revoked keys that go on working where processes
+// without the store confirm each other's configuration, and against a process without the
+// store that rejects keys though a peer reaches it.
+func TestProcessesCutOffTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		nodes := map[string]*Node{"a": newNode(t), "b": newNode(t)}
+		feeds := map[string]*unreachableFeed{"a": {}, "b": {}}
+		for name, n := range nodes {
+			n.Name, n.Feed, n.WatchFor, n.StrictRevoke, n.RevokeWithin = name, feeds[name], 20*time.Second, true, 5*time.Second
+			n.Prepare()
+			wait.Go(func() { _ = n.tableFollower.Run(ctx) })
+		}
+		exchange := func(seconds int) {
+			for range 5 * seconds {
+				time.Sleep(200 * time.Millisecond)
+				toB, _ := nodes["a"].composeStatus()
+				toA, _ := nodes["b"].composeStatus()
+				nodes["a"].handleStatus(toA)
+				nodes["b"].handleStatus(toB)
+			}
+		}
+		exchange(10)
+		feeds["a"].down.Store(true)
+		for range 30 {
+			exchange(1)
+			require.False(t, nodes["a"].Broker.Unconfirmed(time.Now()), "b reaches the store")
+		}
+		feeds["b"].down.Store(true)
+		exchange(5)
+		for name, n := range nodes {
+			assert.True(t, n.Broker.Unconfirmed(time.Now()), name)
+		}
+		feeds["b"].down.Store(false)
+		exchange(4)
+		for name, n := range nodes {
+			assert.False(t, n.Broker.Unconfirmed(time.Now()), name)
+		}
+		cancel()
+		wait.Wait()
+	})
+}
+
 // TestPollsStayLongWithoutStrictRevoke guards against more calls of the store than before in
 // deployments that do not ask for strict revocation.
 func TestPollsStayLongWithoutStrictRevoke(t *testing.T) {
@@ -126,6 +180,8 @@
 	n.WatchFor, n.RevokeWithin = 8*time.Second, 2*time.Second
 	assert.Equal(t, n.pollTimeout(), n.tablePollTimeout())
 	assert.Equal(t, n.Feed, n.tableFeed())
+	status, _ := n.composeStatus()
+	assert.Zero(t, status.ConfirmedMs)
 	n.StrictRevoke = true
 	n.prepareRevocation()
 	assert.Equal(t, time.Second, n.tablePollTimeout())
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -120,7 +120,7 @@
 	// getting new requests.
 	LeaveWithin time.Duration
 	// StrictRevoke is set if no key must be accepted while the configuration has not been
-	// confirmed for RevokeWithin, neither at the store nor by a peer.
+	// confirmed at the store within RevokeWithin, by this process or a peer.
 	StrictRevoke bool
 	RevokeWithin time.Duration
 	// Admission selects what is delayed and rejected if there is too little capacity.
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -103,6 +103,7 @@
 	n.sequence++
 	message.Sequence = n.sequence
 	message.WallMs = n.wallTold()
+	message.ConfirmedMs = n.confirmedTold(time.Now())
 	return message, changed
 }
 
@@ -272,8 +273,8 @@
 			continue
 		}
 		if response.Version > n.Version() {
+			// With StrictRevoke the next status message of a peer confirms it.
 			n.activate(response.Data, peer.Name)
-			n.confirmByPeer(time.Now(), &wire.News{TableVersion: response.Version})
 		}
 	}
 	return ctx.Err()
--- a/internal/route/auth/auth_test.go
+++ b/internal/route/auth/auth_test.go
@@ -126,6 +126,27 @@
 	assert.True(t, f.Expired(now.Add(5*time.Second)))
 }
 
+// TestFreshnessByPeers guards against confirmations by peers that outlast Within since the
+// store was reached, and against ones that are passed on.
+func TestFreshnessByPeers(t *testing.T) {
+	now := time.Now()
+	f := Freshness{Within: 5 * time.Second}
+	f.ConfirmByPeer(now, 5*time.Second)
+	f.ConfirmByPeer(now, -time.Second)
+	assert.True(t, f.Expired(now), "too old, or from the future")
+	f.ConfirmByPeer(now, 3*time.Second)
+	f.ConfirmByPeer(now, 4*time.Second)
+	assert.False(t, f.Expired(now.Add(2*time.Second-1)))
+	assert.True(t, f.Expired(now.Add(2*time.Second)))
+	_, known := f.Age(now)
+	assert.False(t, known, "the store was not reached")
+	f.Confirm(now)
+	age, known := f.Age(now.Add(time.Second))
+	assert.Equal(t, []any{time.Second, true}, []any{age, known})
+	_, known = f.Age(now.Add(5 * time.Second))
+	assert.False(t, known)
+}
+
 // FuzzCredential checks that only the exact key is accepted, and once.
 func FuzzCredential(f *testing.F) {
 	for _, seed := range []string{"Token secret", " token  secret ", "Token", "Bearer secret", "Token secret x", "Token\x00secret"} {
