--- a/internal/node/broker/account_test.go
+++ b/internal/node/broker/account_test.go
@@ -96,6 +96,28 @@
 	})
 }
 
+// TestRequestsAreServedByTheirTable guards against keys that are forwarded, and requests that
+// are rejected for a key that was not read, if the configuration changes after the front has
+// read a request.
+func TestRequestsAreServedByTheirTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		before := f.Table()
+		useAccounts(t, f)
+		with := f.Table()
+		r := withKey("/once/x", "")
+		r.Fields, r.Table = append(r.Fields, call.Field{Name: "Authorization", Value: "Token k9"}), before
+		assert.Equal(t, 200, f.serve(t.Context(), r).replies[0].Status, "read without accounts")
+		f.Table = func() *table.Table { return before }
+		r = withKey("/once/x", "k1")
+		r.Table = with
+		assert.Equal(t, 200, f.serve(t.Context(), r).replies[0].Status, "read with accounts")
+		require.Len(t, f.fleet.sent, 2)
+		assert.Equal(t, []any{false, true}, []any{f.fleet.sent[0].call.Accounts, f.fleet.sent[1].call.Accounts})
+		assert.Len(t, f.fleet.sent[1].call.Request.Fields, 1, "the key is not forwarded")
+	})
+}
+
 // TestPriorityOfTheAccountCounts guards against queues and coordinators that use the
 // priority of the route for an account that has its own.
 func TestPriorityOfTheAccountCounts(t *testing.T) {
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -350,7 +350,10 @@
 // Serve serves one request and returns once the response has ended. ctx is
 // canceled when the client disconnects; the request is then aborted.
 func (b *Broker) Serve(ctx context.Context, r *Request, out Output) {
-	t := b.Table()
+	t := r.Table
+	if t == nil {
+		t = b.Table()
+	}
 	j := &job{broker: b, request: r, out: out, table: t}
 	defer j.freeBuffers()
 	if t == nil {
--- a/internal/node/broker/request.go
+++ b/internal/node/broker/request.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/route/auth"
 )
@@ -24,9 +25,13 @@
 	// OpenFields, if not nil, are the fields that are forwarded instead of Fields while no
 	// client accounts are configured. They have also those that name a key or an account.
 	OpenFields []call.Field
-	// Credential is what the client gives to prove its account.
+	// Credential is what the client gives to prove its account. It may be absent, and Fields
+	// have what would be in OpenFields, if Table has no client accounts.
 	Credential auth.Credential
-	Body       []byte
+	// Table is the configuration that the request was read by and is served by; if it is
+	// nil, the active one is used.
+	Table *table.Table
+	Body  []byte
 	// Arrived is when the request had been read completely, Deadline when the
 	// client stops waiting; Deadline is zero if the client does not set one.
 	Arrived, Deadline time.Time
