plan, route, state: plain names and comments for new readers

The usage section of package report lacks an argument of Machine.Read and the results Unsettled, Refused and Failed; it has them now.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -2,8 +2,8 @@
 //
 // A process takes its wall clock once, at its start, and advances it by the monotonic
 // clock, so that a later jump of the wall clock has no effect. It corrects this time by
-// the median of the differences to the wall clocks that its peers send, so that neither
-// a jump before its start nor the wrong clocks of a minority of peers have one.
+// the median of the differences to the wall clocks that its peers send, so that a
+// jump before its start and the wrong clocks of a minority of peers have no effect either.
 //
 // # Usage
 //
@@ -29,17 +29,17 @@
 	retention = 10 * time.Second
 	// updateInterval is the period at which the median is computed.
 	updateInterval = 200 * time.Millisecond
-	// settleTime is how long after the start the clocks of peers are waited for. A peer
+	// settleTime is how long after the start a process waits for the clocks of its peers. A peer
 	// may send its first message to a new process after about two seconds.
 	settleTime = 5 * time.Second
 )
 
-// difference is how far the clock of a peer is ahead. Messages are delayed by different
-// times, so that the largest difference of the last time is the best one.
+// difference is how far the clock of a peer is ahead. The delay of a
+// message lowers it, so that the largest recent difference is the most accurate one.
 type difference struct {
 	by     time.Duration
 	seenAt time.Time
-	// latest is when the peer was last heard.
+	// latest is when the last message of the peer arrived.
 	latest time.Time
 }
 
@@ -90,8 +90,8 @@
 	return own.Add(c.correction).Round(0)
 }
 
-// Settled reports whether the correction at now is final but for small changes: enough
-// peers were heard, or waited for in vain.
+// Settled reports whether the correction at now is final, apart from small changes: enough
+// peers are known, or settleTime has passed.
 func (c *Clock) Settled(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/peers/choose.go
+++ b/internal/fleet/peers/choose.go
@@ -118,11 +118,11 @@
 	return slices.Contains(p.lost, key) || slices.Contains(p.lost, LostAll)
 }
 
-// Standing is a member and what is known of whether it runs.
+// Standing is a member with what its status messages show of it.
 type Standing struct {
 	Member
-	// Live is set if its status messages arrive, Heard if any has, Stopping during its planned
-	// stop.
+	// Live is set if its status messages arrive, Heard if any has arrived since this process
+	// started, and Stopping during its planned stop.
 	Live, Heard, Stopping bool
 }
 
--- a/internal/plan/report/collector.go
+++ b/internal/plan/report/collector.go
@@ -62,7 +62,7 @@
 		}
 	}
 	if last, ended := c.ended[process]; ended && (incarnation > last.incarnation || incarnation == last.incarnation && p.Window > last.window) {
-		// It has started again, or its clock is ahead and the counts were only early.
+		// The process has started again, or its clock is ahead and its counts came early.
 		delete(c.ended, process)
 	}
 	s := c.share(p.Window, process, incarnation)
@@ -95,7 +95,7 @@
 	c.ended[process] = e
 }
 
-// Ended reports whether a process has ended as planned and was not heard again.
+// Ended reports whether a process has ended as planned and has sent no counts since.
 func (c *Collector) Ended(process string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/plan/report/counter.go
+++ b/internal/plan/report/counter.go
@@ -144,8 +144,8 @@
 	return list
 }
 
-// keep forgets the windows that are too old, or so far ahead that true time was not known as
-// they were counted. It returns the present one. The caller must hold mu.
+// keep removes the windows that are too old, and those so far ahead that true time cannot have
+// been known when they were counted. It returns the present one. The caller must hold mu.
 func (c *Counter) keep(now time.Time) int64 {
 	current := WindowAt(now, c.Window)
 	for number := range c.windows {
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -14,9 +14,9 @@
 	// that have not sent them.
 	earliestFix = time.Second
 	latestFix   = 2 * time.Second
-	// learnTime is how long a new holder waits for counts before it fixes a report that is
+	// collectTime is how long a new holder waits for counts before it fixes a report that is
 	// late already: processes send all counts that they have to a new collector.
-	learnTime = 1500 * time.Millisecond
+	collectTime = 1500 * time.Millisecond
 	// skipMargin is added to the present when windows are skipped, as the estimate of true
 	// time of the process that may have reported them may be ahead.
 	skipMargin = time.Second
@@ -24,7 +24,7 @@
 	// was chosen, or the present time is estimated, by a wrong clock.
 	maxAhead = 2
 	// maxWrong is how far clocks may be wrong without a second report of a window: a window
-	// that is further ahead stops no reports. Clocks were seen to jump by seconds.
+	// that is further ahead stops no reports.
 	maxWrong = 2 * time.Minute
 	// maxRefusals is how often the platform must refuse a report in a row for it to be
 	// given up, so that it does not hold up the later ones.
@@ -129,8 +129,8 @@
 		return Action{}
 	}
 	latest := end.Add(m.ReportWithin - latestFix)
-	if learnt := m.begun.Add(learnTime); latest.Before(learnt) {
-		latest = learnt
+	if collected := m.begun.Add(collectTime); latest.Before(collected) {
+		latest = collected
 	}
 	if now.Before(latest) && !c.Complete(m.next, processes) {
 		return Action{}
--- a/internal/plan/report/report.go
+++ b/internal/plan/report/report.go
@@ -23,9 +23,15 @@
 //	machine := &report.Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second}
 //	machine.Begin(now)
 //	switch a := machine.Decide(now, era, collector, processes); a.Kind {
-//	case report.Read: object, err := store.Get(key); machine.Read(now, version, value)
-//	case report.Fix:  version, err := store.Put(object(a)); machine.Fixed(version, a)
-//	case report.Send: err := send(a.Report); machine.Delivered(a.Report)
+//	case report.Read:
+//		object, err := store.Get(ctx, key)
+//		err = machine.Read(now, object.Version, object.Value, collector)
+//	case report.Fix:
+//		version, err := store.Put(ctx, object(a)) // after an unknown outcome: machine.Unsettled()
+//		machine.Fixed(version, a)
+//	case report.Send:
+//		err := send(a.Report) // after an error: machine.Refused(a.Report) or machine.Failed()
+//		machine.Delivered(a.Report)
 //	}
 package report
 
--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		p.noteExcess(now)
-		if v.learning(now) {
+		if v.warmingUp(now) {
 			continue
 		}
 		orders = append(orders, v.repeats(now)...)
@@ -35,7 +35,8 @@
 }
 
 // repeats returns the orders whose outcome is unknown and that are due again. One that is
-// outside the bounds of a later configuration is given up: what it effected will be seen.
+// outside the bounds of a later configuration is given up: its effect will be
+// observed.
 func (v *service) repeats(now time.Time) []Order {
 	var list []Order
 	for _, u := range v.subjects {
@@ -219,7 +220,7 @@
 	return orders
 }
 
-// add returns the orders for n more servers of a kind, as far as the zones may get them.
+// add returns the orders for n more servers of a kind, as far as the zones may have them.
 func (p *plan) add(now time.Time, spot bool, n int, reason string) []Order {
 	s := p.newSpread(p.zones, spot, p.desired(spot)+max(n, 0))
 	for range n {
--- a/internal/plan/scale/measure.go
+++ b/internal/plan/scale/measure.go
@@ -19,7 +19,7 @@
 // prompt tokens for Prefill, requests for others.
 type Waiting map[roster.Role]int
 
-// Measure returns what is seen of a service's servers by zone, and their load.
+// Measure returns the servers of a service by zone, and their load.
 func Measure(servers []Server, waiting Waiting) (map[string]Zone, Load) {
 	zones, load, slots := map[string]Zone{}, Load{}, map[roster.Role]int{}
 	ready, backlog := Counts{}, backlog{tokens: float64(waiting[roster.Prefill])}
--- a/internal/plan/scale/policy.go
+++ b/internal/plan/scale/policy.go
@@ -5,8 +5,8 @@
 // Thresholds of the decision. Utilisations are fractions of the slots of decode engines
 // and plain backend servers, and of the time of prefill engines.
 const (
-	// horizon is how long the highest load counts. It covers the longest known bursts
-	// (15 s) and the boot time after them.
+	// horizon is how long the highest load counts. It covers a burst and the boot time
+	// after it.
 	horizon = 20 * time.Second
 	// meanWindow is the time constant of the mean load. It is many times a burst, so that
 	// on-demand servers do not follow bursts.
@@ -14,9 +14,9 @@
 	// averageOver is the span of one load value. Load above target for this long is acted
 	// upon; shorter peaks are queued.
 	averageOver = time.Second
-	// learnFor is how long a new holder only learns the load of a service: about three
-	// status messages of each peer at 117 processes.
-	learnFor = 3 * time.Second
+	// warmupTime is how long a new holder only observes the load of a service, until each
+	// peer has sent several status messages.
+	warmupTime = 3 * time.Second
 	// keepFor is how long after the first load the total is not lowered below the number of
 	// servers first seen: the operator has sized the fleet for a load that is not yet known.
 	// Until then servers are only replaced by cheaper ones.
@@ -27,7 +27,7 @@
 const (
 	// peakUtilisation is the target at the highest load of the horizon.
 	peakUtilisation = 0.5
-	// burstFactor is how much a burst exceeds the mean load (1.5 to 2.5 were seen), and
+	// burstFactor is the load of a burst as a factor of the mean load, and
 	// burstUtilisation the target in such a burst: above it, prefills queue up. Bursts end
 	// before servers ordered in them serve, so the capacity for them is always held.
 	burstFactor      = 2.5
@@ -47,7 +47,7 @@
 	baseUtilisation = 0.9
 	baseLimit       = 1.05
 	// roleLimit is the utilisation from which they are raised because few of them have a
-	// role by chance, roleExcess the bound of that, as a factor. Spot servers carry that
+	// role by chance, roleExcess bounds that increase, as a factor. Spot servers carry that
 	// load; without them the fallback does, after the boot time.
 	roleLimit  = 1.2
 	roleExcess = 1.25
@@ -95,8 +95,8 @@
 	// expected. Until then small changes of an order wait.
 	bootSlack = 2 * time.Second
 	// noneLeftPause is the pause of a zone and kind after it had no capacity,
-	// reclaimPause that for spot servers after a reclaim: another one often follows, and
-	// 10 s without capacity were seen.
+	// reclaimPause that for spot servers after a reclaim: the zone has no capacity for a
+	// while, and another reclaim often follows.
 	noneLeftPause = 5 * time.Second
 	reclaimPause  = 15 * time.Second
 	// retryPause is the pause before an order is sent again whose outcome is unknown or
--- a/internal/plan/scale/scale.go
+++ b/internal/plan/scale/scale.go
@@ -4,7 +4,7 @@
 // On-demand servers carry the mean load alone at a high utilisation. Spot servers, which
 // cost a fraction and may be reclaimed, provide the headroom for bursts. They are spread
 // evenly over the zones, since those of a zone are reclaimed together. If spot servers are
-// not to be had, on-demand servers carry the present load until they are. Capacity is
+// not available, on-demand servers carry the present load until they are. Capacity is
 // raised at once and lowered in steps; policy.go has the thresholds.
 //
 // The roles of new engines, and which servers leave when a number is lowered, are the
@@ -38,7 +38,7 @@
 	Spot                      bool
 }
 
-// Order asks for a number of backend servers. To repeat it has no effect.
+// Order is the number of backend servers that a subject is to have. Repeating it has no effect.
 type Order struct {
 	Subject
 	Desired int
@@ -46,7 +46,7 @@
 	Reason string
 }
 
-// Outcome is what is known of an order that was sent.
+// Outcome is the known result of an order.
 type Outcome string
 
 // The outcomes.
@@ -81,13 +81,13 @@
 	return n
 }
 
-// Zone is what is seen of a service's servers in one availability zone.
+// Zone has the observed servers of a service in one availability zone.
 type Zone struct {
 	// OnDemand and Spot are the servers that are ready, SpotLeaving the number of spot
 	// servers that are leaving.
 	OnDemand, Spot Counts
 	SpotLeaving    int
-	// Silent is the share of the zone's processes that this process does not hear.
+	// Silent is the share of the zone's processes from which no status messages arrive.
 	Silent float64
 }
 
@@ -99,7 +99,7 @@
 	return z.OnDemand.total()
 }
 
-// Observation is what is seen of one service at a time.
+// Observation has the servers and the load of one service at a time.
 type Observation struct {
 	Service string
 	Scaling table.Scaling
--- a/internal/plan/scale/scale_test.go
+++ b/internal/plan/scale/scale_test.go
@@ -37,7 +37,7 @@
 			assert.True(t, o.at >= keepFor || o.left >= 44, "seed %d: fewer servers than first seen, too early: %v", seed, o)
 		}
 		assert.False(t, o.Desired > o.before && o.sum > p.scaling.Max || o.sum < p.scaling.Min, "seed %d: out of bounds: %v", seed, o)
-		assert.GreaterOrEqual(t, o.at, learnFor, "seed %d: a new holder ordered", seed)
+		assert.GreaterOrEqual(t, o.at, warmupTime, "seed %d: a new holder ordered", seed)
 	}
 	last := -time.Hour
 	for _, at := range slices.Sorted(maps.Keys(lowered)) {
@@ -153,7 +153,7 @@
 			p.state.Start(epoch.Add(at), p.state.Saved(epoch.Add(at)))
 			p.run(at + 10*time.Second)
 			for _, o := range p.orders[n:] {
-				assert.GreaterOrEqual(t, o.at, at+learnFor)
+				assert.GreaterOrEqual(t, o.at, at+warmupTime)
 				assert.True(t, o.Desired >= o.before || o.left >= 44, "lowered by a new holder: %v", o)
 			}
 		}, func(p *played) { p.carries(t, 1, 1) })
@@ -212,10 +212,10 @@
 	for _, outcome := range []Outcome{NoneLeft, Refused, RateLimited, NotSent} {
 		p := newPlayed(1, 44)
 		p.load = bursts(1)
-		p.run(learnFor)
+		p.run(warmupTime)
 		before := p.state.Saved(epoch)
 		p.outcome = func(time.Duration, Order) Outcome { return outcome }
-		p.run(learnFor + tick)
+		p.run(warmupTime + tick)
 		assert.NotEmpty(t, p.orders)
 		after := p.state.Saved(epoch)
 		for i, e := range after.Entries {
@@ -232,7 +232,7 @@
 	p := newPlayed(1, 44)
 	p.state, p.load = s, bursts(1)
 	p.at = time.Hour
-	p.run(time.Hour + learnFor)
+	p.run(time.Hour + warmupTime)
 	assert.Empty(t, p.orders)
 	desired, ready := p.state.Totals("s")
 	assert.Equal(t, 44, ready)
@@ -267,7 +267,7 @@
 			outcome = Unknown
 		}
 		for at := time.Duration(0); at < keepFor+time.Minute; at += tick {
-			if at == learnFor+time.Second {
+			if at == warmupTime+time.Second {
 				o.Scaling.Max = c.then
 			}
 			s.Observe(epoch.Add(at), []Observation{o})
--- a/internal/plan/scale/state.go
+++ b/internal/plan/scale/state.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// State is what a holder has learnt. Start must be called before the other methods.
+// State has the observations and orders of a holder. Start must be called before the other methods.
 type State struct {
 	started     time.Time
 	saved       map[Subject]SavedEntry
@@ -39,11 +39,11 @@
 	// desired is the number last ordered, or the number present if none was; before is
 	// that before the last order, to which an order without effect returns.
 	desired, before int
-	// told is the number that the platform may have as the last one ordered. It may keep
-	// the number of servers that were reclaimed.
-	told           int
-	ready, leaving int
-	orderedAt      time.Time
+	// platformDesired is the number that the platform may hold as the desired one. It may
+	// still include reclaimed servers.
+	platformDesired int
+	ready, leaving  int
+	orderedAt       time.Time
 	// shortSince is since when fewer servers than desired are ready; zero if enough are.
 	shortSince time.Time
 	// pausedUntil is until when no order is sent.
@@ -53,7 +53,7 @@
 	retryAt   time.Time
 }
 
-// Start forgets everything but what the last holder has saved. It is called when this
+// Start replaces the state by what the last holder has saved. It is called when this
 // process becomes the holder.
 func (s *State) Start(now time.Time, saved Saved) {
 	*s = State{started: now, saved: map[Subject]SavedEntry{}, provisioned: map[string]int{}, services: map[string]*service{}}
@@ -65,8 +65,8 @@
 	}
 }
 
-// Observe records what is seen of all services that may be scaled. A service that is not
-// among them any more is forgotten.
+// Observe records the observations of all services that may be scaled. The state of a service
+// that is no longer among them is removed.
 func (s *State) Observe(now time.Time, observations []Observation) {
 	seen := map[string]bool{}
 	for _, o := range observations {
@@ -81,7 +81,7 @@
 		for zone := range o.Scaling.ZonePrices {
 			s.observeZone(now, v, zone)
 		}
-		if v.learning(now) {
+		if v.warmingUp(now) {
 			v.provisioned = cmp.Or(s.provisioned[o.Service], max(v.provisioned, v.readyServers()))
 		}
 		for key := range v.subjects {
@@ -120,7 +120,7 @@
 		if spot {
 			leaving = z.SpotLeaving
 		}
-		if v.learning(now) {
+		if v.warmingUp(now) {
 			u.adopt(v.firstLoad, z.ready(spot), leaving, s.savedFor(v, key))
 			continue
 		}
@@ -128,13 +128,13 @@
 	}
 }
 
-// learning reports whether the service has been seen so briefly that nothing is ordered.
-func (v *service) learning(now time.Time) bool { return now.Sub(v.firstLoad) < learnFor }
+// warmingUp reports whether the service has been observed too briefly for orders.
+func (v *service) warmingUp(now time.Time) bool { return now.Sub(v.firstLoad) < warmupTime }
 
-// savedFor returns what the last holder has saved, empty if the service may be scaled
-// only since later.
+// savedFor returns what the last holder has saved, empty if the service became
+// scalable only later.
 func (s *State) savedFor(v *service, key Subject) SavedEntry {
-	if v.firstLoad.Sub(s.started) >= learnFor {
+	if v.firstLoad.Sub(s.started) >= warmupTime {
 		return SavedEntry{}
 	}
 	return s.saved[key]
@@ -144,7 +144,7 @@
 // more, as ordered. A record from an older copy of the store then lowers nothing.
 func (u *subject) adopt(started time.Time, ready, leaving int, saved SavedEntry) {
 	u.ready, u.leaving, u.desired = ready, leaving, max(ready, saved.Desired)
-	u.told = u.desired
+	u.platformDesired = u.desired
 	u.pausedUntil = started.Add(min(max(saved.PausedFor, 0), reclaimPause))
 	if u.desired > ready {
 		u.orderedAt = started
@@ -152,10 +152,11 @@
 }
 
 // observe updates the subject with the numbers of ready and leaving servers. Ordered
-// servers are expected within the patience.
-func (u *subject) observe(now time.Time, ready, leaving int, patience time.Duration) {
-	unasked := u.ready - ready - max(u.ready-u.desired, 0)
-	reclaimed := u.Spot && unasked > 0 && leaving > u.leaving
+// servers are expected within the grace time.
+func (u *subject) observe(now time.Time, ready, leaving int, grace time.Duration) {
+	// lost is the number of servers that left without an order.
+	lost := u.ready - ready - max(u.ready-u.desired, 0)
+	reclaimed := u.Spot && lost > 0 && leaving > u.leaving
 	u.ready, u.leaving = ready, leaving
 	if reclaimed {
 		// Those that still boot are in a zone that has no capacity now.
@@ -166,13 +167,13 @@
 	case u.unsettled != nil:
 	case ready >= u.desired:
 		u.shortSince = time.Time{}
-		if ready > u.desired && now.Sub(u.orderedAt) > patience {
-			// Lowered servers would have left by now: these came unasked.
-			u.desired, u.told = ready, max(u.told, ready)
+		if ready > u.desired && now.Sub(u.orderedAt) > grace {
+			// Lowered servers would have left by now: these were not ordered.
+			u.desired, u.platformDesired = ready, max(u.platformDesired, ready)
 		}
 	case u.shortSince.IsZero():
 		u.shortSince = now
-	case now.Sub(later(u.shortSince, u.orderedAt)) > patience:
+	case now.Sub(later(u.shortSince, u.orderedAt)) > grace:
 		u.desired, u.shortSince = ready, time.Time{}
 	}
 }
@@ -194,9 +195,9 @@
 	}
 	switch {
 	case outcome == Done:
-		u.unsettled, u.orderedAt, u.told = nil, now, order.Desired
+		u.unsettled, u.orderedAt, u.platformDesired = nil, now, order.Desired
 	case outcome == Unknown:
-		u.unsettled, u.retryAt, u.orderedAt, u.told = &order, now.Add(retryPause), now, max(u.told, order.Desired)
+		u.unsettled, u.retryAt, u.orderedAt, u.platformDesired = &order, now.Add(retryPause), now, max(u.platformDesired, order.Desired)
 	case u.unsettled != nil && (outcome == RateLimited || outcome == NotSent):
 		// An earlier sending may have had an effect.
 		u.retryAt = now.Add(retryPause)
--- a/internal/plan/scale/zones.go
+++ b/internal/plan/scale/zones.go
@@ -81,7 +81,7 @@
 func (s *spread) sum(zone string, highest bool) int {
 	u, other := s.service.subject(zone, s.spot), s.service.subject(zone, !s.spot)
 	if highest {
-		return s.number(u) + max(other.desired, other.told)
+		return s.number(u) + max(other.desired, other.platformDesired)
 	}
 	return s.number(u) + other.desired
 }
@@ -150,7 +150,7 @@
 	other := v.subject(u.AvailabilityZone, !u.Spot)
 	least, most := v.Scaling.Min-other.desired, v.Scaling.Max-other.desired
 	if desired > u.desired {
-		least = min(least, max(desired, v.Scaling.Max-other.told))
+		least = min(least, max(desired, v.Scaling.Max-other.platformDesired))
 	}
 	return max(min(max(desired, least), most), 0)
 }
--- a/internal/route/assign/unfit.go
+++ b/internal/route/assign/unfit.go
@@ -40,7 +40,7 @@
 }
 
 // Forecasts returns the prediction for each engine, as Prefill makes it, and why the engine
-// can't be chosen. An engine whose prefill can't be predicted has a Forecast of zero but for
+// can't be chosen. An engine whose prefill can't be predicted has a zero Forecast, apart from
 // its Index.
 func Forecasts(engines []Engine, q Query) ([]Forecast, []Unfit) {
 	c := newComparison(engines, q)
--- a/internal/route/auth/fresh.go
+++ b/internal/route/auth/fresh.go
@@ -6,8 +6,8 @@
 )
 
 // Freshness records when a process last confirmed that its list of accounts is the newest: at
-// the store, or by the word of a peer that has confirmed the same list there. Within is set
-// before use. A Freshness is safe for concurrent use.
+// the store, or through a peer that has confirmed the same list there. Within is set before use.
+// A Freshness is safe for concurrent use.
 type Freshness struct {
 	// Within is for how long a confirmation holds.
 	Within time.Duration
@@ -42,7 +42,7 @@
 
 // ConfirmByPeer records that a peer had confirmed the list at the store the given time before
 // now. It holds for what is left of Within, and is not passed on: two processes without the
-// store would otherwise confirm each other without end.
+// store would otherwise confirm each other indefinitely.
 func (f *Freshness) ConfirmByPeer(now time.Time, age time.Duration) {
 	if age >= 0 && age < f.Within {
 		f.peer.advance(now.Add(-age))
@@ -56,6 +56,6 @@
 // Expired reports whether no confirmation holds at now.
 func (f *Freshness) Expired(now time.Time) bool {
 	_, own := f.store.age(now, f.Within)
-	_, told := f.peer.age(now, f.Within)
-	return !own && !told
+	_, byPeer := f.peer.age(now, f.Within)
+	return !own && !byPeer
 }
--- a/internal/route/detail/detail.go
+++ b/internal/route/detail/detail.go
@@ -7,8 +7,8 @@
 //	data, err := json.Marshal(e)
 //	fmt.Print(e)
 //
-// Package broker fills an Explanation in. Everything here is a value without behavior but
-// for its text.
+// Package broker fills an Explanation in. Everything here is a value without behavior, apart
+// from its text.
 package detail
 
 import "time"
--- a/internal/route/shed/floor.go
+++ b/internal/route/shed/floor.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Floors guarantee that no group of requests is starved by an order that depends on
-// priorities, work and use.
+// Floors guarantee that no group of requests is starved by the order of priorities,
+// work and use.
 //
 // Three kinds of groups are counted: the requests of one client account, those of one
 // kind, and those of one size within a kind. A kind is all requests with one priority
@@ -35,8 +35,8 @@
 	// prior is the number of requests with the average share that each group is
 	// counted with, so that an account is not preferred for its first requests.
 	prior = 1
-	// floorHalfLife is the half-life of the counts. It is longer than the bursts of 3
-	// to 15 s in which requests are rejected.
+	// floorHalfLife is the half-life of the counts. It is longer than the
+	// bursts in which requests are rejected.
 	floorHalfLife = 30 * time.Second
 	// sweepInterval is the period in which groups without requests are removed, and
 	// minArrived the count below which they are.
--- a/internal/route/shed/stage.go
+++ b/internal/route/shed/stage.go
@@ -7,8 +7,8 @@
 	"ebonyscale.example/ebonyscale/internal/route/admit"
 )
 
-// Stage is what the process that decides for a queue knows of its requests. The zero
-// value is ready to use. A Stage is not safe for concurrent use.
+// Stage is the state of one queue in the process that decides for it: the requests that have
+// arrived and been served. The zero value is ready to use. A Stage is not safe for concurrent use.
 type Stage struct {
 	floors Floors
 	ledger admit.Ledger
@@ -27,8 +27,8 @@
 	arrivalHalfLife = 500 * time.Millisecond
 )
 
-// Clone returns a copy that shares nothing with the stage, to find out what would become of
-// a request. The Members of requests at the stage belong to the stage only.
+// Clone returns a copy that shares nothing with the stage, for the evaluation of a request
+// that is not sent. The Members of requests at the stage belong to the stage only.
 func (s *Stage) Clone() *Stage {
 	c := *s
 	c.ledger = s.ledger.Clone()
--- a/internal/state/duty/duty.go
+++ b/internal/state/duty/duty.go
@@ -75,7 +75,7 @@
 }
 
 // checkInterval is the period at which the eligibility and the grant are checked. It
-// adds to the time in which the next process takes over.
+// adds to the time until the next process takes over.
 const checkInterval = 50 * time.Millisecond
 
 // Grant implements Authority.
@@ -130,6 +130,7 @@
 	h.withdraw(h.Keeper.Held())
 }
 
+// withdraw sets whether the grant is withheld.
 func (h *Holder) withdraw(withdrawn bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/state/orders/orders.go
+++ b/internal/state/orders/orders.go
@@ -1,9 +1,9 @@
 // Package orders sends the orders for backend servers that package scale decides on,
-// while this process is the one that may.
+// while this process holds the grant to do so.
 //
 // Only the process with a grant observes the services and sends orders. When it gets a
-// grant, it reads what the holder before it had ordered from the store, and learns the
-// load. Before it sends an order, it writes the numbers that are then ordered to the
+// grant, it reads from the store what the last holder had ordered, and starts to observe
+// the load. Before it sends an order, it writes the numbers that are then ordered to the
 // store. So whatever becomes of a holder, the next one knows at least the orders that had
 // an effect. The write is conditional on what this holder read or wrote last: after
 // another's write nothing is sent, and the object is read again.
@@ -68,14 +68,14 @@
 	Authority Authority
 	Orderer   Orderer
 	Store     store.Writer
-	// Observe returns what is seen of the services that may be scaled; false if nothing can
-	// be said now, for example because the entries of backend servers are not known.
+	// Observe returns the observations of the services that may be scaled; false if there
+	// are none now, for example because the entries of backend servers are not known.
 	Observe func(now time.Time) ([]scale.Observation, bool)
 	Meters  *meter.Set
 	Log     *zap.Logger
 
 	state scale.State
-	// fence is that of the grant under which the state was learnt, 0 if there is none.
+	// fence is that of the grant under which the state was built up, 0 if there is none.
 	fence uint64
 	// object is the saved state as last read or written.
 	object store.Object
@@ -94,7 +94,7 @@
 func (t *Task) step(ctx context.Context) {
 	grant, ok := t.Authority.Grant()
 	if !ok {
-		t.forget()
+		t.reset()
 		return
 	}
 	now := time.Now()
@@ -116,8 +116,8 @@
 	}
 }
 
-// forget forgets what was learnt under the last grant.
-func (t *Task) forget() {
+// reset discards the state of the last grant.
+func (t *Task) reset() {
 	if t.fence != 0 {
 		t.fence, t.state = 0, scale.State{}
 		t.totals.clear()
@@ -127,7 +127,7 @@
 // begin reads what the last holder had ordered. It returns false if that failed; nothing
 // is ordered then.
 func (t *Task) begin(ctx context.Context, grant lease.Grant) bool {
-	t.forget()
+	t.reset()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	object, err := t.Store.Get(ctx, Key)
