feed, core, broker: plain names and comments for new readers

PatientOutput, shedAs, outageTold, wallTold, confirmedTold, once and the test type office do not say what they are: they are TimedOutput, cachedCaller, outageReportTime, wallClock, confirmationAge, sharedList and usageFleet.

--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -114,10 +114,10 @@
 	finished    bool
 	// unanswered is set if the response is not a backend server's.
 	unanswered bool
-	// shedAs is what the order by cost to callers needs of the request, shedWait the
-	// predicted wait for capacity if it was rejected.
-	shedAs   *caller
-	shedWait time.Duration
+	// cachedCaller is the result of caller, nil before its first call. shedWait is the
+	// predicted wait for capacity if the request was rejected.
+	cachedCaller *caller
+	shedWait     time.Duration
 	// stages has log fields with the duration of each stage.
 	stages []zap.Field
 }
--- a/internal/node/broker/request.go
+++ b/internal/node/broker/request.go
@@ -64,9 +64,9 @@
 
 // Output sends the response to the client: either one call of Respond, or
 // Begin, any number of calls of Event, and End. Calls are never concurrent, and
-// the text of an event is valid only during the call; it may be several whole events. If Serve returns without a
-// call of Respond or End, the response has to be aborted, so that the client
-// notices that it is truncated.
+// the text of an event is valid only during the call; it may be several whole
+// events. If Serve returns without a call of Respond or End, the response has to
+// be aborted, so that the client notices that it is truncated.
 type Output interface {
 	Respond(reply Reply) error
 	Begin(status int, fields []call.Field) error
--- a/internal/node/broker/shed.go
+++ b/internal/node/broker/shed.go
@@ -73,9 +73,9 @@
 // left then.
 const lateWaitShare = 0.25
 
-// maxWorkTokens bounds the work of a request, in tokens: clients name their numbers of tokens,
-// and the KV cache of a known engine holds 1.5 million. More would outweigh the use of all accounts
-// for minutes.
+// maxWorkTokens bounds the work of a request, in tokens: clients state their numbers of tokens
+// themselves, and an excessive one would outweigh the use of all accounts for minutes. It is more
+// than the KV cache of a known engine holds.
 const maxWorkTokens = 1 << 21
 
 // byCost reports whether requests are ordered by their cost to callers.
@@ -91,13 +91,13 @@
 	if !b.byCost() {
 		return nil
 	}
-	if j.shedAs == nil {
+	if j.cachedCaller == nil {
 		b.mu.Lock()
 		returning := b.returns.Returned(time.Now(), j.request.content)
 		b.mu.Unlock()
-		j.shedAs = &caller{account: j.accountName(), output: j.request.MaxOutputTokens, returning: returning, deadline: j.deadline}
+		j.cachedCaller = &caller{account: j.accountName(), output: j.request.MaxOutputTokens, returning: returning, deadline: j.deadline}
 	}
-	return j.shedAs
+	return j.cachedCaller
 }
 
 // longestWait returns the longest wait from now that may be useful.
@@ -390,7 +390,7 @@
 	return rejectedByCost
 }
 
-// shedRetryAfter returns when a rejected client should retry, and remembers the request.
+// shedRetryAfter returns when a rejected client should retry, and records the rejection.
 func (j *job) shedRetryAfter() time.Duration {
 	b := j.broker
 	b.mu.Lock()
--- a/internal/node/broker/slow.go
+++ b/internal/node/broker/slow.go
@@ -9,9 +9,9 @@
 	"ebonyscale.example/ebonyscale/internal/node/spool"
 )
 
-// PatientOutput is an Output that can write an event without waiting for a client that
-// does not read. The events of other outputs are written while nothing is read.
-type PatientOutput interface {
+// TimedOutput is an Output that can bound the time of a write. The events of other outputs are
+// never queued: while a client does not read, its backend server's response is not read.
+type TimedOutput interface {
 	Output
 	// TryEvent is Event, but returns false if the event can't be written within the time.
 	// The output keeps what is left of it, and writes that before anything else.
@@ -24,7 +24,7 @@
 }
 
 // quickWrite is how long a write may take before the stream's further events are queued.
-// It is shorter than the time after which a pause between events is felt.
+// It is shorter than a pause between events that a client notices.
 const quickWrite = 50 * time.Millisecond
 
 // errUnwritten is the error of a stream that could not be written to its client.
@@ -33,7 +33,7 @@
 // slowClient writes the queue of a stream whose client is behind.
 type slowClient struct {
 	queue *spool.Queue
-	out   PatientOutput
+	out   TimedOutput
 	// done is closed once everything is written, or err is set.
 	done chan struct{}
 	err  error
@@ -57,7 +57,7 @@
 
 // sendEvent sends an event to the client, or queues it if the client is behind.
 func (j *job) sendEvent(text []byte) error {
-	patient, ok := j.out.(PatientOutput)
+	timed, ok := j.out.(TimedOutput)
 	if !ok {
 		return j.out.Event(text)
 	}
@@ -69,15 +69,15 @@
 		<-s.done
 		j.slow = nil
 	}
-	written, err := patient.TryEvent(text, quickWrite)
+	written, err := timed.TryEvent(text, quickWrite)
 	if written || err != nil {
 		return err
 	}
-	return j.startSlow(patient, len(text))
+	return j.startSlow(timed, len(text))
 }
 
 // startSlow starts to write in the background. n bytes are left of the last event.
-func (j *job) startSlow(out PatientOutput, n int) error {
+func (j *job) startSlow(out TimedOutput, n int) error {
 	queue, err := j.broker.buffered.Open(time.Now(), j.broker.MaxBuffered, n, j.cancel)
 	if err != nil {
 		return err
--- a/internal/node/broker/slow_test.go
+++ b/internal/node/broker/slow_test.go
@@ -19,7 +19,7 @@
 	"ebonyscale.example/ebonyscale/internal/node/spool"
 )
 
-// slowReader is the PatientOutput of a client that reads from a time on, or never if that is
+// slowReader is the TimedOutput of a client that reads from a time on, or never if that is
 // nil. It panics on concurrent calls.
 type slowReader struct {
 	client
--- a/internal/node/core/accounts.go
+++ b/internal/node/core/accounts.go
@@ -79,9 +79,9 @@
 	}
 }
 
-// confirmedTold returns the age of the last confirmation at the store in a status message,
-// rounded up, or 0 if no process uses it or there is none that holds.
-func (n *Node) confirmedTold(now time.Time) uint32 {
+// confirmationAge returns the age of the last confirmation at the store for a status message,
+// in milliseconds, rounded up, or 0 if no process uses it or no confirmation holds.
+func (n *Node) confirmationAge(now time.Time) uint32 {
 	if n.fresh == nil {
 		return 0
 	}
--- a/internal/node/core/accounts_test.go
+++ b/internal/node/core/accounts_test.go
@@ -115,7 +115,7 @@
 		tell(4, 2000)
 		time.Sleep(3*time.Second - 1)
 		assert.False(t, n.Broker.Unconfirmed(time.Now()))
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		assert.True(t, n.Broker.Unconfirmed(time.Now()), "for what is left of RevokeWithin")
 		tell(4, 1)
 		status, _ := n.composeStatus()
--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -21,7 +21,7 @@
 // wrong by 7 s and jumps, and the cost of the store.
 func TestUsageReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newOffice(t, 5)
+		o := newUsageFleet(t, 5)
 		o.setWall("p2", 7*time.Second)
 		o.run(20 * time.Second)
 		o.setWall("p2", -time.Hour)
@@ -39,7 +39,7 @@
 // are killed, stop as planned and start again, and responses of the platform are lost.
 func TestUsageReportsSurviveHolders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newOffice(t, 5)
+		o := newUsageFleet(t, 5)
 		o.platform.fail(0.3)
 		o.run(12 * time.Second)
 		for range 3 {
@@ -73,7 +73,7 @@
 func TestUsageReportsOverAPartition(t *testing.T) {
 	for _, holderCut := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			o := newOffice(t, 5)
+			o := newUsageFleet(t, 5)
 			o.run(13 * time.Second)
 			holder := o.platform.holder()
 			cut := slices.DeleteFunc([]string{"p0", "p1", "p2", "p3", "p4"}, func(name string) bool { return name == holder })[:2]
@@ -94,7 +94,7 @@
 // the latest reports, and that reports go on.
 func TestUsageReportsAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newOffice(t, 4)
+		o := newUsageFleet(t, 4)
 		o.run(23 * time.Second)
 		before := o.platform.sent()
 		o.store.goBack("duties")
@@ -111,7 +111,7 @@
 // when it is over.
 func TestUsageReportsAfterOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newOffice(t, 4)
+		o := newUsageFleet(t, 4)
 		o.run(12 * time.Second)
 		o.store.set(true)
 		o.run(15 * time.Second)
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -84,7 +84,7 @@
 	return feed.Choose(n.Name, processes(n.peers.Standings(own, n.stopping.Load())), n.Relays, young)
 }
 
-// processes returns what decides which processes are relays.
+// processes returns the members in the form that feed.Choose takes.
 func processes(standings []peers.Standing) []feed.Process {
 	list := make([]feed.Process, len(standings))
 	for i, s := range standings {
@@ -118,8 +118,8 @@
 	}
 }
 
-// confirmRelayed reports whether the own entry was in the store a short time ago as it
-// should be, according to what is read through a relay.
+// confirmRelayed reports whether this process's entry, read through a relay, was recently in
+// the store with its current content.
 func (n *Node) confirmRelayed(own peers.Member) bool {
 	if n.relayed == nil {
 		return false
--- a/internal/node/core/scaling.go
+++ b/internal/node/core/scaling.go
@@ -19,7 +19,7 @@
 	return &orders.Task{Authority: n.holder, Orderer: n.Duties.Orders, Store: n.Store, Observe: n.observeServices, Meters: n.Meters, Log: n.Log}
 }
 
-// observeServices returns what is seen of the services that may be scaled. It returns
+// observeServices returns the observations of the services that may be scaled. It returns
 // false while the backend servers' entries are not known or may have expired in an outage
 // of the store.
 func (n *Node) observeServices(now time.Time) ([]scale.Observation, bool) {
@@ -61,7 +61,7 @@
 }
 
 // silentShares returns the share of the members of each availability zone that this
-// process does not hear.
+// process receives no status messages from.
 func (n *Node) silentShares() map[string]float64 {
 	quiet := n.peers.Quiet()
 	total, silent := map[string]float64{n.Zone: 1}, map[string]float64{}
@@ -77,7 +77,7 @@
 	return silent
 }
 
-// observeService returns what is seen of one service.
+// observeService returns the observation of one service.
 func (n *Node) observeService(now time.Time, s table.Service, shared *loads) scale.Observation {
 	var servers []scale.Server
 	for _, r := range n.roster.All(s.Name) {
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -102,8 +102,8 @@
 	n.lastDigest = digest
 	n.sequence++
 	message.Sequence = n.sequence
-	message.WallMs = n.wallTold()
-	message.ConfirmedMs = n.confirmedTold(time.Now())
+	message.WallMs = n.wallClock()
+	message.ConfirmedMs = n.confirmationAge(time.Now())
 	return message, changed
 }
 
--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -47,7 +47,7 @@
 	counter   report.Counter
 	collector report.Collector
 	machine   report.Machine
-	// tracked has the counts of machine.Skipped that the metrics have.
+	// tracked is the value of machine.Skipped that the metric already includes.
 	tracked int64
 
 	// mu guards early: the requests that began before true time was known.
@@ -61,6 +61,7 @@
 	at      time.Time
 }
 
+// newAccounting returns the accounting of a process with usage reports.
 func newAccounting(n *Node) *accounting {
 	d := n.Duties
 	return &accounting{
@@ -168,6 +169,7 @@
 	}
 }
 
+// encodeUsage returns the form of a Part in messages.
 func encodeUsage(p report.Part) *wire.WindowUsage {
 	m := &wire.WindowUsage{Window: p.Window, Final: p.Final, Parts: uint32(p.Parts)}
 	for _, c := range p.Counts {
@@ -176,6 +178,7 @@
 	return m
 }
 
+// decodeUsage returns the Part of a message.
 func decodeUsage(m *wire.WindowUsage) report.Part {
 	p := report.Part{Window: m.Window, Final: m.Final, Parts: int(m.Parts)}
 	for _, c := range m.Accounts {
@@ -222,7 +225,7 @@
 }
 
 // expected returns the processes whose counts a report waits for: the live members, and those
-// that have become silent lately without a planned end. They may be partitioned from this
+// that have recently become silent without a planned end. They may be partitioned from this
 // process and still serve clients.
 func (a *accounting) expected(at time.Time) []string {
 	names := a.node.peers.LiveMembers()
@@ -314,8 +317,9 @@
 // reportsUsage returns whether usage reports are a duty.
 func (n *Node) reportsUsage() bool { return n.Duties.enabled() && n.Duties.Reports != nil }
 
-// wallTold returns the wall clock in a status message, 0 if no process uses it.
-func (n *Node) wallTold() int64 {
+// wallClock returns the wall clock for a status message, in milliseconds since 1970-01-01, or 0
+// if no process uses it.
+func (n *Node) wallClock() int64 {
 	if n.accounting == nil {
 		return 0
 	}
--- a/internal/node/core/usage_test.go
+++ b/internal/node/core/usage_test.go
@@ -113,8 +113,8 @@
 	return sum
 }
 
-// office is processes with usage reports, with one store and platform.
-type office struct {
+// usageFleet is processes with usage reports, with one store and platform.
+type usageFleet struct {
 	t        *testing.T
 	store    *memoryStore
 	platform *reports
@@ -130,8 +130,8 @@
 	wall map[string]time.Duration
 }
 
-func newOffice(t *testing.T, size int) *office {
-	o := &office{
+func newUsageFleet(t *testing.T, size int) *usageFleet {
+	o := &usageFleet{
 		t: t, store: &memoryStore{}, nodes: map[string]*Node{}, stops: map[string]context.CancelFunc{}, counting: map[string]int{}, wall: map[string]time.Duration{},
 		platform: &reports{bodies: map[int64]string{}, times: map[int64]time.Time{}, random: rand.New(rand.NewPCG(7, 7))},
 	}
@@ -142,7 +142,7 @@
 }
 
 // start starts a process, also one that was killed before.
-func (o *office) start(name string) {
+func (o *usageFleet) start(name string) {
 	n := newNode(o.t)
 	o.starts++
 	n.Name, n.Store = name, &reached{Writer: o.store}
@@ -170,7 +170,7 @@
 }
 
 // kill ends a process at once: nothing that it sends after that arrives.
-func (o *office) kill(name string) {
+func (o *usageFleet) kill(name string) {
 	o.mu.Lock()
 	n := o.nodes[name]
 	delete(o.nodes, name)
@@ -200,14 +200,14 @@
 }
 
 // live returns the processes that run.
-func (o *office) live() map[string]*Node {
+func (o *usageFleet) live() map[string]*Node {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return maps.Clone(o.nodes)
 }
 
 // exchange sends status messages and lets silent peers expire.
-func (o *office) exchange(ctx context.Context, n *Node) {
+func (o *usageFleet) exchange(ctx context.Context, n *Node) {
 	for ctx.Err() == nil {
 		time.Sleep(200 * time.Millisecond)
 		status, _ := n.composeStatus()
@@ -227,7 +227,7 @@
 	}
 }
 
-func (o *office) deliver(ctx context.Context, n *Node) {
+func (o *usageFleet) deliver(ctx context.Context, n *Node) {
 	for {
 		e, err := n.coordination.outbox.Pop(ctx)
 		if err != nil {
@@ -241,7 +241,7 @@
 }
 
 // partition cuts processes off from the others.
-func (o *office) partition(names ...string) {
+func (o *usageFleet) partition(names ...string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cut = map[string]bool{}
@@ -251,21 +251,21 @@
 }
 
 // linked reports whether messages of one process reach another.
-func (o *office) linked(a, b string) bool {
+func (o *usageFleet) linked(a, b string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.cut[a] == o.cut[b]
 }
 
 // setWall sets the error of a process's wall clock.
-func (o *office) setWall(name string, by time.Duration) {
+func (o *usageFleet) setWall(name string, by time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.wall[name] = by
 }
 
 // run lets time pass, in which each process begins 100 requests a second.
-func (o *office) run(d time.Duration) {
+func (o *usageFleet) run(d time.Duration) {
 	for range int(d / (10 * time.Millisecond)) {
 		time.Sleep(10 * time.Millisecond)
 		for name, n := range o.live() {
@@ -277,7 +277,7 @@
 }
 
 // began returns how many requests have begun.
-func (o *office) began() (sum int) {
+func (o *usageFleet) began() (sum int) {
 	for _, n := range o.counting {
 		sum += n
 	}
@@ -285,7 +285,7 @@
 }
 
 // rest lets time pass without requests, until all windows are reported, and ends the processes.
-func (o *office) rest() {
+func (o *usageFleet) rest() {
 	time.Sleep(20 * time.Second)
 	for _, stop := range o.stops {
 		stop()
@@ -295,7 +295,7 @@
 
 // check checks the reports: no faults, none missing and at most late ones late, the last
 // windows, which have no requests, reported too, and the counts within a tolerance.
-func (o *office) check(late int, tolerance float64) {
+func (o *usageFleet) check(late int, tolerance float64) {
 	o.t.Helper()
 	assert.Empty(o.t, o.platform.faults)
 	assert.InEpsilon(o.t, o.began(), o.platform.total(o.t, "x"), tolerance)
--- a/internal/peer/feed/answer.go
+++ b/internal/peer/feed/answer.go
@@ -119,10 +119,10 @@
 	}
 	return &wire.FeedPart{
 		Kind: p.Kind, Listed: listed, Revision: page.Revision, Objects: encodeObjects(page.Objects),
-		Outage: !v.outage.IsZero() && now.Sub(v.outage) < outageTold,
+		Outage: !v.outage.IsZero() && now.Sub(v.outage) < outageReportTime,
 	}
 }
 
-// outageTold is for how long a relay tells of an outage of the store after its end. It is
+// outageReportTime is for how long a relay reports an outage of the store after its end. It is
 // longer than a follower needs to ask for what changed meanwhile.
-const outageTold = 3 * time.Second
+const outageReportTime = 3 * time.Second
--- a/internal/peer/feed/choose.go
+++ b/internal/peer/feed/choose.go
@@ -36,8 +36,8 @@
 
 // Choose chooses the relays of the availability zone of the process self: the first count of
 // its live processes, those with the most cores first. Processes with the same live peers
-// choose alike. While self is young, processes that have not been heard yet count as live: a
-// process that has just started has heard none. processes includes self.
+// choose alike. While self is young, processes without any status message so far count
+// as live: a process that has just started has received none. processes includes self.
 func Choose(self string, processes []Process, count int, young bool) Choice {
 	if count <= 0 || len(processes) < MinProcesses {
 		return Choice{}
--- a/internal/peer/feed/encode.go
+++ b/internal/peer/feed/encode.go
@@ -5,6 +5,7 @@
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
+// encodeObjects returns the form of objects in messages.
 func encodeObjects(objects []store.Object) []*wire.FeedObject {
 	list := make([]*wire.FeedObject, len(objects))
 	for i, o := range objects {
@@ -13,6 +14,7 @@
 	return list
 }
 
+// decodeObjects returns the objects of a message.
 func decodeObjects(list []*wire.FeedObject) []store.Object {
 	objects := make([]store.Object, len(list))
 	for i, o := range list {
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -72,8 +72,8 @@
 	// Choose says from where to read now. It is called several times a second.
 	Choose func() Choice
 	Kinds  []Kind
-	// Health is told of failed calls of this process's own watches and of outages that a
-	// relay reports.
+	// Health records failed calls of this process's own watches and outages that a relay
+	// reports.
 	Health *follow.Health
 	Meters *meter.Set
 	Log    *zap.Logger
@@ -92,9 +92,9 @@
 	source string
 	// avoided has until when a relay is not asked.
 	avoided map[string]time.Time
-	// failing has what relays said of their calls to the store.
+	// failing has what relays reported of their failing calls to the store, by name.
 	failing map[string]report
-	onces   map[string]*once
+	shared  map[string]*sharedList
 	breaker breaker
 }
 
@@ -141,7 +141,7 @@
 func (f *Feed) view(kind string) *view {
 	if f.views == nil {
 		f.views, f.news = map[string]*view{}, make(chan struct{})
-		f.avoided, f.failing, f.onces = map[string]time.Time{}, map[string]report{}, map[string]*once{}
+		f.avoided, f.failing, f.shared = map[string]time.Time{}, map[string]report{}, map[string]*sharedList{}
 		for _, k := range f.Kinds {
 			f.views[k.Name] = &view{Kind: k}
 		}
@@ -149,7 +149,7 @@
 	return f.views[kind]
 }
 
-// announce wakes all that wait for changes. The caller must hold mu.
+// announce wakes all goroutines that wait for changes. The caller must hold mu.
 func (f *Feed) announce() {
 	close(f.news)
 	f.news = make(chan struct{})
@@ -243,7 +243,7 @@
 	return a
 }
 
-// waitFor waits for news, but at most for a time. The error is that of ctx.
+// waitFor waits until news is closed, but at most for the time wait. The error is that of ctx.
 func waitFor(ctx context.Context, news <-chan struct{}, wait time.Duration) error {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -300,7 +300,7 @@
 	if f.source != ownSource {
 		f.Meters.Add(FromRelay, 1)
 	}
-	f.reads(v, f.source)
+	f.setReader(v, f.source)
 }
 
 // readDirect records what a follower was given by the store.
@@ -314,7 +314,7 @@
 		return
 	}
 	v.floor = max(v.floor, page.Revision)
-	f.reads(v, storeSource)
+	f.setReader(v, storeSource)
 }
 
 const (
@@ -324,8 +324,8 @@
 	ownSource   = "OwnWatch"
 )
 
-// reads logs when the source of a kind changes. The caller must hold mu.
-func (f *Feed) reads(v *view, source string) {
+// setReader records the source of a kind, and logs a change of it. The caller must hold mu.
+func (f *Feed) setReader(v *view, source string) {
 	if v.reader == source || v.reader == "" && !f.active {
 		return
 	}
--- a/internal/peer/feed/once.go
+++ b/internal/peer/feed/once.go
@@ -9,9 +9,9 @@
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
-// once lists the objects of a kind that nobody watches for several callers together. Each
+// sharedList lists the objects of a kind that nobody watches for several callers together. Each
 // gets a list that began after its call.
-type once struct {
+type sharedList struct {
 	running bool
 	next    *listing
 }
@@ -95,10 +95,10 @@
 func (f *Feed) listShared(ctx context.Context, kind string) (store.Page, error) {
 	f.mu.Lock()
 	f.view(kind)
-	o := f.onces[kind]
+	o := f.shared[kind]
 	if o == nil {
-		o = &once{}
-		f.onces[kind] = o
+		o = &sharedList{}
+		f.shared[kind] = o
 	}
 	if o.next == nil {
 		o.next = &listing{done: make(chan struct{})}
@@ -124,7 +124,7 @@
 var errLarge = errors.New("too large to hand on")
 
 // listAll lists the objects as often as callers wait.
-func (f *Feed) listAll(kind string, o *once) {
+func (f *Feed) listAll(kind string, o *sharedList) {
 	for {
 		f.mu.Lock()
 		l := o.next
--- a/internal/peer/feed/outage.go
+++ b/internal/peer/feed/outage.go
@@ -8,19 +8,19 @@
 
 // A follower that reads from a relay does not call the store and sees no outage. If a short
 // one ends soon after the relay refuses, the follower's own calls have failed for too short
-// a time to count. So a relay says for how long its calls have failed. Alone that is no
-// outage: the relay may have lost the store, while others reach it, and a backend server that
-// leaves must not be kept then. It counts if this process's own call fails too, or if all
-// of several relays say so.
+// a time to count. So a relay reports for how long its calls have failed. One report
+// alone is no outage: the relay may have lost the store while others reach it, and a backend
+// server that leaves must not be kept then. It counts if this process's own call fails too, or
+// if all of several relays report it.
 
-// report is what a relay said of its calls to the store: since when they had failed.
+// report is a relay's report of at that its calls to the store have failed since a time.
 type report struct{ at, since time.Time }
 
 // reportFor is how long a report counts.
 const reportFor = 2 * time.Second
 
-// note records what a relay says of its calls to the store.
-func (f *Feed) note(now time.Time, relay Process, answer *wire.FeedAnswer) {
+// recordReport records what a relay reports of its calls to the store.
+func (f *Feed) recordReport(now time.Time, relay Process, answer *wire.FeedAnswer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if answer.FailingMs <= 0 {
--- a/internal/peer/feed/poll.go
+++ b/internal/peer/feed/poll.go
@@ -28,8 +28,8 @@
 	// avoidRefused that of one without a current view.
 	avoidFailed  = 5 * time.Second
 	avoidRefused = time.Second
-	// relayFor is how long a process goes on as a relay after it is none any more, so that
-	// one that comes and goes costs no list each time.
+	// relayFor is how long a process remains a relay after it is no longer chosen, so that
+	// a choice that changes back and forth costs no list each time.
 	relayFor = 3 * time.Second
 )
 
@@ -72,8 +72,8 @@
 	return ctx.Err()
 }
 
-// lost reports whether this process, a relay, has lost the store: it reads from another relay
-// then, but gives nothing to others.
+// lost reports whether this process, a relay, can't confirm its histories at the store. It
+// then reads from another relay and refuses the queries of others.
 func (f *Feed) lost(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -91,6 +91,7 @@
 	done   chan struct{}
 }
 
+// start starts the watches unless they run.
 func (t *relayTask) start(ctx context.Context, f *Feed) {
 	if t.cancel != nil {
 		return
@@ -104,6 +105,7 @@
 	}()
 }
 
+// stop ends the watches and waits for their end.
 func (t *relayTask) stop() {
 	if t.cancel == nil {
 		return
@@ -186,7 +188,7 @@
 	cancel()
 	changed := false
 	if err == nil {
-		f.note(time.Now(), relay, answer)
+		f.recordReport(time.Now(), relay, answer)
 		changed, err = f.apply(began, relay, query, answer)
 	}
 	switch {
@@ -196,7 +198,7 @@
 	case changed && f.complete(time.Now()):
 		timer.Wait(ctx, pollPause)
 	default:
-		// A relay that answers at once without news must not be asked again and again.
+		// A relay that answers at once without changes must not be asked in a loop.
 		timer.Wait(ctx, max(minPoll-time.Since(began), 0))
 	}
 }
--- a/internal/peer/feed/start.go
+++ b/internal/peer/feed/start.go
@@ -14,15 +14,15 @@
 	// spread. Others that start at the same time have written their entries by then.
 	firstDelay  = 90 * time.Millisecond
 	firstSpread = 40 * time.Millisecond
-	// startWithout is how long a process waits that knows of no relays, startWith how long one
-	// waits for a relay's objects, on the mean. Both are spread by startSpread.
+	// startWithout is the mean time that a process waits if it knows of no relays, startWith
+	// that for a relay's objects. Both are spread by startSpread.
 	startWithout = 200 * time.Millisecond
 	startWith    = 400 * time.Millisecond
 	startSpread  = 60 * time.Millisecond
 	// startTick is the interval at which a process that starts looks for relays.
 	startTick = 20 * time.Millisecond
-	// Young is how long after its start a process takes others that it has not heard yet to
-	// be live.
+	// Young is how long after its start a process takes others whose status messages have
+	// not arrived yet to be live.
 	Young = 10 * time.Second
 )
 
@@ -64,7 +64,7 @@
 	}
 }
 
-// lookForRelays notes that there are relays before Run does.
+// lookForRelays finds out whether relays are in use before Run does.
 func (f *Feed) lookForRelays() {
 	active := f.Choose().Active
 	f.mu.Lock()
--- a/internal/peer/feed/watch.go
+++ b/internal/peer/feed/watch.go
@@ -54,7 +54,7 @@
 // run watches until ctx ends.
 func (w *watcher) run(ctx context.Context) {
 	caller := "Relay." + w.view.Name
-	// Failures of a watch that has ended must not count as an outage for ever.
+	// Failures of a watch that has ended must not count as an outage any longer.
 	defer func() { w.feed.Health.RecordSuccess(time.Now(), caller) }()
 	w.feed.mu.Lock()
 	listed := w.view.listed
