core: tests of relays without data races of their own

It now changes the incarnation, which only the checked call reads, with the same effect on the entry; the fake relay guards the address that it was asked at.

--- a/internal/node/core/feed_test.go
+++ b/internal/node/core/feed_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,11 +25,23 @@
 // relayCalls is a fake feed.Caller: one relay with the objects.
 type relayCalls struct {
 	objects []*wire.FeedObject
-	asked   netip.AddrPort
+
+	mu sync.Mutex
+	// asked is the address of the last call.
+	asked netip.AddrPort
+}
+
+// last returns the address of the last call.
+func (r *relayCalls) last() netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked
 }
 
 func (r *relayCalls) Changes(ctx context.Context, address netip.AddrPort, q *wire.FeedQuery) (*wire.FeedAnswer, error) {
+	r.mu.Lock()
 	r.asked = address
+	r.mu.Unlock()
 	answer := &wire.FeedAnswer{}
 	for _, p := range q.Positions {
 		part := &wire.FeedPart{Kind: p.Kind, Listed: p.List, Revision: 50}
@@ -83,11 +96,11 @@
 		page, err := n.Feed.List(ctx, "config", "")
 		require.NoError(t, err)
 		assert.Len(t, page.Objects, 1)
-		assert.Equal(t, "10.0.1.29:7660", calls.asked.String(), "the relay has the most cores")
+		assert.Equal(t, "10.0.1.29:7660", calls.last().String(), "the relay has the most cores")
 		assert.Zero(t, n.debounceRelayed("config", n.debounce)())
 		s.set(true)
 		require.NoError(t, n.announceOnce(ctx), "the relay has seen the entry")
-		n.Cores++
+		n.incarnation++
 		require.Error(t, n.announceOnce(ctx), "the entry has to be written")
 		cancel()
 		synctest.Wait()
