--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -114,13 +114,15 @@
 }
 
 // enoughSpot reports whether n spot servers beside the wanted on-demand ones are enough,
-// also without those of the zone that has the most.
+// also without those of the zone that has the most. The size that is kept remains without
+// those of lostZones zones.
 func (p *plan) enoughSpot(n int) bool {
 	remaining := n - (n+len(p.zones)-1)/len(p.zones)
 	carries := func(n int) func(roster.Role) float64 {
 		return func(r roster.Role) float64 { return p.onDemand.expect(r, p.wantOnDemand) + p.spot.expect(r, n) }
 	}
-	return p.wantOnDemand+n >= p.keep && p.needs.peak.met(carries(n)) && p.needs.loss.met(carries(remaining))
+	perZone := (n + len(p.zones) - 1) / len(p.zones)
+	return p.wantOnDemand+n-min(lostZones, len(p.zones)-1)*perZone >= p.keep && p.needs.peak.met(carries(n)) && p.needs.loss.met(carries(remaining))
 }
 
 // desired returns the number of servers of a kind that are ordered in the zones.
@@ -185,7 +187,11 @@
 	if want == ordered {
 		return nil
 	}
-	return p.add(now, false, want-ordered, reason)
+	orders := p.add(now, false, want-ordered, reason)
+	if len(orders) > 0 {
+		p.raisedOnDemandAt = now
+	}
+	return orders
 }
 
 // fallback returns the number of on-demand servers that the present load needs beside
@@ -241,7 +247,10 @@
 		// Spot servers have replaced them already.
 		wait = 0
 	}
-	orders := p.lowerKind(now, false, p.wantOnDemand, p.excessOnDemand, wait)
+	var orders []Order
+	if p.raisedOnDemandAt.IsZero() || now.Sub(p.raisedOnDemandAt) >= settleTime {
+		orders = p.lowerKind(now, false, p.wantOnDemand, p.excessOnDemand, wait)
+	}
 	if len(orders) == 0 {
 		orders = p.lowerKind(now, true, p.wantSpot, p.excessSpot, spotLowFor)
 	}
--- a/internal/plan/scale/policy.go
+++ b/internal/plan/scale/policy.go
@@ -35,6 +35,10 @@
 	// lossUtilisation is the utilisation at the present load after the loss of all spot
 	// servers of the zone that has the most.
 	lossUtilisation = 0.95
+	// lostZones is the number of zones whose spot servers may be lost while the number of
+	// servers first seen is kept: those of a zone are reclaimed together, and cost a
+	// fraction.
+	lostZones = 1
 	// minPerRole is the least number of servers of each role in use: one may fail.
 	minPerRole = 2
 )
@@ -71,6 +75,9 @@
 	// lowered, spotLowFor the same for spot servers, which are cheap to keep.
 	lowFor     = 10 * time.Second
 	spotLowFor = 20 * time.Second
+	// settleTime is the least time from raised on-demand servers to lowered ones: the load for
+	// which they were raised counts for so long.
+	settleTime = horizon
 	// onDemandSlack and spotSlack are the excess, as a factor, that is kept: the numbers do
 	// not follow each change of the mean load.
 	onDemandSlack = 1.15
--- a/internal/plan/scale/state.go
+++ b/internal/plan/scale/state.go
@@ -25,6 +25,8 @@
 	// raisedSpotAt is when spot servers were last ordered, loweredAt when a number was last
 	// lowered.
 	raisedSpotAt, loweredAt time.Time
+	// raisedOnDemandAt is when on-demand servers were last ordered.
+	raisedOnDemandAt time.Time
 	// share has the expected shares of the roles among new servers, once known.
 	share need
 	// firstLoad is when load was first seen.
