link: a carried request opens another connection if an idle one has just ended

Cause: drpc may end the transport of a call that is just finishing when its context is cancelled; the connection is already idle then, and the next call on it fails as context canceled. No test forces the moment by itself: the state is inside the library.

--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -73,7 +73,7 @@
 	var none A
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn, err := c.acquire(ctx, address)
+	conn, _, err := c.acquire(ctx, address)
 	if err != nil {
 		return none, fmt.Errorf("call %s: %w", address, err)
 	}
@@ -86,10 +86,11 @@
 	return response, nil
 }
 
-// acquire returns an idle connection, or a new one if there is none.
-func (c *Client) acquire(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
+// acquire returns an idle connection, or a new one if there is none. reused is set if it has
+// served a call before.
+func (c *Client) acquire(ctx context.Context, address netip.AddrPort) (conn *drpcconn.Conn, reused bool, err error) {
 	if c.Cut != nil && c.Cut(address) {
-		return nil, fmt.Errorf("connection to %s is cut by an experiment", address)
+		return nil, false, fmt.Errorf("connection to %s is cut by an experiment", address)
 	}
 	c.mu.Lock()
 	list := c.idle[address]
@@ -103,15 +104,15 @@
 		default:
 		}
 		c.mu.Unlock()
-		return conn, nil
+		return conn, true, nil
 	}
 	c.mu.Unlock()
 	var dialer net.Dialer
 	raw, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
+		return nil, false, fmt.Errorf("dial: %w", err)
 	}
-	return drpcconn.New(&countingConn{Conn: raw, meters: c.Meters}), nil
+	return drpcconn.New(&countingConn{Conn: raw, meters: c.Meters}), false, nil
 }
 
 // release keeps the connection for further calls, or closes it if enough are
@@ -162,13 +163,19 @@
 func (c *Client) Carry(ctx context.Context, address netip.AddrPort) (call wire.DRPCEntry_CarryClient, done func(clean bool), err error) {
 	dialCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn, err := c.acquire(dialCtx, address)
+	conn, reused, err := c.acquire(dialCtx, address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("call %s: %w", address, err)
 	}
 	call, err = newEntryClient(conn).Carry(ctx)
 	if err != nil {
 		conn.Close()
+		if reused && ctx.Err() == nil {
+			// The connection may end with the context of the call before, which was just
+			// finishing. Nothing runs at the other process before it has got the whole
+			// request, and each turn takes an idle connection away.
+			return c.Carry(ctx, address)
+		}
 		return nil, nil, fmt.Errorf("call %s: %w", address, err)
 	}
 	return call, func(clean bool) {
