demo: a replay of a refused request is no false refusal

One write of the load had been refused with 503; the demo then replayed all writes at another entry VM, where it ran, and the check counted that run against the refusal. Refusals are now compared with the executions up to the end of the load; a late run beside the replay is still found as RunsAtMostOnce.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,6 +34,7 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/engine"
 	"ebonyscale.example/ebonyscale/internal/node/proc"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/stand/plain"
 	"ebonyscale.example/ebonyscale/internal/stand/scene"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
@@ -234,6 +236,7 @@
 		changed <- d.change(ctx)
 	}()
 	d.report.Result = runner.Run(ctx, trace)
+	d.report.runsOfLoad = judge.Runs(d.Scene.Plains)
 	d.report.Replays = d.replayKeyed(ctx, sender, trace)
 	err := <-changed
 	progress.stop()
@@ -366,12 +369,7 @@
 // records of the stand-ins.
 func (d *Demo) check() {
 	r := d.report
-	runs := judge.Runs(d.Scene.Plains)
-	outcomes := append(r.Result.Outcomes[:len(r.Result.Outcomes):len(r.Result.Outcomes)], r.Replays.Outcomes...)
-	r.Violations = append(r.Violations, judge.RunTwice(runs)...)
-	r.Violations = append(r.Violations, judge.FalseNotRun(r.Result.Outcomes, runs)...)
-	r.Violations = append(r.Violations, judge.FalseSuccess(outcomes, runs)...)
-	r.Violations = append(r.Violations, judge.WrongResponses(outcomes)...)
+	r.checkPlains(judge.Runs(d.Scene.Plains))
 	for name, e := range d.Scene.Engines {
 		record := e.Recorded()
 		r.RoleChanges += len(record.Orders)
@@ -383,3 +381,14 @@
 		}
 	}
 }
+
+// checkPlains checks the promises about plain services. runs are the executions of the load
+// and of the replays.
+func (r *Report) checkPlains(runs []plain.Run) {
+	outcomes := slices.Concat(r.Result.Outcomes, r.Replays.Outcomes)
+	r.Violations = append(r.Violations, judge.RunTwice(runs)...)
+	// A request of the load that was refused may run when it is replayed.
+	r.Violations = append(r.Violations, judge.FalseNotRun(r.Result.Outcomes, r.runsOfLoad)...)
+	r.Violations = append(r.Violations, judge.FalseSuccess(outcomes, runs)...)
+	r.Violations = append(r.Violations, judge.WrongResponses(outcomes)...)
+}
--- a/internal/bench/demo/report.go
+++ b/internal/bench/demo/report.go
@@ -7,6 +7,7 @@
 
 	"ebonyscale.example/ebonyscale/internal/bench/judge"
 	"ebonyscale.example/ebonyscale/internal/bench/load"
+	"ebonyscale.example/ebonyscale/internal/stand/plain"
 )
 
 // Report is the result of a demo.
@@ -32,6 +33,8 @@
 	ActiveAfter, RoleChangeAfter time.Duration
 
 	drainedAt, appliedAt time.Time
+	// runsOfLoad are the executions of plain services before the replays.
+	runsOfLoad []plain.Run
 }
 
 // maxActivation is the promised time within which an accepted configuration is
@@ -104,6 +107,23 @@
 		}
 		fmt.Fprintf(&text, "%s  %-40s %s\n", mark, p.Name, p.Seen)
 	}
+	text.WriteString(r.details())
+	return text.String()
+}
+
+// details returns a line for each violation, and for each request whose connection was lost
+// or that timed out.
+func (r *Report) details() string {
+	var text strings.Builder
+	for _, v := range r.Violations {
+		fmt.Fprintf(&text, "%s\n", v)
+	}
+	for _, o := range r.Result.Outcomes {
+		if o.ConnectionLost {
+			fmt.Fprintf(&text, "connection lost: request %d (%s) at %v of the load, after %v of %v: %v\n",
+				o.Number, o.Entry.Kind(), o.Entry.At.Round(time.Millisecond), o.Total.Round(time.Millisecond), o.Entry.Deadline, o.Err)
+		}
+	}
 	return text.String()
 }
 
