broker, core: the last peer may take its time to accept a request

Cause: at a machine load of 44 to 50 the only process that still reached the engines was not scheduled for 1.2 s. Each request that the two others handed to it was given up after 250 ms, met refused connections here, and ended as Overloaded after 0.45 s of its 2 s. The limit is there to go on at another peer, and there was none. It also counted the sending of the body, so that a long one to a slow peer could not be handed over at all. Change: the limit holds for each part of the body and for the acceptance; the last peer that is left gets half of the time to the deadline.

--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -66,6 +66,9 @@
 	Software string
 	// Hops is the number of peers that the request has been handed to, this one included.
 	Hops int
+	// LastPeer is set if no other peer can serve the request. It is not part of what the
+	// peer gets.
+	LastPeer bool
 	// Authenticated is set if client accounts are configured at the process that hands the
 	// request over. It has checked the key then: Account is the client account, empty if
 	// the route is public and the client gave no known key, and Priority the one that holds
@@ -228,8 +231,9 @@
 	b.Meters.Add("Carried", 1)
 	b.Log.Info("carried to a peer", zap.String("Request", j.request.ID), zap.String("Route", j.route.Name), zap.String("Service", j.service.Name),
 		zap.String("Peer", peer), zap.Int("Sends", j.attempts), zap.String("After", j.resumeAfter))
-	relay := &carryRelay{job: j}
-	err := b.Carrier.Carry(j.ctx, peer, j.carried(), relay)
+	relay, c := &carryRelay{job: j}, j.carried()
+	c.LastPeer = len(j.carriers) == MaxHops || b.Carrier.Choose(j.service.Name, j.carriers) == ""
+	err := b.Carrier.Carry(j.ctx, peer, c, relay)
 	if relay.ended {
 		return true
 	}
--- a/internal/node/broker/carry_test.go
+++ b/internal/node/broker/carry_test.go
@@ -162,6 +162,29 @@
 	})
 }
 
+// TestLastPeerIsKnown checks that a hop says whether another peer is left: if not, giving up
+// on a slow one loses the request.
+func TestLastPeerIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for count, want := range [][]bool{1: {true}, 2: {false, true}, MaxHops + 1: {false, false, true}} {
+			if want == nil {
+				continue
+			}
+			refusing := map[string]peerBehavior{}
+			for i := range count {
+				refusing[fmt.Sprint("p", i)] = breaksHop(retry.NotRun)
+			}
+			f, h := newCutFixture(t, refusing)
+			f.serve(t.Context(), newRequest("/write/x"))
+			var last []bool
+			for _, c := range h.carried {
+				last = append(last, c.LastPeer)
+			}
+			assert.Equal(t, want, last, "%d peers", count)
+		}
+	})
+}
+
 // TestBrokenHopRunsAtMostOnce checks what becomes of a request whose hop breaks.
 func TestBrokenHopRunsAtMostOnce(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/node/core/carry.go
+++ b/internal/node/core/carry.go
@@ -40,9 +40,14 @@
 	// many this process serves for peers.
 	maxHops    = 256
 	maxServing = 128
-	// handoverTimeout is the time within which a peer has to accept a request that is
-	// handed to it, the connection included. Until then it has not run.
+	// handoverTimeout is the time within which a peer has to take the next part of a request
+	// that is handed to it, and to accept the request after the last part. The first part
+	// includes the connection. Until the peer has accepted the request, it has not run.
 	handoverTimeout = 250 * time.Millisecond
+	// lastHandoverShare is the share of the time left that the last peer gets instead, if
+	// that is longer: there is no other to go on at, and a peer may pause for longer than
+	// handoverTimeout. The rest is left for the client to try elsewhere.
+	lastHandoverShare = 0.5
 	// pieceBytes is the size of the parts in which bodies are sent.
 	pieceBytes = 32 << 10
 	// farCost is by how many requests in progress a peer of another availability zone has
@@ -146,20 +151,20 @@
 	if !ok {
 		return &broker.CarryError{Outcome: retry.NotRun, Err: errPeerSilent}
 	}
-	timer := time.AfterFunc(handoverTimeout, func() { cancel(errHandover) })
-	defer timer.Stop()
+	progress := newHandover(request, func() { cancel(errHandover) })
+	defer progress.stop()
 	stream, done, err := c.node.Hops.Carry(ctx, member.Address)
 	if err != nil {
 		return &broker.CarryError{Outcome: retry.NotRun, Err: withCause(ctx, err)}
 	}
 	clean := false
 	defer func() { done(clean) }()
-	if err := c.handOver(stream, request); err != nil {
+	if err := c.handOver(stream, request, progress); err != nil {
 		// What the peer has not read of a body would hold up the next request.
 		clean = len(request.Request.Body) == 0 && finish(stream, err)
 		return carryError(ctx, retry.NotRun, err)
 	}
-	if !timer.Stop() {
+	if !progress.stop() {
 		return &broker.CarryError{Outcome: retry.NotRun, Err: errHandover}
 	}
 	// From here on the peer may have the order to run it.
@@ -174,6 +179,33 @@
 	return nil
 }
 
+// handover bounds the time in which a peer takes each part of a request and accepts it.
+type handover struct {
+	timer *time.Timer
+	limit time.Duration
+}
+
+// newHandover begins a handover. expired is called if the peer is too slow.
+func newHandover(request broker.Carried, expired func()) handover {
+	limit := handoverTimeout
+	if request.LastPeer {
+		limit = max(limit, time.Duration(lastHandoverShare*float64(time.Until(request.Request.Deadline))))
+	}
+	return handover{time.AfterFunc(limit, expired), limit}
+}
+
+// advance records that the peer has taken a part. It returns false if that was too late.
+func (h handover) advance() bool {
+	if !h.timer.Stop() {
+		return false
+	}
+	h.timer.Reset(h.limit)
+	return true
+}
+
+// stop ends the handover. It returns false if the peer was too slow.
+func (h handover) stop() bool { return h.timer.Stop() }
+
 // withCause adds the cause of the context's end to an error.
 func withCause(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
@@ -206,11 +238,20 @@
 }
 
 // handOver sends the request and waits until the peer has accepted it.
-func (c *carrier) handOver(stream wire.DRPCEntry_CarryClient, request broker.Carried) error {
+func (c *carrier) handOver(stream wire.DRPCEntry_CarryClient, request broker.Carried, progress handover) error {
 	if err := stream.Send(&wire.CarryPart{Request: encodeCarried(c.node.Name, time.Now(), request)}); err != nil {
 		return fmt.Errorf("send request: %w", err)
 	}
-	if err := sendPieces(request.Request.Body, func(p []byte) error { return stream.Send(&wire.CarryPart{Body: p}) }); err != nil {
+	err := sendPieces(request.Request.Body, func(p []byte) error {
+		if err := stream.Send(&wire.CarryPart{Body: p}); err != nil {
+			return err
+		}
+		if !progress.advance() {
+			return errHandover
+		}
+		return nil
+	})
+	if err != nil {
 		return err
 	}
 	reply, err := stream.Recv()
