core: two tests of carried requests wait for no clock

Cause: TestLostServicesAreTold gave Reconnect, which lists servers every 20 ms, a context of 50 ms; on a busy machine it ended before the first list. TestRefusedRequestWithLongBodyLeavesNoCallBehind depended on the handover limit of 250 ms for a body of 256 KB, as its error said. Change: the first waits until the service counts as lost, then checks as before; the second hands over with half of a minute as the limit. A call that is left behind still fails it.

--- a/internal/node/core/carry_test.go
+++ b/internal/node/core/carry_test.go
@@ -281,10 +281,13 @@
 	assert.Empty(t, a.carrier.Choose("s", map[string]bool{"b": true}))
 	server, _ := b.roster.Find("i-1", 1)
 	b.usage.MarkUnreachable(time.Now(), server)
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
 	b.Broker.Servers = &hopServers{connect: errors.ErrUnsupported}
-	_ = b.Broker.Reconnect(ctx)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = b.Broker.Reconnect(ctx) }()
+	require.Eventually(t, func() bool { return len(b.Broker.Lost()) > 0 }, 10*time.Second, time.Millisecond)
+	cancel()
+	<-ended
 	assert.Equal(t, []string{"s"}, b.Broker.Lost())
 	tell(func(*wire.News) {})
 	assert.Empty(t, a.carrier.Choose("s", nil))
@@ -350,12 +353,15 @@
 	body := []byte(strings.Repeat("x", 8*pieceBytes))
 	servers := &hopServers{respond: func(context.Context, broker.Call) (*broker.Response, error) { return whole(200, "ok"), nil }}
 	a, b, _ := newHop(t, servers)
+	// A busy machine must not end the handover, which gets half of the time left.
+	request := carriedRequest("/w/x", body)
+	request.LastPeer, request.Request.Deadline = true, time.Now().Add(time.Minute)
 	for range 5 {
 		b.stopping.Store(true)
-		outcome, reason := outcomeOf(t, a.carrier.Carry(t.Context(), "b", carriedRequest("/w/x", body), &hopRelay{}))
+		outcome, reason := outcomeOf(t, a.carrier.Carry(t.Context(), "b", request, &hopRelay{}))
 		assert.Equal(t, retry.NotRun, outcome)
 		assert.Equal(t, broker.PeerFull, reason)
 		b.stopping.Store(false)
-		assert.NoError(t, a.carrier.Carry(t.Context(), "b", carriedRequest("/w/x", body), &hopRelay{}))
+		assert.NoError(t, a.carrier.Carry(t.Context(), "b", request, &hopRelay{}))
 	}
 }
