report: a window waits for the counts of the incarnation that is live

Cause: the final counts that a process sent as it stopped made the open window complete, although its next incarnation had started in the window and had not sent its counts. Change: Complete takes the latest known incarnation of each process (status messages, entry in the store). A window is complete with the final counts of that incarnation, or with those of the one before if they came after the end of the window. Final counts are sent for all windows since the start.

--- a/internal/fleet/peers/choose.go
+++ b/internal/fleet/peers/choose.go
@@ -37,17 +37,20 @@
 	return t.candidates(key, stopping, count, func(*peer) bool { return false })
 }
 
-// LiveMembers returns the names of the live members, this process included if it is one.
-func (t *Table) LiveMembers() []string {
+// LiveMembers returns the live members, this process included if it is one, with the latest
+// known incarnation of each: that of its status messages or of its entry in the store.
+func (t *Table) LiveMembers() map[string]uint64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	names := make([]string, 0, len(t.peers)+1)
-	for name := range t.members {
-		if _, live := t.peers[name]; live || name == t.Self {
-			names = append(names, name)
+	live := make(map[string]uint64, len(t.peers)+1)
+	for name, m := range t.members {
+		if p, ok := t.peers[name]; ok {
+			live[name] = max(p.incarnation, m.Incarnation)
+		} else if name == t.Self {
+			live[name] = m.Incarnation
 		}
 	}
-	return names
+	return live
 }
 
 // candidates is Coordinators without the peers that are excluded.
--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -176,7 +176,7 @@
 		a.Began("x", now)
 		current := report.WindowAt(now, 5*time.Second)
 		for w := current - 9; w <= current+9; w++ {
-			a.collector.Complete(w, []string{"a", "b"})
+			a.collector.Complete(w, []report.Process{{Name: "a"}, {Name: "b", Incarnation: 1}})
 			r := report.New(w, a.collector.Totals(w))
 			if !json.Valid([]byte(r.Body)) || (w > current+2 || w < current-7) && len(a.collector.Totals(w)) > 0 {
 				t.Fatal(r.Body)
--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -119,6 +119,7 @@
 	}
 	a.countEarly()
 	now, stopping := a.clock.Time(at), a.node.stopping.Load()
+	a.counter.Begin(a.clock.Time(a.started))
 	for _, m := range a.counter.Due(now, a.collectors(), stopping) {
 		a.send(now, m, a.node.coordination.push)
 	}
@@ -227,14 +228,22 @@
 // expected returns the processes whose counts a report waits for: the live members, and those
 // that have recently become silent without a planned end. They may be partitioned from this
 // process and still serve clients.
-func (a *accounting) expected(at time.Time) []string {
-	names := a.node.peers.LiveMembers()
+func (a *accounting) expected(at time.Time) []report.Process {
+	var list []report.Process
+	for name, incarnation := range a.node.peers.LiveMembers() {
+		if name == a.node.Name {
+			incarnation = a.node.incarnation
+		}
+		list = append(list, report.Process{Name: name, Incarnation: incarnation})
+	}
 	for name, heard := range a.node.peers.Quiet() {
-		if !a.collector.Ended(name) && !heard.IsZero() && at.Sub(heard) < a.node.Duties.Window+a.node.Duties.ReportWithin {
-			names = append(names, name)
+		member, _ := a.node.peers.Member(name)
+		p := report.Process{Name: name, Incarnation: member.Incarnation}
+		if !a.collector.Ended(p) && !heard.IsZero() && at.Sub(heard) < a.node.Duties.Window+a.node.Duties.ReportWithin {
+			list = append(list, p)
 		}
 	}
-	return names
+	return list
 }
 
 // countSkipped updates the metric of skipped windows.
--- a/internal/plan/report/collector.go
+++ b/internal/plan/report/collector.go
@@ -40,6 +40,9 @@
 // share has the counts of one incarnation.
 type share struct {
 	counts map[string]uint32
+	// closed is set if final counts arrived after the end of the window, so that the
+	// incarnation still ran then.
+	closed bool
 	// parts is the number of parts of the final counts, 0 if they are not known. finals has
 	// the first account of each part that has arrived.
 	parts  int
@@ -80,6 +83,8 @@
 		s.addFinal(p)
 		if now.Before(EndOf(p.Window, c.Window)) {
 			c.addEnding(process, ending{incarnation, p.Window})
+		} else {
+			s.closed = true
 		}
 	}
 }
@@ -95,12 +100,13 @@
 	c.ended[process] = e
 }
 
-// Ended reports whether a process has ended as planned and has sent no counts since.
-func (c *Collector) Ended(process string) bool {
+// Ended reports whether an incarnation of a process, or a later one, has ended as planned and
+// the process has sent no counts since.
+func (c *Collector) Ended(p Process) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, ended := c.ended[process]
-	return ended
+	last, ended := c.ended[p.Name]
+	return ended && p.Incarnation <= last.incarnation
 }
 
 // addFinal records that a part of the final counts has arrived. Parts is at most maxAccounts,
@@ -173,23 +179,42 @@
 	return totals
 }
 
-// Complete reports whether the latest incarnations of all the processes have sent their final
-// counts of a window.
-func (c *Collector) Complete(window int64, processes []string) bool {
+// Process is a process whose counts are waited for, with its latest known incarnation, 0 if
+// none is known.
+type Process struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Complete reports whether all the processes have sent their final counts of a window.
+func (c *Collector) Complete(window int64, processes []Process) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, name := range processes {
-		t, ok := c.windows[window][name]
-		if !ok {
-			return false
-		}
-		if s := t.shares[t.newest]; s.parts == 0 || len(s.finals) < s.parts {
+	for _, p := range processes {
+		if t, ok := c.windows[window][p.Name]; !ok || !t.complete(p.Incarnation) {
 			return false
 		}
 	}
 	return true
 }
 
+// complete reports whether the final counts are known that a process with the given latest
+// incarnation will send. Those of an earlier incarnation do only if it still ran at the end of
+// the window, so that the latest one began after it.
+func (t *tally) complete(latest uint64) bool {
+	newest := t.shares[t.newest]
+	if !newest.final() {
+		return false
+	}
+	if s, ok := t.shares[latest]; ok {
+		return s.final()
+	}
+	return latest < t.newest || newest.closed
+}
+
+// final reports whether all parts of the final counts have arrived.
+func (s *share) final() bool { return s.parts > 0 && len(s.finals) >= s.parts }
+
 // Earliest returns the first window, up to the given one, in which a request is known to have
 // begun; the given one if there is none.
 func (c *Collector) Earliest(window int64) int64 {
--- a/internal/plan/report/counter.go
+++ b/internal/plan/report/counter.go
@@ -36,9 +36,11 @@
 
 	mu      sync.Mutex
 	windows map[int64]*counted
-	// began is the window of the first call of Due.
+	// began is the first window whose counts are sent.
 	began   int64
 	running bool
+	// started is the window in which the process started, 0 if it is not known.
+	started int64
 }
 
 // counted are the counts of one window.
@@ -90,6 +92,14 @@
 	return w
 }
 
+// Begin records the true time at which the process started, of which a better estimate may
+// follow: its final counts of the windows from then on are waited for.
+func (c *Counter) Begin(started time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started = WindowAt(started, c.Window)
+}
+
 // Due returns what is to be sent now to the collectors. A collector gets the counts of each
 // window once a second while they change, once at the end of the window and finalSends times
 // as final; a new one those of all windows that are kept. With immediately set, changes are
@@ -157,6 +167,9 @@
 		// The windows before are those of an earlier process of this name, whose final
 		// counts nobody else sends.
 		c.running, c.began = true, current-2
+		if c.started > 0 {
+			c.began = min(c.began, c.started)
+		}
 	}
 	return current
 }
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -28,6 +28,14 @@
 	return all
 }
 
+// expect returns processes whose incarnations are not known.
+func expect(names ...string) (list []Process) {
+	for _, name := range names {
+		list = append(list, Process{Name: name})
+	}
+	return list
+}
+
 // TestDue checks when counts are sent: once a second while they change, at the end of the
 // window, and twice as final; also for windows without requests, which a collector waits for.
 func TestDue(t *testing.T) {
@@ -69,7 +77,7 @@
 		if m.Part.Window != 1000 {
 			continue
 		}
-		assert.False(t, collector.Complete(1000, []string{"a"}))
+		assert.False(t, collector.Complete(1000, expect("a")))
 		collector.Add(at(5.5), "a", 7, m.Part)
 		parts++
 		u := &wire.WindowUsage{Window: m.Part.Window, Final: true, Parts: uint32(m.Part.Parts)}
@@ -80,7 +88,7 @@
 		assert.LessOrEqual(t, size, 1200)
 	}
 	require.Greater(t, parts, 5)
-	assert.True(t, collector.Complete(1000, []string{"a"}))
+	assert.True(t, collector.Complete(1000, expect("a")))
 	assert.Len(t, collector.Totals(1000), 300)
 	assert.EqualValues(t, 7, collector.Totals(1000)["account-with-a-long-name-6"])
 }
@@ -96,14 +104,14 @@
 	add("a", 1, false, 3)
 	add("b", 1, true, 10)
 	assert.EqualValues(t, 15, c.Totals(1000)["x"])
-	assert.False(t, c.Complete(1000, []string{"a", "b"}))
-	assert.True(t, c.Complete(1000, []string{"b"}))
+	assert.False(t, c.Complete(1000, expect("a", "b")))
+	assert.True(t, c.Complete(1000, expect("b")))
 	add("a", 2, false, 4)
 	assert.EqualValues(t, 19, c.Totals(1000)["x"])
 	add("a", 1, true, 5)
-	assert.False(t, c.Complete(1000, []string{"a", "b"}), "the new incarnation may count more")
+	assert.False(t, c.Complete(1000, expect("a", "b")), "the new incarnation may count more")
 	add("a", 2, true, 6)
-	assert.True(t, c.Complete(1000, []string{"a", "b"}))
+	assert.True(t, c.Complete(1000, expect("a", "b")))
 	assert.EqualValues(t, 21, c.Totals(1000)["x"])
 	assert.Equal(t, `{"Window":1000,"Counts":{"x":21}}`, New(1000, c.Totals(1000)).Body)
 	assert.Equal(t, `{"Window":1001,"Counts":{}}`, New(1001, c.Totals(1001)).Body)
@@ -111,6 +119,38 @@
 	assert.Empty(t, c.Totals(1000), "forgotten")
 }
 
+// TestCompleteWithRestart guards against a report without the counts of a process that has
+// started again in the window, whose final counts its former incarnation has sent as it
+// stopped, and against waiting for one that has started after the window.
+func TestCompleteWithRestart(t *testing.T) {
+	c := Collector{Window: 5 * time.Second}
+	restarted := []Process{{"a", 2}}
+	final := Part{Window: 1000, Final: true, Parts: 1, Counts: []Count{{"x", 5}}}
+	c.Add(at(2), "a", 1, final)
+	assert.True(t, c.Ended(Process{"a", 1}))
+	assert.False(t, c.Ended(Process{"a", 2}), "it is started again")
+	assert.False(t, c.Complete(1000, restarted))
+	c.Add(at(5.6), "a", 2, final)
+	assert.True(t, c.Complete(1000, restarted))
+	assert.EqualValues(t, 10, c.Totals(1000)["x"])
+
+	final.Window = 1001
+	c.Add(at(10.6), "a", 2, final)
+	assert.True(t, c.Complete(1001, []Process{{"a", 3}}), "it started after the window")
+	c.Add(at(10.7), "a", 3, Part{Window: 1001})
+	assert.False(t, c.Complete(1001, []Process{{"a", 3}}), "by its own counts before")
+	assert.False(t, c.Complete(1001, []Process{{"a", 2}}), "it is known by its counts only")
+}
+
+// TestCountsSinceTheStart guards against the loss of the counts of a process that learned true
+// time three short windows after its start.
+func TestCountsSinceTheStart(t *testing.T) {
+	c := Counter{Window: 5 * time.Second}
+	c.Begin(at(1))
+	c.Count(at(2), "x")
+	assert.Equal(t, "h 1000 final=true [{x 1}]", summary(c.Due(at(16), []string{"h"}, false))[0])
+}
+
 // TestFinalPartsAreBounded guards against a peer that fills the memory with final parts, by a
 // number of parts that no process has or by accounts whose counts are not kept.
 func TestFinalPartsAreBounded(t *testing.T) {
@@ -127,9 +167,9 @@
 		assert.LessOrEqual(t, len(s.finals), most, name)
 		assert.LessOrEqual(t, len(s.counts), maxAccounts, name)
 	}
-	assert.True(t, c.Complete(1000, []string{"most"}), "the most accounts that a process counts, each in a part of its own")
-	assert.False(t, c.Complete(1000, []string{"many"}))
-	assert.False(t, c.Complete(1000, []string{"long"}))
+	assert.True(t, c.Complete(1000, expect("most")), "the most accounts that a process counts, each in a part of its own")
+	assert.False(t, c.Complete(1000, expect("many")))
+	assert.False(t, c.Complete(1000, expect("long")))
 }
 
 // TestEnded checks that a process that has ended as planned is known by the final counts of the
@@ -138,19 +178,19 @@
 	c := Collector{Window: 5 * time.Second}
 	final := Part{Window: 1000, Final: true, Parts: 1}
 	c.Add(at(5.6), "a", 1, final)
-	assert.False(t, c.Ended("a"))
+	assert.False(t, c.Ended(Process{Name: "a"}))
 	c.Add(at(3), "b", 1, final)
-	assert.True(t, c.Ended("b"))
+	assert.True(t, c.Ended(Process{Name: "b"}))
 	c.Add(at(3), "b", 1, final)
-	assert.True(t, c.Ended("b"))
+	assert.True(t, c.Ended(Process{Name: "b"}))
 	c.Add(at(4), "b", 2, Part{Window: 1000})
-	assert.False(t, c.Ended("b"))
+	assert.False(t, c.Ended(Process{Name: "b"}))
 	c.Add(at(4.9), "d", 1, final)
 	c.Add(at(7), "d", 1, Part{Window: 1001})
-	assert.False(t, c.Ended("d"), "its clock is ahead: it counts on in the next window")
+	assert.False(t, c.Ended(Process{Name: "d"}), "its clock is ahead: it counts on in the next window")
 	c.Add(at(4.9), "e", 1, final)
 	c.Add(at(5), "e", 1, Part{Window: 1000})
-	assert.True(t, c.Ended("e"), "an earlier message that arrives later")
+	assert.True(t, c.Ended(Process{Name: "e"}), "an earlier message that arrives later")
 }
 
 // TestMachineWaits checks when a report is fixed: once all live processes have sent their final
@@ -164,15 +204,15 @@
 	assert.NoError(t, m.Read(at(0), 0, nil, c))
 	final := Part{Window: 1000, Final: true, Parts: 1}
 	c.Add(at(5.5), "a", 1, final)
-	assert.Equal(t, Wait, m.Decide(at(5.9), 0, c, []string{"a"}).Kind, "too early")
-	assert.Equal(t, Wait, m.Decide(at(6), 0, c, []string{"a", "b"}).Kind, "one is missing")
-	assert.Equal(t, Wait, m.Decide(at(12.9), 0, c, []string{"a", "b"}).Kind)
-	assert.Equal(t, Fix, m.Decide(at(13), 0, c, []string{"a", "b"}).Kind, "as late as possible")
+	assert.Equal(t, Wait, m.Decide(at(5.9), 0, c, expect("a")).Kind, "too early")
+	assert.Equal(t, Wait, m.Decide(at(6), 0, c, expect("a", "b")).Kind, "one is missing")
+	assert.Equal(t, Wait, m.Decide(at(12.9), 0, c, expect("a", "b")).Kind)
+	assert.Equal(t, Fix, m.Decide(at(13), 0, c, expect("a", "b")).Kind, "as late as possible")
 	m.Begin(at(14))
 	assert.NoError(t, m.Read(at(14), 0, nil, c))
-	assert.Equal(t, Wait, m.Decide(at(14), 0, c, []string{"a", "b"}).Kind)
+	assert.Equal(t, Wait, m.Decide(at(14), 0, c, expect("a", "b")).Kind)
 	c.Add(at(14), "b", 1, final)
-	assert.Equal(t, Fix, m.Decide(at(14), 0, c, []string{"a", "b"}).Kind)
+	assert.Equal(t, Fix, m.Decide(at(14), 0, c, expect("a", "b")).Kind)
 	assert.Equal(t, Fix, m.Decide(at(29.9), 0, c, nil).Kind, "late")
 	assert.Zero(t, m.Skipped())
 	assert.Equal(t, Fix, m.Decide(at(40), 0, c, nil).Kind)
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -106,9 +106,9 @@
 // Skipped returns how many windows have been skipped in total.
 func (m *Machine) Skipped() int64 { return m.skipped }
 
-// Decide returns the next action. era is the latest known era of the store, processes has
-// the names of those whose counts are waited for.
-func (m *Machine) Decide(now time.Time, era uint64, c *Collector, processes []string) Action {
+// Decide returns the next action. era is the latest known era of the store, processes are
+// those whose counts are waited for.
+func (m *Machine) Decide(now time.Time, era uint64, c *Collector, processes []Process) Action {
 	if !m.known {
 		return Action{Kind: Read}
 	}
--- a/internal/plan/report/model_test.go
+++ b/internal/plan/report/model_test.go
@@ -181,7 +181,7 @@
 		w.between()
 		w.between = nil
 	}
-	a := p.machine.Decide(w.now, p.era, &p.collector, []string{"x"})
+	a := p.machine.Decide(w.now, p.era, &p.collector, expect("x"))
 	switch a.Kind {
 	case Read:
 		o := w.get(p, usageKey)
