report, core: counts are saved in the store when no collector is left

Cause: processes that all stop as planned within a second or so sent their final counts to collectors that were stopping too, or to nobody. Change: a process that stops while no live process is left that does not stop merges its counts and those that it holds as a collector into the object duties/counts (one conditional write). The next holder adds them once, before it fixes a report, and removes the object when its windows are reported. An earlier era is ignored. Evidence: TestUsageReportsWhenAllStop, TestSavedCounts and the model's new event, each red without the saving or the reading. Tests of the machine call ReadSaved too, as it has one more step.

--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -15,6 +16,7 @@
 	"ebonyscale.example/ebonyscale/internal/fleet/peers"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/plan/report"
+	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 // TestUsageReports checks the reports where nothing fails but the clock of one VM, which is
@@ -67,6 +69,34 @@
 	})
 }
 
+// TestUsageReportsWhenAllStop guards against the loss of counts if all processes stop as planned
+// within a second, while they still serve requests, and against their former counts being
+// reported twice.
+func TestUsageReportsWhenAllStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newUsageFleet(t, 4)
+		o.run(13 * time.Second)
+		for _, n := range o.live() {
+			n.stopping.Store(true)
+			n.accounting.sendDue(time.Now())
+			o.run(300 * time.Millisecond)
+		}
+		o.run(time.Second)
+		for name, n := range o.live() {
+			n.accounting.Flush(t.Context(), time.Now())
+			o.kill(name)
+		}
+		for i := range 4 {
+			o.start(fmt.Sprint("p", i))
+		}
+		o.run(13 * time.Second)
+		o.rest()
+		o.check(0, 1e-9)
+		_, err := o.store.Get(t.Context(), savedKey)
+		assert.ErrorIs(t, err, store.ErrAbsent, "removed when its windows are reported")
+	})
+}
+
 // TestUsageReportsOverAPartition checks that the counts of processes that are cut off from the
 // others for less than 8 s after the end of a window are in its report, whether the holder is
 // among them or not, and that the two sides do not act at the same time.
@@ -130,7 +160,7 @@
 	n.Prepare()
 	n.peers.Replace([]peers.Member{{Name: "a"}})
 	n.accounting.Began("x", time.Now())
-	n.accounting.Flush(time.Now())
+	n.accounting.Flush(t.Context(), time.Now())
 	now := time.Now()
 	window := report.WindowAt(now, 5*time.Second)
 	assert.EqualValues(t, 1, n.accounting.collector.Totals(window)["x"]+n.accounting.collector.Totals(window - 1)["x"])
--- a/internal/node/core/stop.go
+++ b/internal/node/core/stop.go
@@ -44,7 +44,9 @@
 	server.Refuse(ctx)
 	n.awaitEnd(ctx, server, time.Now().Add(lastWait))
 	if n.accounting != nil {
-		n.accounting.Flush(time.Now())
+		flushCtx, cancel := context.WithDeadline(ctx, began.Add(grace))
+		n.accounting.Flush(flushCtx, time.Now())
+		cancel()
 	}
 	n.Log.Info("stopped", zap.Int("Active", server.Active()), zap.Duration("Took", time.Since(began)))
 }
--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -19,8 +19,12 @@
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
-// usageKey is the key of the store's object with the usage report that was fixed last.
-const usageKey = dutiesName + "/usage"
+// usageKey is the key of the store's object with the usage report that was fixed last,
+// savedKey that of the counts of processes that stopped without a collector.
+const (
+	usageKey = dutiesName + "/usage"
+	savedKey = dutiesName + "/counts"
+)
 
 const (
 	// countInterval is the period at which due counts are sent to the collectors,
@@ -33,6 +37,8 @@
 	// minReportRetry and maxReportRetry bound the pause after a failed call.
 	minReportRetry = 100 * time.Millisecond
 	maxReportRetry = time.Second
+	// minSaveRetry is the pause after counts could not be saved at the end of the process.
+	minSaveRetry = 20 * time.Millisecond
 	// maxEarly bounds the requests that are kept until true time is known.
 	maxEarly = 4096
 )
@@ -125,11 +131,16 @@
 	}
 }
 
-// Flush sends the final counts of a process that ends. They are sent when it returns.
-func (a *accounting) Flush(at time.Time) {
+// Flush passes on the final counts of a process that ends, until ctx ends: to the collectors
+// or, if all processes that are live are stopping too, to the store.
+func (a *accounting) Flush(ctx context.Context, at time.Time) {
 	a.countEarly()
-	now, mesh := a.clock.Time(at), a.node.mesh()
-	for _, m := range a.counter.Flush(now, a.collectors()) {
+	now, mesh, collectors := a.clock.Time(at), a.node.mesh(), a.collectors()
+	if len(collectors) == 0 {
+		a.save(ctx, now)
+		return
+	}
+	for _, m := range a.counter.Flush(now, collectors) {
 		a.send(now, m, func(to string, message *wire.News) {
 			if member, ok := a.node.peers.Member(to); ok {
 				message.From = a.node.Name
@@ -139,6 +150,59 @@
 	}
 }
 
+// save saves the counts that this process holds, its own and those of others, to the store.
+func (a *accounting) save(ctx context.Context, now time.Time) {
+	for _, m := range a.counter.Flush(now, []string{a.node.Name}) {
+		a.send(now, m, nil)
+	}
+	retry := backoff.ExponentialBackOff{InitialInterval: minSaveRetry, Multiplier: 2, MaxInterval: maxReportRetry}
+	retry.Reset()
+	err := a.saveOnce(ctx, now)
+	for err != nil && timer.Wait(ctx, retry.NextBackOff()) {
+		err = a.saveOnce(ctx, now)
+	}
+	if err != nil {
+		a.node.Log.Warn("usage counts could not be saved", zap.Error(err))
+		return
+	}
+	a.node.Log.Info("usage counts saved, no process is left to take them")
+}
+
+// saveOnce merges the counts with those in the store.
+func (a *accounting) saveOnce(ctx context.Context, now time.Time) error {
+	object, err := a.get(ctx, savedKey)
+	if err != nil {
+		return err
+	}
+	// An object of an earlier era is replaced.
+	if saved, err := report.ParseSaved(object.Value); err == nil && saved.Era == a.node.Duties.era() {
+		a.collector.Restore(now, saved)
+	}
+	value := a.collector.Save(a.node.Duties.era()).Encode()
+	_, err = a.node.Store.Put(ctx, store.Object{Key: savedKey, Value: value, Version: versionOf(object)})
+	return err
+}
+
+// get reads an object. One that is absent has revision 0.
+func (a *accounting) get(ctx context.Context, key string) (store.Object, error) {
+	object, err := a.node.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrAbsent) {
+		return store.Object{Version: store.Version(a.node.Duties.era(), 0)}, nil
+	}
+	if err != nil {
+		return object, fmt.Errorf("read usage counts: %w", err)
+	}
+	return object, nil
+}
+
+// versionOf returns the version that a write replaces.
+func versionOf(o store.Object) uint64 {
+	if store.Revision(o.Version) == 0 {
+		return 0
+	}
+	return o.Version
+}
+
 // collectors returns the processes that get the counts.
 func (a *accounting) collectors() []string {
 	return a.node.peers.Coordinators(dutiesKey, a.node.stopping.Load(), usageCollectors)
@@ -264,18 +328,19 @@
 		return a.fix(ctx, grant, action)
 	case report.Send:
 		return a.deliver(ctx, grant, action.Report)
+	case report.ReadSaved:
+		return a.readSaved(ctx, now)
+	case report.RemoveSaved:
+		return a.removeSaved(ctx, action.Version)
 	}
 	return nil
 }
 
 // read reads the store's object.
 func (a *accounting) read(ctx context.Context, now time.Time) error {
-	object, err := a.node.Store.Get(ctx, usageKey)
-	if errors.Is(err, store.ErrAbsent) {
-		object, err = store.Object{Version: store.Version(a.node.Duties.era(), 0)}, nil
-	}
+	object, err := a.get(ctx, usageKey)
 	if err != nil {
-		return fmt.Errorf("read usage reports: %w", err)
+		return err
 	}
 	if err := a.machine.Read(now, object.Version, object.Value, &a.collector); err != nil {
 		a.node.Log.Error("record of usage reports can't be used and is replaced", zap.Error(err))
@@ -283,6 +348,31 @@
 	return nil
 }
 
+// readSaved reads the counts that stopped processes have saved.
+func (a *accounting) readSaved(ctx context.Context, now time.Time) error {
+	object, err := a.get(ctx, savedKey)
+	if err != nil {
+		return err
+	}
+	if err := a.machine.ReadSaved(now, object.Version, object.Value, &a.collector); err != nil {
+		a.node.Log.Error("saved usage counts can't be used and are removed", zap.Error(err))
+	}
+	return nil
+}
+
+// removeSaved removes the saved counts once their windows are reported.
+func (a *accounting) removeSaved(ctx context.Context, version uint64) error {
+	_, err := a.node.Store.Put(ctx, store.Object{Key: savedKey, Version: version})
+	if err == nil {
+		a.machine.RemovedSaved()
+		return nil
+	}
+	if errors.Is(err, store.ErrConflict) || !store.NotWritten(err) {
+		a.machine.UnsettledSaved()
+	}
+	return fmt.Errorf("remove usage counts: %w", err)
+}
+
 // fix writes a report to the store.
 func (a *accounting) fix(ctx context.Context, grant lease.Grant, action report.Action) error {
 	version, err := a.node.Store.Put(ctx, store.Object{Key: usageKey, Value: action.Record.Encode(), Version: action.Version})
--- a/internal/plan/report/collector.go
+++ b/internal/plan/report/collector.go
@@ -73,11 +73,7 @@
 		return
 	}
 	for _, n := range p.Counts {
-		known, ok := s.counts[n.Account]
-		if n.Account == "" || len(n.Account) > maxName || !ok && len(s.counts) >= maxAccounts {
-			continue
-		}
-		s.counts[n.Account] = max(known, n.Requests)
+		s.raise(n.Account, n.Requests)
 	}
 	if p.Final && p.Parts > 0 && p.Parts <= maxAccounts {
 		s.addFinal(p)
@@ -89,6 +85,15 @@
 	}
 }
 
+// raise raises the count of an account, if it is lower.
+func (s *share) raise(account string, requests uint32) {
+	known, ok := s.counts[account]
+	if account == "" || len(account) > maxName || !ok && len(s.counts) >= maxAccounts {
+		return
+	}
+	s.counts[account] = max(known, requests)
+}
+
 // addEnding records the planned end of a process. The caller must hold mu.
 func (c *Collector) addEnding(process string, e ending) {
 	if c.ended == nil {
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 // at returns a time in window 1000.
@@ -202,6 +203,7 @@
 	m.Begin(at(0))
 	assert.Equal(t, Read, m.Decide(at(0), 0, c, nil).Kind)
 	assert.NoError(t, m.Read(at(0), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(0), 0, nil, c))
 	final := Part{Window: 1000, Final: true, Parts: 1}
 	c.Add(at(5.5), "a", 1, final)
 	assert.Equal(t, Wait, m.Decide(at(5.9), 0, c, expect("a")).Kind, "too early")
@@ -210,6 +212,7 @@
 	assert.Equal(t, Fix, m.Decide(at(13), 0, c, expect("a", "b")).Kind, "as late as possible")
 	m.Begin(at(14))
 	assert.NoError(t, m.Read(at(14), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(14), 0, nil, c))
 	assert.Equal(t, Wait, m.Decide(at(14), 0, c, expect("a", "b")).Kind)
 	c.Add(at(14), "b", 1, final)
 	assert.Equal(t, Fix, m.Decide(at(14), 0, c, expect("a", "b")).Kind)
@@ -219,6 +222,58 @@
 	assert.EqualValues(t, 3, m.Skipped(), "the counts are no longer kept")
 }
 
+// TestSavedCounts guards against the loss of counts that stopped processes have saved, against
+// counting them twice, and against an object that stays when its windows are reported, is of an
+// era before or has no counts.
+func TestSavedCounts(t *testing.T) {
+	first, second := &Collector{Window: 5 * time.Second}, &Collector{Window: 5 * time.Second}
+	add := func(c *Collector, process string, requests uint32) {
+		c.Add(at(3), process, 1, Part{Window: 1000, Final: true, Parts: 1, Counts: []Count{{"x", requests}, {"y", 1}}})
+	}
+	add(first, "a", 5)
+	add(second, "a", 4)
+	add(second, "b", 7)
+	saved, err := ParseSaved(first.Save(1).Encode())
+	require.NoError(t, err)
+	assert.EqualValues(t, 1000, second.Restore(at(4), saved))
+	value := second.Save(1).Encode()
+	for i, c := range []struct {
+		value string
+		era   uint64
+		want  string
+	}{
+		{string(value), 1, `{"Window":1000,"Counts":{"x":12,"y":2}}`},
+		{string(value), 2, `{"Window":1000,"Counts":{}}`},
+		{`{"Era":1,"Accounts":["x"],"Shares":[{"Window":1000,"Counts":[3,4,0]},{"Window":9,"Counts":[0,1]}]}`, 1, `{"Window":1000,"Counts":{}}`},
+		{"{", 1, `{"Window":1000,"Counts":{}}`},
+	} {
+		next := &Collector{Window: 5 * time.Second}
+		m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
+		m.Begin(at(4))
+		record := Record{Era: c.era, Next: 1000}
+		require.NoError(t, m.Read(at(4), store.Version(c.era, 3), record.Encode(), next))
+		require.Equal(t, ReadSaved, m.Decide(at(4), c.era, next, nil).Kind)
+		version := store.Version(c.era, 4)
+		_ = m.ReadSaved(at(4), version, []byte(c.value), next)
+		removals := 0
+		for a := m.Decide(at(6.1), c.era, next, nil); a.Kind != Wait; a = m.Decide(at(6.1), c.era, next, nil) {
+			if a.Kind == RemoveSaved {
+				assert.Equal(t, version, a.Version)
+				assert.True(t, i > 0 || m.next == 1001, "its counts are not reported")
+				m.RemovedSaved()
+				removals++
+				continue
+			}
+			require.Equal(t, Fix, a.Kind)
+			assert.Equal(t, c.want, a.Record.Report.Body)
+			m.Fixed(store.Version(c.era, 5), a)
+			m.Delivered(a.Record.Report)
+		}
+		assert.Equal(t, 1, removals)
+		assert.EqualValues(t, 1001, m.next)
+	}
+}
+
 // TestWrongTimeAtTheStart checks that a process whose clock is an hour ahead until it hears its
 // peers counts and reports in true time after that.
 func TestWrongTimeAtTheStart(t *testing.T) {
@@ -227,6 +282,7 @@
 	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1720}
 	m.Begin(at(3600))
 	require.NoError(t, m.Read(at(3600), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(3600), 0, nil, c))
 	require.Equal(t, Wait, m.Decide(at(3600), 0, c, nil).Kind)
 	counter.Count(at(3600), "x")
 	counter.Due(at(3600), []string{"h"}, false)
@@ -234,6 +290,7 @@
 	assert.Contains(t, summary(counter.Due(at(1), []string{"h"}, false)), "h 1000 final=false [{x 1}]")
 	require.Equal(t, Read, m.Decide(at(1), 0, c, nil).Kind)
 	require.NoError(t, m.Read(at(1), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(1), 0, nil, c))
 	a := m.Decide(at(13), 0, c, nil)
 	require.Equal(t, Fix, a.Kind)
 	assert.EqualValues(t, 1000, a.Record.Report.Window)
@@ -247,6 +304,7 @@
 	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1009}
 	m.Begin(at(45))
 	require.NoError(t, m.Read(at(45), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(45), 0, nil, c))
 	fixed := m.Decide(at(58), 0, c, nil)
 	require.EqualValues(t, 1009, fixed.Record.Report.Window)
 	m.Fixed(1, fixed)
@@ -254,6 +312,7 @@
 	next := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1006}
 	next.Begin(at(38))
 	require.NoError(t, next.Read(at(38), 1, fixed.Record.Encode(), c))
+	require.NoError(t, next.ReadSaved(at(38), 0, nil, c))
 	next.Delivered(fixed.Record.Report)
 	for _, m := range []*Machine{m, next} {
 		for second := 38.0; second < 56; second++ {
@@ -271,6 +330,7 @@
 		m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
 		m.Begin(at(2))
 		_ = m.Read(at(2), 3, []byte(odd), c)
+		require.NoError(t, m.ReadSaved(at(2), 0, nil, c))
 		a := m.Decide(at(13.1), 0, c, nil)
 		require.Equal(t, Fix, a.Kind, odd)
 		assert.GreaterOrEqual(t, a.Record.Report.Window, int64(997), odd)
@@ -286,6 +346,7 @@
 	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
 	m.Begin(at(2))
 	require.NoError(t, m.Read(at(2), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(2), 0, nil, c))
 	m.Fixed(1, m.Decide(at(13.1), 0, c, nil))
 	for range maxRefusals - 1 {
 		a := m.Decide(at(13.1), 0, c, nil)
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -58,6 +58,12 @@
 	// Send means to send the report, and to call Machine.Delivered, Refused or, after any
 	// other error, Failed.
 	Send
+	// ReadSaved means to read the object with the counts that stopped processes have saved,
+	// and to call Machine.ReadSaved.
+	ReadSaved
+	// RemoveSaved means to remove Version of that object, and to call Machine.RemovedSaved or
+	// UnsettledSaved.
+	RemoveSaved
 )
 
 // Action is the next thing to do.
@@ -97,11 +103,16 @@
 	refusals int
 	// skipped counts the windows that are not reported.
 	skipped int64
+	// savedKnown is set once the object with saved counts was read. savedVersion is its
+	// version, 0 if there is none, savedLast the last window in it.
+	savedKnown   bool
+	savedVersion uint64
+	savedLast    int64
 }
 
 // Begin records that this process has become the holder. What other holders have done
 // meanwhile has to be read first.
-func (m *Machine) Begin(now time.Time) { m.known, m.begun = false, now }
+func (m *Machine) Begin(now time.Time) { m.known, m.savedKnown, m.begun = false, false, now }
 
 // Skipped returns how many windows have been skipped in total.
 func (m *Machine) Skipped() int64 { return m.skipped }
@@ -120,6 +131,12 @@
 	if m.pending() {
 		return Action{Kind: Send, Report: m.record.Report}
 	}
+	if !m.savedKnown {
+		return Action{Kind: ReadSaved}
+	}
+	if m.savedVersion != 0 && m.next > m.savedLast {
+		return Action{Kind: RemoveSaved, Version: m.savedVersion}
+	}
 	if oldest := WindowAt(now, m.Window) - kept + 1; m.next < oldest {
 		// The counts are no longer kept. A missing report costs less than a wrong one.
 		m.skipTo(oldest)
--- a/internal/plan/report/model_test.go
+++ b/internal/plan/report/model_test.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -29,6 +30,8 @@
 	collector Collector
 	fence     uint64
 	starts    int
+	// saved has the counts of y that the store had when the process became the holder.
+	saved map[int64]uint32
 }
 
 // world is the model: a store with conditional writes that can be restored from an older
@@ -92,6 +95,9 @@
 		next[key] = object
 	}
 	next[o.Key] = o
+	if len(o.Value) == 0 {
+		delete(next, o.Key)
+	}
 	w.objects = next
 	w.copies = append(w.copies, next)
 	return true
@@ -130,7 +136,7 @@
 	}
 }
 
-const leaseKey, usageKey = "lease/duties", "duties/usage"
+const leaseKey, usageKey, savedKey = "lease/duties", "duties/usage", "duties/counts"
 
 // renew renews or acquires the lease for the process, as lease.Keeper does.
 func (w *world) renew(p *process, delayed bool) {
@@ -176,6 +182,7 @@
 	if grant.Fence != p.fence {
 		p.fence = grant.Fence
 		p.machine.Begin(w.now)
+		p.saved = w.saved()
 	}
 	if w.between != nil {
 		w.between()
@@ -189,7 +196,21 @@
 			return true
 		}
 		_ = p.machine.Read(w.now, o.Version, o.Value, &p.collector)
+	case ReadSaved:
+		o := w.get(p, savedKey)
+		if lost {
+			return true
+		}
+		_ = p.machine.ReadSaved(w.now, o.Version, o.Value, &p.collector)
+	case RemoveSaved:
+		_, written := w.put(p, store.Object{Key: savedKey, Version: a.Version}, delayed)
+		if lost || !written {
+			p.machine.UnsettledSaved()
+			return true
+		}
+		p.machine.RemovedSaved()
 	case Fix:
+		w.checkSaved(p, a.Record.Report)
 		version, written := w.put(p, store.Object{Key: usageKey, Value: a.Record.Encode(), Version: a.Version}, delayed)
 		if lost || !written {
 			p.machine.Unsettled()
@@ -207,6 +228,48 @@
 	return true
 }
 
+// stop stops all processes as planned, one after the other, so that there is no collector left.
+// They start again. Another process had stopped before, whose counts only the collectors have.
+func (w *world) stop() {
+	for i, p := range w.processes {
+		number := WindowAt(w.now, window)
+		p.collector.Add(w.now, "y", 1, Part{Window: number, Final: true, Parts: 1, Counts: []Count{{"b", w.counted + uint32(i) + 1}}})
+	}
+	for i, p := range w.processes {
+		o := w.get(p, savedKey)
+		if s, err := ParseSaved(o.Value); err == nil && s.Era == w.era {
+			p.collector.Restore(w.now, s)
+		}
+		o.Version, o.Value = w.objects[savedKey].Version, p.collector.Save(w.era).Encode()
+		w.apply(o)
+		w.start(i)
+	}
+}
+
+// saved returns the counts of y that the store has.
+func (w *world) saved() map[int64]uint32 {
+	counts := map[int64]uint32{}
+	s, err := ParseSaved(w.objects[savedKey].Value)
+	if err != nil || s.Era != w.era {
+		return counts
+	}
+	for _, h := range s.Shares {
+		if h.Process == "y" {
+			counts[h.Window] = h.Counts[1]
+		}
+	}
+	return counts
+}
+
+// checkSaved checks that a report that is fixed has the counts that the store had when its
+// holder began.
+func (w *world) checkSaved(p *process, r Report) {
+	var body struct{ Counts map[string]uint32 }
+	if err := json.Unmarshal([]byte(r.Body), &body); err != nil || body.Counts["b"] < p.saved[r.Window] {
+		w.failure = fmt.Sprintf("window %d lacks saved counts, %d: %s", r.Window, p.saved[r.Window], r.Body)
+	}
+}
+
 // receive checks a report at the platform.
 func (w *world) receive(p *process, grant lease.Grant, r Report) {
 	owner := fmt.Sprint(p.name, "/", p.starts)
@@ -249,10 +312,11 @@
 	{'b', func(w *world) { w.restore(2) }},
 	{'c', func(w *world) { w.restore(7) }},
 	{'m', func(w *world) { w.between = func() { w.restore(1) } }},
+	{'a', (*world).stop},
 }
 
-// exhaustiveLength is the length up to which all sequences are walked, 14,641 of them. Length
-// 5 takes half a minute. longSequences longer ones of up to maxLength events are drawn.
+// exhaustiveLength is the length up to which all sequences are walked, 20,736 of them. Length
+// 5 takes a minute. longSequences longer ones of up to maxLength events are drawn.
 const (
 	exhaustiveLength = 4
 	longSequences    = 4000
--- a/internal/plan/report/report.go
+++ b/internal/plan/report/report.go
@@ -7,6 +7,9 @@
 // window after the other: it writes the report to the store before it sends it, and sends
 // it until the outcome is known, so that no window is ever reported with two contents.
 //
+// A process that stops when no collector is left saves the counts that it holds to the store.
+// The next holder adds them to its own.
+//
 // All of them are pure: they take the present true time and do no I/O.
 //
 // # Usage
@@ -32,7 +35,16 @@
 //	case report.Send:
 //		err := send(a.Report) // after an error: machine.Refused(a.Report) or machine.Failed()
 //		machine.Delivered(a.Report)
+//	case report.ReadSaved:
+//		object, err := store.Get(ctx, savedKey)
+//		err = machine.ReadSaved(now, object.Version, object.Value, collector)
+//	case report.RemoveSaved:
+//		_, err := store.Put(ctx, empty(a)) // after an unknown outcome: machine.UnsettledSaved()
+//		machine.RemovedSaved()
 //	}
+//
+//	// At the end of a process:
+//	store.Put(ctx, object(collector.Save(era).Encode()))
 package report
 
 import (
