--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
 // at returns a time in window 1000.
@@ -28,6 +29,14 @@
 	return all
 }
 
+// expect returns processes whose incarnations are not known.
+func expect(names ...string) (list []Process) {
+	for _, name := range names {
+		list = append(list, Process{Name: name})
+	}
+	return list
+}
+
 // TestDue checks when counts are sent: once a second while they change, at the end of the
 // window, and twice as final; also for windows without requests, which a collector waits for.
 func TestDue(t *testing.T) {
@@ -69,7 +78,7 @@
 		if m.Part.Window != 1000 {
 			continue
 		}
-		assert.False(t, collector.Complete(1000, []string{"a"}))
+		assert.False(t, collector.Complete(1000, expect("a")))
 		collector.Add(at(5.5), "a", 7, m.Part)
 		parts++
 		u := &wire.WindowUsage{Window: m.Part.Window, Final: true, Parts: uint32(m.Part.Parts)}
@@ -80,7 +89,7 @@
 		assert.LessOrEqual(t, size, 1200)
 	}
 	require.Greater(t, parts, 5)
-	assert.True(t, collector.Complete(1000, []string{"a"}))
+	assert.True(t, collector.Complete(1000, expect("a")))
 	assert.Len(t, collector.Totals(1000), 300)
 	assert.EqualValues(t, 7, collector.Totals(1000)["account-with-a-long-name-6"])
 }
@@ -96,14 +105,14 @@
 	add("a", 1, false, 3)
 	add("b", 1, true, 10)
 	assert.EqualValues(t, 15, c.Totals(1000)["x"])
-	assert.False(t, c.Complete(1000, []string{"a", "b"}))
-	assert.True(t, c.Complete(1000, []string{"b"}))
+	assert.False(t, c.Complete(1000, expect("a", "b")))
+	assert.True(t, c.Complete(1000, expect("b")))
 	add("a", 2, false, 4)
 	assert.EqualValues(t, 19, c.Totals(1000)["x"])
 	add("a", 1, true, 5)
-	assert.False(t, c.Complete(1000, []string{"a", "b"}), "the new incarnation may count more")
+	assert.False(t, c.Complete(1000, expect("a", "b")), "the new incarnation may count more")
 	add("a", 2, true, 6)
-	assert.True(t, c.Complete(1000, []string{"a", "b"}))
+	assert.True(t, c.Complete(1000, expect("a", "b")))
 	assert.EqualValues(t, 21, c.Totals(1000)["x"])
 	assert.Equal(t, `{"Window":1000,"Counts":{"x":21}}`, New(1000, c.Totals(1000)).Body)
 	assert.Equal(t, `{"Window":1001,"Counts":{}}`, New(1001, c.Totals(1001)).Body)
@@ -111,6 +120,38 @@
 	assert.Empty(t, c.Totals(1000), "forgotten")
 }
 
+// TestCompleteWithRestart guards against a report without the counts of a process that has
+// started again in the window, whose final counts its former incarnation has sent as it
+// stopped, and against waiting for one that has started after the window.
+func TestCompleteWithRestart(t *testing.T) {
+	c := Collector{Window: 5 * time.Second}
+	restarted := []Process{{"a", 2}}
+	final := Part{Window: 1000, Final: true, Parts: 1, Counts: []Count{{"x", 5}}}
+	c.Add(at(2), "a", 1, final)
+	assert.True(t, c.Ended(Process{"a", 1}))
+	assert.False(t, c.Ended(Process{"a", 2}), "it is started again")
+	assert.False(t, c.Complete(1000, restarted))
+	c.Add(at(5.6), "a", 2, final)
+	assert.True(t, c.Complete(1000, restarted))
+	assert.EqualValues(t, 10, c.Totals(1000)["x"])
+
+	final.Window = 1001
+	c.Add(at(10.6), "a", 2, final)
+	assert.True(t, c.Complete(1001, []Process{{"a", 3}}), "it started after the window")
+	c.Add(at(10.7), "a", 3, Part{Window: 1001})
+	assert.False(t, c.Complete(1001, []Process{{"a", 3}}), "by its own counts before")
+	assert.False(t, c.Complete(1001, []Process{{"a", 2}}), "it is known by its counts only")
+}
+
+// TestCountsSinceTheStart guards against the loss of the counts of a process that learned true
+// time three short windows after its start.
+func TestCountsSinceTheStart(t *testing.T) {
+	c := Counter{Window: 5 * time.Second}
+	c.Begin(at(1))
+	c.Count(at(2), "x")
+	assert.Equal(t, "h 1000 final=true [{x 1}]", summary(c.Due(at(16), []string{"h"}, false))[0])
+}
+
 // TestFinalPartsAreBounded guards against a peer that fills the memory with final parts, by a
 // number of parts that no process has or by accounts whose counts are not kept.
 func TestFinalPartsAreBounded(t *testing.T) {
@@ -127,9 +168,9 @@
 		assert.LessOrEqual(t, len(s.finals), most, name)
 		assert.LessOrEqual(t, len(s.counts), maxAccounts, name)
 	}
-	assert.True(t, c.Complete(1000, []string{"most"}), "the most accounts that a process counts, each in a part of its own")
-	assert.False(t, c.Complete(1000, []string{"many"}))
-	assert.False(t, c.Complete(1000, []string{"long"}))
+	assert.True(t, c.Complete(1000, expect("most")), "the most accounts that a process counts, each in a part of its own")
+	assert.False(t, c.Complete(1000, expect("many")))
+	assert.False(t, c.Complete(1000, expect("long")))
 }
 
 // TestEnded checks that a process that has ended as planned is known by the final counts of the
@@ -138,19 +179,19 @@
 	c := Collector{Window: 5 * time.Second}
 	final := Part{Window: 1000, Final: true, Parts: 1}
 	c.Add(at(5.6), "a", 1, final)
-	assert.False(t, c.Ended("a"))
+	assert.False(t, c.Ended(Process{Name: "a"}))
 	c.Add(at(3), "b", 1, final)
-	assert.True(t, c.Ended("b"))
+	assert.True(t, c.Ended(Process{Name: "b"}))
 	c.Add(at(3), "b", 1, final)
-	assert.True(t, c.Ended("b"))
+	assert.True(t, c.Ended(Process{Name: "b"}))
 	c.Add(at(4), "b", 2, Part{Window: 1000})
-	assert.False(t, c.Ended("b"))
+	assert.False(t, c.Ended(Process{Name: "b"}))
 	c.Add(at(4.9), "d", 1, final)
 	c.Add(at(7), "d", 1, Part{Window: 1001})
-	assert.False(t, c.Ended("d"), "its clock is ahead: it counts on in the next window")
+	assert.False(t, c.Ended(Process{Name: "d"}), "its clock is ahead: it counts on in the next window")
 	c.Add(at(4.9), "e", 1, final)
 	c.Add(at(5), "e", 1, Part{Window: 1000})
-	assert.True(t, c.Ended("e"), "an earlier message that arrives later")
+	assert.True(t, c.Ended(Process{Name: "e"}), "an earlier message that arrives later")
 }
 
 // TestMachineWaits checks when a report is fixed: once all live processes have sent their final
@@ -162,23 +203,77 @@
 	m.Begin(at(0))
 	assert.Equal(t, Read, m.Decide(at(0), 0, c, nil).Kind)
 	assert.NoError(t, m.Read(at(0), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(0), 0, nil, c))
 	final := Part{Window: 1000, Final: true, Parts: 1}
 	c.Add(at(5.5), "a", 1, final)
-	assert.Equal(t, Wait, m.Decide(at(5.9), 0, c, []string{"a"}).Kind, "too early")
-	assert.Equal(t, Wait, m.Decide(at(6), 0, c, []string{"a", "b"}).Kind, "one is missing")
-	assert.Equal(t, Wait, m.Decide(at(12.9), 0, c, []string{"a", "b"}).Kind)
-	assert.Equal(t, Fix, m.Decide(at(13), 0, c, []string{"a", "b"}).Kind, "as late as possible")
+	assert.Equal(t, Wait, m.Decide(at(5.9), 0, c, expect("a")).Kind, "too early")
+	assert.Equal(t, Wait, m.Decide(at(6), 0, c, expect("a", "b")).Kind, "one is missing")
+	assert.Equal(t, Wait, m.Decide(at(12.9), 0, c, expect("a", "b")).Kind)
+	assert.Equal(t, Fix, m.Decide(at(13), 0, c, expect("a", "b")).Kind, "as late as possible")
 	m.Begin(at(14))
 	assert.NoError(t, m.Read(at(14), 0, nil, c))
-	assert.Equal(t, Wait, m.Decide(at(14), 0, c, []string{"a", "b"}).Kind)
+	require.NoError(t, m.ReadSaved(at(14), 0, nil, c))
+	assert.Equal(t, Wait, m.Decide(at(14), 0, c, expect("a", "b")).Kind)
 	c.Add(at(14), "b", 1, final)
-	assert.Equal(t, Fix, m.Decide(at(14), 0, c, []string{"a", "b"}).Kind)
+	assert.Equal(t, Fix, m.Decide(at(14), 0, c, expect("a", "b")).Kind)
 	assert.Equal(t, Fix, m.Decide(at(29.9), 0, c, nil).Kind, "late")
 	assert.Zero(t, m.Skipped())
 	assert.Equal(t, Fix, m.Decide(at(40), 0, c, nil).Kind)
 	assert.EqualValues(t, 3, m.Skipped(), "the counts are no longer kept")
 }
 
+// TestSavedCounts guards against the loss of counts that stopped processes have saved, against
+// counting them twice, and against an object that stays when its windows are reported, is of an
+// era before or has no counts.
+func TestSavedCounts(t *testing.T) {
+	first, second := &Collector{Window: 5 * time.Second}, &Collector{Window: 5 * time.Second}
+	add := func(c *Collector, process string, requests uint32) {
+		c.Add(at(3), process, 1, Part{Window: 1000, Final: true, Parts: 1, Counts: []Count{{"x", requests}, {"y", 1}}})
+	}
+	add(first, "a", 5)
+	add(second, "a", 4)
+	add(second, "b", 7)
+	saved, err := ParseSaved(first.Save(1).Encode())
+	require.NoError(t, err)
+	assert.EqualValues(t, 1000, second.Restore(at(4), saved))
+	value := second.Save(1).Encode()
+	for i, c := range []struct {
+		value string
+		era   uint64
+		want  string
+	}{
+		{string(value), 1, `{"Window":1000,"Counts":{"x":12,"y":2}}`},
+		{string(value), 2, `{"Window":1000,"Counts":{}}`},
+		{`{"Era":1,"Accounts":["x"],"Shares":[{"Window":1000,"Counts":[3,4,0]},{"Window":9,"Counts":[0,1]}]}`, 1, `{"Window":1000,"Counts":{}}`},
+		{"{", 1, `{"Window":1000,"Counts":{}}`},
+	} {
+		next := &Collector{Window: 5 * time.Second}
+		m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
+		m.Begin(at(4))
+		record := Record{Era: c.era, Next: 1000}
+		require.NoError(t, m.Read(at(4), store.Version(c.era, 3), record.Encode(), next))
+		require.Equal(t, ReadSaved, m.Decide(at(4), c.era, next, nil).Kind)
+		version := store.Version(c.era, 4)
+		_ = m.ReadSaved(at(4), version, []byte(c.value), next)
+		removals := 0
+		for a := m.Decide(at(6.1), c.era, next, nil); a.Kind != Wait; a = m.Decide(at(6.1), c.era, next, nil) {
+			if a.Kind == RemoveSaved {
+				assert.Equal(t, version, a.Version)
+				assert.True(t, i > 0 || m.next == 1001, "its counts are not reported")
+				m.RemovedSaved()
+				removals++
+				continue
+			}
+			require.Equal(t, Fix, a.Kind)
+			assert.Equal(t, c.want, a.Record.Report.Body)
+			m.Fixed(store.Version(c.era, 5), a)
+			m.Delivered(a.Record.Report)
+		}
+		assert.Equal(t, 1, removals)
+		assert.EqualValues(t, 1001, m.next)
+	}
+}
+
 // TestWrongTimeAtTheStart checks that a process whose clock is an hour ahead until it hears its
 // peers counts and reports in true time after that.
 func TestWrongTimeAtTheStart(t *testing.T) {
@@ -187,6 +282,7 @@
 	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1720}
 	m.Begin(at(3600))
 	require.NoError(t, m.Read(at(3600), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(3600), 0, nil, c))
 	require.Equal(t, Wait, m.Decide(at(3600), 0, c, nil).Kind)
 	counter.Count(at(3600), "x")
 	counter.Due(at(3600), []string{"h"}, false)
@@ -194,6 +290,7 @@
 	assert.Contains(t, summary(counter.Due(at(1), []string{"h"}, false)), "h 1000 final=false [{x 1}]")
 	require.Equal(t, Read, m.Decide(at(1), 0, c, nil).Kind)
 	require.NoError(t, m.Read(at(1), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(1), 0, nil, c))
 	a := m.Decide(at(13), 0, c, nil)
 	require.Equal(t, Fix, a.Kind)
 	assert.EqualValues(t, 1000, a.Record.Report.Window)
@@ -207,6 +304,7 @@
 	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1009}
 	m.Begin(at(45))
 	require.NoError(t, m.Read(at(45), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(45), 0, nil, c))
 	fixed := m.Decide(at(58), 0, c, nil)
 	require.EqualValues(t, 1009, fixed.Record.Report.Window)
 	m.Fixed(1, fixed)
@@ -214,6 +312,7 @@
 	next := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1006}
 	next.Begin(at(38))
 	require.NoError(t, next.Read(at(38), 1, fixed.Record.Encode(), c))
+	require.NoError(t, next.ReadSaved(at(38), 0, nil, c))
 	next.Delivered(fixed.Record.Report)
 	for _, m := range []*Machine{m, next} {
 		for second := 38.0; second < 56; second++ {
@@ -231,6 +330,7 @@
 		m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
 		m.Begin(at(2))
 		_ = m.Read(at(2), 3, []byte(odd), c)
+		require.NoError(t, m.ReadSaved(at(2), 0, nil, c))
 		a := m.Decide(at(13.1), 0, c, nil)
 		require.Equal(t, Fix, a.Kind, odd)
 		assert.GreaterOrEqual(t, a.Record.Report.Window, int64(997), odd)
@@ -246,6 +346,7 @@
 	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
 	m.Begin(at(2))
 	require.NoError(t, m.Read(at(2), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(2), 0, nil, c))
 	m.Fixed(1, m.Decide(at(13.1), 0, c, nil))
 	for range maxRefusals - 1 {
 		a := m.Decide(at(13.1), 0, c, nil)
