--- a/internal/route/assign/assign.go
+++ b/internal/route/assign/assign.go
@@ -9,6 +9,9 @@
 // same server until the next report. In that case each compares only two servers
 // selected at random (power of two choices).
 //
+// A stream with a target for the time between its events goes to an engine that is
+// predicted to meet it: the predicted gap, over the target, counts more than the load.
+//
 // Prompts differ too much in length for that: 64 of them may be a second's work for an
 // engine or ten. Prefill places them by the predicted time to the end of the prefill,
 // from the tokens ahead, those in the engine's KV cache, and its estimated times.
@@ -28,7 +31,10 @@
 // Choose and Prefill are pure functions.
 package assign
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Candidate is a backend server with its load as this process estimates it.
 type Candidate struct {
@@ -52,6 +58,12 @@
 	// only if every candidate is ejected or excluded. Excluded is set if this
 	// request must not be sent to the server again.
 	Ejected, Excluded bool
+	// LongWork is set if the server has streams that occupy it for long. It counts
+	// only if Request.SpareLongWork is set.
+	LongWork bool
+	// Gap is the predicted time between two events of a stream at the server. It
+	// counts only if Request.GapTarget is set.
+	Gap time.Duration
 }
 
 // Request has the properties of a request that the choice depends on.
@@ -68,6 +80,11 @@
 	// Seed is a random number that selects two candidates for a request without
 	// a prefix hash (power of two choices). With 0, all candidates are compared.
 	Seed uint64
+	// GapTarget is the target for the time between two events. If it is set, the
+	// predicted gaps decide rather than the loads.
+	GapTarget time.Duration
+	// SpareLongWork is set if, at equal cost, a server without long work is chosen.
+	SpareLongWork bool
 }
 
 // remotePenalty is the cost of a backend server in another availability zone, in
@@ -81,16 +98,20 @@
 	for _, c := range candidates {
 		allEjected = allEjected && (c.Ejected || c.Excluded)
 	}
+	if r.GapTarget > 0 {
+		return choosePaced(candidates, r, allEjected)
+	}
 	cutoff := math.Inf(1)
 	if r.PrefixHash == 0 && r.Seed != 0 {
-		cutoff = secondLowestScore(candidates, allEjected, r.Seed)
+		cutoff = secondLowestScore(candidates, r.Seed, func(c *Candidate) bool { return c.available(allEjected) })
 	}
 	best, bestCost := -1, math.Inf(1)
 	for i, c := range candidates {
 		if !c.available(allEjected) || Score(c.Hash, r.Seed) > cutoff {
 			continue
 		}
-		if cost := cost(c, r, len(candidates)); cost < bestCost {
+		cost := cost(c, r, len(candidates))
+		if cost < bestCost || r.SpareLongWork && cost == bestCost && candidates[best].LongWork && !c.LongWork {
 			best, bestCost = i, cost
 		}
 	}
@@ -118,15 +139,15 @@
 	return Fit
 }
 
-// secondLowestScore returns the second lowest score for seed among the available
-// candidates, or +Inf if there are fewer than two.
-func secondLowestScore(candidates []Candidate, allEjected bool, seed uint64) float64 {
+// secondLowestScore returns the second lowest score for seed among the candidates that
+// are considered, or +Inf if there are fewer than two.
+func secondLowestScore(candidates []Candidate, seed uint64, considered func(c *Candidate) bool) float64 {
 	lowest, second := math.Inf(1), math.Inf(1)
-	for _, c := range candidates {
-		if !c.available(allEjected) {
+	for i := range candidates {
+		if !considered(&candidates[i]) {
 			continue
 		}
-		switch score := Score(c.Hash, seed); {
+		switch score := Score(candidates[i].Hash, seed); {
 		case score < lowest:
 			lowest, second = score, lowest
 		case score < second:
@@ -139,17 +160,25 @@
 // cost is the candidate's load, as a fraction of its slots and weighted with its
 // latency ratio, plus the cost of its distance from the preferred server or of its
 // zone. count is the number of candidates.
-func cost(c Candidate, r Request, count int) float64 {
-	load := float64(c.Running+1) / float64(max(c.Slots, 1)) * max(c.LatencyRatio, 0.1)
+func cost(c Candidate, r Request, count int) float64 { return c.load() + distance(c, r, count) }
+
+// load is the candidate's load as a fraction of its slots, weighted with its latency ratio.
+func (c Candidate) load() float64 {
+	return float64(c.Running+1) / float64(max(c.Slots, 1)) * max(c.LatencyRatio, 0.1)
+}
+
+// distance is the cost of the candidate's distance from the preferred server or of its
+// zone. count is the number of candidates.
+func distance(c Candidate, r Request, count int) float64 {
 	if r.PrefixHash != 0 {
 		// The preferred server is the candidate with the lowest score. count
 		// scores uniform on [0, 1) are 1/(count+1) apart on average.
-		return load + r.Affinity*float64(count+1)*Score(c.Hash, r.PrefixHash)
+		return r.Affinity * float64(count+1) * Score(c.Hash, r.PrefixHash)
 	}
 	if c.Zone != r.Zone {
-		load += remotePenalty / float64(max(c.Slots, 1))
+		return remotePenalty / float64(max(c.Slots, 1))
 	}
-	return load
+	return 0
 }
 
 // Score returns the rendezvous score of a server and a key, a pseudo-random number
--- a/internal/route/assign/prefill.go
+++ b/internal/route/assign/prefill.go
@@ -56,8 +56,9 @@
 	// Delay is the time from the end of the prefill to the first event, apart
 	// from what every engine needs.
 	Delay time.Duration
-	// Full is set if the engine has no free slot for another prefill.
-	Full bool
+	// Full is set if the engine has no free slot for another prefill. LongWork is set
+	// if it has streams that a prefill would interrupt for longer than they should be.
+	Full, LongWork bool
 	// Suspect, OwnRunning, Ejected and Excluded have the meaning of Candidate.
 	Suspect           bool
 	OwnRunning        int
@@ -94,6 +95,9 @@
 	// included; 0 means no bound. A prefill interrupts the streams of an engine
 	// for its own time at most.
 	Longest time.Duration
+	// Spare is the time within which the prefill has to end. If it is set, engines
+	// with long work are avoided whenever another one is predicted to end it in time.
+	Spare time.Duration
 }
 
 // Forecast is the engine chosen for a prompt and its predicted times.
@@ -121,15 +125,29 @@
 // fetches a fraction.
 func Prefill(engines []Engine, q Query) Forecast {
 	c := newComparison(engines, q)
-	best := Forecast{Index: -1}
+	best, other := Forecast{Index: -1}, Forecast{Index: -1}
 	for i := range engines {
-		if f, unfit := c.forecast(i); unfit == Fit && (best.Index < 0 || f.before(best)) {
+		f, unfit := c.forecast(i)
+		if unfit != Fit {
+			continue
+		}
+		if best.Index < 0 || f.before(best) {
 			best = f
 		}
+		if !engines[i].LongWork && f.EndsWithin(q.Spare) && (other.Index < 0 || f.before(other)) {
+			other = f
+		}
+	}
+	if best.Index >= 0 && engines[best.Index].LongWork && other.Index >= 0 {
+		return other
 	}
 	return best
 }
 
+// EndsWithin reports whether the prefill is predicted to end within a time. It is false if
+// nothing is known about the engine's rate.
+func (f Forecast) EndsWithin(d time.Duration) bool { return f.Finish > 0 && f.Finish <= d }
+
 // comparison is a comparison of the engines for one prompt.
 type comparison struct {
 	engines    []Engine
