broker, core, wire: measure gaps and use them for routes with a gap target

Cause: a process sees too few long streams to know the engines' gaps. Change: the broker samples the gaps of long streams on routes with a token gap target, and sends such streams to engines by predicted gap. Status messages carry the samples in News.Gaps. Local prefills avoid engines with long work if another one meets the latency target; other short requests prefer engines without at equal cost. Metrics EventGap, PacedStreams. Conclusion: services without a token gap target keep no state and send no field.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -251,6 +251,7 @@
 	// undialable is how many backend servers could not be connected to at the last check, or
 	// 1 if none was and one has failed since.
 	undialable atomic.Int64
+	gaps       gaps
 
 	// mu guards the fields below.
 	mu            sync.Mutex
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -53,6 +53,10 @@
 	// engine has to prefill before. Both are zero for other work.
 	forecast assign.Forecast
 	ahead    int
+	// paced is set if server was chosen by its predicted gap. disturbs is set if the
+	// prefill at server would interrupt long work, inTime if it is predicted to end
+	// within the latency target.
+	paced, disturbs, inTime bool
 	// ejected is set if every backend server is ejected or excluded. server may
 	// be an ejected one only in this case.
 	ejected bool
@@ -98,7 +102,8 @@
 }
 
 // preferAlternative reports whether the alternative queue is predicted to serve a
-// request sooner than the first. Ejected backend servers come last.
+// request sooner than the first. Ejected backend servers come last. A prefill that would
+// interrupt long work goes to the first if that is predicted to end in time.
 func preferAlternative(first, alternative view) bool {
 	if first.ejected != alternative.ejected {
 		return first.ejected && alternative.usable > 0
@@ -109,6 +114,9 @@
 	case first.server.ID == "":
 		return true
 	}
+	if alternative.disturbs && first.inTime {
+		return false
+	}
 	return alternative.forecast.Finish < first.forecast.Finish
 }
 
@@ -122,6 +130,8 @@
 	if b.Peers.Live() > peers.MaxFresh {
 		request.Seed = b.nextRandom()
 	}
+	v.paced = b.predictGaps(now, n, candidates, options, &request)
+	b.spareLongWork(now, n, candidates, options, &request)
 	if i := assign.Choose(candidates, request); i >= 0 {
 		v.server = options[i]
 	}
@@ -180,6 +190,7 @@
 		Hash: xxhash.Sum64String(s.ID), Zone: s.Zone, Running: snapshot.Running + peerLoad.Running + granted, Slots: s.Slots,
 		Limit: limit, SameWorkLimit: limit, LatencyRatio: snapshot.LatencyRatio,
 		Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted, Ejected: snapshot.Ejected, Excluded: n.excluded[s.ID],
+		LongWork: snapshot.Long+peerLoad.Long > 0,
 	}
 	c.SameWork = c.Running
 	if b.connectionsUsed(s.Service, snapshot) || !b.promptFits(n, s.Key(), share, peerLoad) {
--- a/internal/node/broker/engines.go
+++ b/internal/node/broker/engines.go
@@ -25,6 +25,9 @@
 	index map[uint64]*engineState
 	// hasPrefill is set if an engine that only prefills is not ejected.
 	hasPrefill bool
+	// sparesLongWork is set if the service has long work on a route with a token gap
+	// target.
+	sparesLongWork bool
 }
 
 // engineState is an engine of a set.
@@ -109,6 +112,7 @@
 		set.byRole[s.Role] = append(set.byRole[s.Role], e)
 		set.hasPrefill = set.hasPrefill || s.Role == roster.Prefill && !e.engine.Ejected
 	}
+	set.sparesLongWork = b.markLongWork(now, service, set.byRole[roster.Decode])
 	return set
 }
 
@@ -126,6 +130,7 @@
 			Backlog:  max(snapshot.PrefillTokens+peerLoad.PrefillTokens+granted.Tokens, 0),
 			Prefills: max(snapshot.Prefills+peerLoad.Prefills+granted.Prefills, 0),
 			Times:    snapshot.Times, Suspect: snapshot.Suspect, OwnRunning: snapshot.Running + granted.Requests, Ejected: snapshot.Ejected,
+			LongWork: snapshot.Long+peerLoad.Long > 0,
 		},
 	}
 	if s.Role == roster.Prefill {
@@ -160,6 +165,8 @@
 	v.forecast = assign.Prefill(engines, query)
 	if i := v.forecast.Index; i >= 0 {
 		v.server, v.ahead = states[i].server, engines[i].Backlog
+		v.disturbs = query.Spare > 0 && engines[i].LongWork
+		v.inTime = v.forecast.EndsWithin(n.startBy.Sub(now))
 	}
 	return v
 }
@@ -188,6 +195,9 @@
 	if n.key.work == usage.LocalPrefill && set.hasPrefill {
 		query.Longest = b.gapTarget(n.key.service)
 	}
+	if n.key.work == usage.LocalPrefill && set.sparesLongWork {
+		query.Spare = n.startBy.Sub(now) - decodeStart
+	}
 	if query.Average.Rate == 0 {
 		query.Guess = set.average()
 	}
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -398,6 +398,9 @@
 	fields = append(fields, j.stages...)
 	if j.longestGap > 0 {
 		fields = append(fields, zap.Duration("MaxGap", j.longestGap))
+		if j.route.TokenGapTarget > 0 {
+			j.broker.Meters.Observe("EventGap", j.longestGap)
+		}
 	}
 	if cause != nil {
 		fields = append(fields, zap.Error(cause))
--- a/internal/node/broker/permit.go
+++ b/internal/node/broker/permit.go
@@ -93,6 +93,9 @@
 	}
 	p.waited = now.Sub(w.since)
 	b.issue(q, p)
+	if v.paced {
+		b.countPaced(now, p)
+	}
 	return p
 }
 
--- a/internal/node/broker/queue.go
+++ b/internal/node/broker/queue.go
@@ -66,6 +66,8 @@
 	startBy time.Time
 	// target is the route's latency target.
 	target time.Duration
+	// gapTarget is the route's token gap target if the request is long work, else 0.
+	gapTarget time.Duration
 	// maxWait is the longest wait that is accepted.
 	maxWait time.Duration
 	// excluded has the IDs of the backend servers that must not be used.
@@ -299,6 +301,7 @@
 	b.elect()
 	b.expireGrants(now)
 	b.sweepKept(now)
+	b.sweepGaps(now)
 	b.endings.Sweep(now, b.Roster.Superseded, b.markEnded)
 	b.mu.Unlock()
 	b.Dispatch(now)
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -90,6 +90,7 @@
 	n.prompt, n.chain = j.prompt()
 	n.affinity = decodeAffinity
 	if n.key.work == usage.Long {
+		n.gapTarget = j.route.TokenGapTarget
 		n.maxWait = max(n.maxWait, time.Duration(longMaxWaitShare*float64(time.Until(j.deadline))))
 	}
 	return n
@@ -164,8 +165,9 @@
 	if after, err := strconv.ParseUint(c.After, 10, 64); err == nil {
 		r.LastID, r.HasLastID = after, true
 	}
-	started := false
+	started, sampler := false, j.newGapSampler(p.server)
 	for {
+		sampler.ready()
 		e, err := r.Next()
 		if err == io.EOF && started {
 			j.broker.recordHold(j.route.Name, time.Since(p.since))
@@ -180,8 +182,10 @@
 			return nil
 		}
 		if err == nil {
-			j.broker.Usage.MarkActive(time.Now(), p.server)
-			j.measureGap(time.Now())
+			now := time.Now()
+			j.broker.Usage.MarkActive(now, p.server)
+			j.measureGap(now)
+			sampler.event(now)
 		}
 		if err == nil && !started {
 			j.countBegan()
--- /dev/null
+++ b/internal/node/core/gaps.go
@@ -0,0 +1,46 @@
+package core
+
+import (
+	"math"
+	"time"
+
+	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/route/pace"
+)
+
+// gapInterval is how often measured gaps are sent at least, while nothing else changes.
+const gapInterval = 200 * time.Millisecond
+
+// addGaps adds to a status message the gaps between events that this process has measured
+// since the last one. It returns true if there are some: the message must be sent then, since
+// it is the only one that has them. An otherwise unchanged message gets them after gapInterval.
+// The caller must hold mu.
+func (n *Node) addGaps(now time.Time, message *wire.News, changed bool) bool {
+	if !changed && now.Sub(n.gapsSent) < gapInterval {
+		return false
+	}
+	reports := n.Broker.GapsMeasured()
+	if len(reports) == 0 {
+		return false
+	}
+	n.gapsSent = now
+	message.Gaps = make([]*wire.EventGaps, 0, len(reports))
+	for _, r := range reports {
+		micros := min(r.Mean.Microseconds(), math.MaxUint32)
+		message.Gaps = append(message.Gaps, &wire.EventGaps{Server: r.Engine, Count: uint32(min(r.Count, math.MaxUint32)), MeanMicros: uint32(micros)})
+	}
+	return true
+}
+
+// hearGaps handles the gaps that a peer has measured.
+func (n *Node) hearGaps(now time.Time, list []*wire.EventGaps) {
+	if len(list) == 0 {
+		return
+	}
+	list = list[:min(len(list), pace.MaxHeard)]
+	reports := make([]pace.Report, 0, len(list))
+	for _, g := range list {
+		reports = append(reports, pace.Report{Engine: g.Server, Count: int(g.Count), Mean: time.Duration(g.MeanMicros) * time.Microsecond})
+	}
+	n.Broker.HearGaps(now, reports)
+}
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -175,6 +175,8 @@
 	sequence  uint64
 	// lastDigest is the digest of the last status message.
 	lastDigest uint64
+	// gapsSent is when a status message last had gaps between events.
+	gapsSent time.Time
 }
 
 // Peers calls other processes over RPC. It must be safe for concurrent use.
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -104,6 +104,9 @@
 	message.Sequence = n.sequence
 	message.WallMs = n.wallClock()
 	message.ConfirmedMs = n.confirmationAge(time.Now())
+	if n.addGaps(time.Now(), message, changed) {
+		changed = true
+	}
 	return message, changed
 }
 
@@ -218,6 +221,7 @@
 		return
 	}
 	n.confirmByPeer(now, message)
+	n.hearGaps(now, message.Gaps)
 	if n.peers.Live() > live {
 		n.Log.Info("process is live", zap.String("Peer", message.From), zap.Uint64("Incarnation", message.Incarnation), zap.Uint64("Version", message.TableVersion))
 	}
