report, core: counts are sent before true time is known

Cause: a process sent no counts before its clock was settled, which takes 5 s with fewer than 3 peers. A kill in that time lost all of them. Change: until then it sends all counts so far once a second (News.Early, 36), by age and tick of 100 ms. A collector keeps them by incarnation and adds them to windows once its own clock is settled, until the process's ordinary counts replace them (News.EarlyReplaced, 37). Saved counts include them.

--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -97,6 +97,29 @@
 	})
 }
 
+// TestUsageReportsOfEarlyKills guards against the loss of more than a second of counts of a
+// process that is killed before it knows true time, which takes 5 s with two peers.
+func TestUsageReportsOfEarlyKills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newUsageFleet(t, 3)
+		o.run(13 * time.Second)
+		name := "p0"
+		if o.platform.holder() == name {
+			name = "p1"
+		}
+		const kills = 3
+		for range kills {
+			o.kill(name)
+			o.start(name)
+			o.run(3700 * time.Millisecond)
+		}
+		o.run(13 * time.Second)
+		o.rest()
+		o.check(0, 0.1)
+		assert.InDelta(t, o.began()-kills*100/2, o.platform.total(t, "x"), kills*100/2)
+	})
+}
+
 // TestUsageReportsOverAPartition checks that the counts of processes that are cut off from the
 // others for less than 8 s after the end of a window are in its report, whether the holder is
 // among them or not, and that the two sides do not act at the same time.
@@ -187,6 +210,7 @@
 		{From: "b", Incarnation: 1, Usage: []*wire.WindowUsage{{Window: window, Final: true, Parts: 1, Accounts: []*wire.AccountUsage{{Account: "x", Requests: 3}}}}},
 		{From: "b", WallMs: -1, Usage: []*wire.WindowUsage{{Window: -1 << 63, Final: true}, {Window: window + 1, Parts: 1 << 31, Final: true, Accounts: []*wire.AccountUsage{{}, {Requests: 1<<32 - 1}}}}},
 		{From: "c", WallMs: 1<<63 - 1},
+		{From: "d", Incarnation: 2, EarlyReplaced: true, Early: []*wire.EarlyUsage{{Account: "x", AgeMs: 1<<32 - 1, Tick: 1<<32 - 1}, {}, {Account: "x", AgeMs: 3000, Requests: 1<<32 - 1}}},
 	} {
 		data, err := proto.Marshal(m)
 		if err != nil {
@@ -203,6 +227,7 @@
 		a := newAccounting(n)
 		now := time.Now()
 		a.handle(now, &m)
+		a.countEarly(now)
 		a.Began("x", now)
 		current := report.WindowAt(now, 5*time.Second)
 		for w := current - 9; w <= current+9; w++ {
--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -41,6 +41,8 @@
 	minSaveRetry = 20 * time.Millisecond
 	// maxEarly bounds the requests that are kept until true time is known.
 	maxEarly = 4096
+	// maxHeard bounds the messages of peers that are kept until then.
+	maxHeard = 1024
 )
 
 // accounting counts the requests of clients and reports those of all processes, if this one
@@ -56,9 +58,14 @@
 	// tracked is the value of machine.Skipped that the metric already includes.
 	tracked int64
 
-	// mu guards early: the requests that began before true time was known.
-	mu    sync.Mutex
-	early []earlyRequest
+	// mu guards the fields below. requests began before true time was known, early counts
+	// them, and sentEarly is set once their counts were sent.
+	mu        sync.Mutex
+	requests  []earlyRequest
+	early     report.Early
+	sentEarly bool
+	// heard has the early counts of peers that came before true time was known here.
+	heard []heardCounts
 }
 
 // earlyRequest is a request that began at a time of this process's clock.
@@ -67,11 +74,19 @@
 	at      time.Time
 }
 
+// heardCounts are early counts of a peer that came at a time of this process's clock.
+type heardCounts struct {
+	at          time.Time
+	from        string
+	incarnation uint64
+	counts      []report.EarlyCount
+}
+
 // newAccounting returns the accounting of a process with usage reports.
 func newAccounting(n *Node) *accounting {
-	d := n.Duties
+	d, now := n.Duties, time.Now()
 	return &accounting{
-		node: n, started: time.Now(), counter: report.Counter{Window: d.Window}, collector: report.Collector{Window: d.Window},
+		node: n, started: now, early: report.Early{Started: now}, counter: report.Counter{Window: d.Window}, collector: report.Collector{Window: d.Window},
 		machine: report.Machine{Window: d.Window, ReportWithin: d.ReportWithin},
 	}
 }
@@ -91,22 +106,64 @@
 func (a *accounting) keepEarly(account string, at time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.early) >= maxEarly {
+	if len(a.requests) >= maxEarly {
 		return false
 	}
-	a.early = append(a.early, earlyRequest{account, at})
+	a.requests = append(a.requests, earlyRequest{account, at})
+	a.early.Count(at, account)
 	return true
 }
 
-// countEarly counts the requests that began before true time was known.
-func (a *accounting) countEarly() {
+// countEarly counts the requests that began before true time was known, also those of peers.
+func (a *accounting) countEarly(at time.Time) {
 	a.mu.Lock()
-	early := a.early
-	a.early = nil
+	requests, heard := a.requests, a.heard
+	a.requests, a.heard, a.early = nil, nil, report.Early{Started: a.started}
 	a.mu.Unlock()
-	for _, r := range early {
+	for _, r := range requests {
 		a.counter.Count(a.clock.Time(r.at), r.account)
 	}
+	for _, h := range heard {
+		a.collector.AddEarly(a.clock.Time(at), a.clock.Time(h.at), h.from, h.incarnation, h.counts)
+	}
+}
+
+// sendEarly sends the counts of the requests so far to the collectors, by their age, as true
+// time is not known.
+func (a *accounting) sendEarly(at time.Time) {
+	collectors := a.collectors()
+	if len(collectors) == 0 || len(collectors) == 1 && collectors[0] == a.node.Name {
+		return
+	}
+	a.mu.Lock()
+	parts := a.early.Due(at, a.node.stopping.Load())
+	a.sentEarly = a.sentEarly || len(parts) > 0
+	a.mu.Unlock()
+	for _, counts := range parts {
+		for _, to := range collectors {
+			if to != a.node.Name {
+				a.node.coordination.push(to, &wire.News{Incarnation: a.node.incarnation, Early: encodeEarly(counts)})
+			}
+		}
+	}
+}
+
+// handleEarly handles early counts of a peer.
+func (a *accounting) handleEarly(at time.Time, message *wire.News) {
+	if len(message.Early) == 0 {
+		return
+	}
+	counts := decodeEarly(message.Early)
+	if a.clock.Settled(at) {
+		now := a.clock.Time(at)
+		a.collector.AddEarly(now, now, message.From, message.Incarnation, counts)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.heard) < maxHeard {
+		a.heard = append(a.heard, heardCounts{at, message.From, message.Incarnation, counts})
+	}
 }
 
 // Count sends the counts of this process to the collectors until ctx ends and returns its
@@ -121,9 +178,10 @@
 // sendDue sends what is due at a time.
 func (a *accounting) sendDue(at time.Time) {
 	if !a.clock.Settled(at) {
+		a.sendEarly(at)
 		return
 	}
-	a.countEarly()
+	a.countEarly(at)
 	now, stopping := a.clock.Time(at), a.node.stopping.Load()
 	a.counter.Begin(a.clock.Time(a.started))
 	for _, m := range a.counter.Due(now, a.collectors(), stopping) {
@@ -134,7 +192,7 @@
 // Flush passes on the final counts of a process that ends, until ctx ends: to the collectors
 // or, if all processes that are live are stopping too, to the store.
 func (a *accounting) Flush(ctx context.Context, at time.Time) {
-	a.countEarly()
+	a.countEarly(at)
 	now, mesh, collectors := a.clock.Time(at), a.node.mesh(), a.collectors()
 	if len(collectors) == 0 {
 		a.save(ctx, now)
@@ -214,7 +272,10 @@
 		a.collector.Add(now, a.node.Name, a.node.incarnation, m.Part)
 		return
 	}
-	push(m.To, &wire.News{Incarnation: a.node.incarnation, Usage: []*wire.WindowUsage{encodeUsage(m.Part)}})
+	a.mu.Lock()
+	replaced := a.sentEarly
+	a.mu.Unlock()
+	push(m.To, &wire.News{Incarnation: a.node.incarnation, Usage: []*wire.WindowUsage{encodeUsage(m.Part)}, EarlyReplaced: replaced})
 }
 
 // handle handles the clock and the counts of a peer.
@@ -225,13 +286,36 @@
 	if message.WallMs > 0 {
 		a.clock.Observe(at, message.From, time.UnixMilli(message.WallMs))
 	}
+	a.handleEarly(at, message)
 	if len(message.Usage) == 0 {
 		return
 	}
 	now := a.clock.Time(at)
 	for _, u := range message.Usage {
-		a.collector.Add(now, message.From, message.Incarnation, decodeUsage(u))
+		p := decodeUsage(u)
+		p.Replaces = message.EarlyReplaced
+		a.collector.Add(now, message.From, message.Incarnation, p)
+	}
+}
+
+// encodeEarly returns the form of early counts in messages.
+func encodeEarly(counts []report.EarlyCount) []*wire.EarlyUsage {
+	list := make([]*wire.EarlyUsage, 0, len(counts))
+	for _, c := range counts {
+		list = append(list, &wire.EarlyUsage{Account: c.Account, AgeMs: uint32(c.Age.Milliseconds()), Requests: c.Requests, Tick: c.Tick})
+	}
+	return list
+}
+
+// decodeEarly returns the early counts of a message.
+func decodeEarly(list []*wire.EarlyUsage) []report.EarlyCount {
+	counts := make([]report.EarlyCount, 0, len(list))
+	for _, c := range list {
+		counts = append(counts, report.EarlyCount{
+			Account: c.GetAccount(), Age: time.Duration(c.GetAgeMs()) * time.Millisecond, Requests: c.GetRequests(), Tick: c.GetTick(),
+		})
 	}
+	return counts
 }
 
 // encodeUsage returns the form of a Part in messages.
--- a/internal/plan/report/collector.go
+++ b/internal/plan/report/collector.go
@@ -23,6 +23,8 @@
 	// ended has the processes that have ended as planned: those that sent final counts of a
 	// window before its end, and none of a later one.
 	ended map[string]ending
+	// starts has the starts of the incarnations with early counts, in true time.
+	starts map[incarnationKey]time.Time
 }
 
 // ending is the last incarnation of a process and the last window that it counted in.
@@ -43,6 +45,10 @@
 	// closed is set if final counts arrived after the end of the window, so that the
 	// incarnation still ran then.
 	closed bool
+	// early has the counts from before the process knew true time, which hold until replaced
+	// is set.
+	early    map[tickKey]uint32
+	replaced bool
 	// parts is the number of parts of the final counts, 0 if they are not known. finals has
 	// the first account of each part that has arrived.
 	parts  int
@@ -72,6 +78,7 @@
 	if s == nil {
 		return
 	}
+	s.replaced = s.replaced || p.Replaces
 	for _, n := range p.Counts {
 		s.raise(n.Account, n.Requests)
 	}
@@ -174,7 +181,7 @@
 	totals := map[string]uint64{}
 	for _, t := range c.windows[window] {
 		for _, s := range t.shares {
-			for account, n := range s.counts {
+			for account, n := range s.totals() {
 				if n > 0 {
 					totals[account] += uint64(n)
 				}
@@ -228,7 +235,7 @@
 	for number, processes := range c.windows {
 		for _, t := range processes {
 			for _, s := range t.shares {
-				if len(s.counts) > 0 {
+				if len(s.counts)+len(s.early) > 0 {
 					window = min(window, number)
 				}
 			}
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -152,6 +152,49 @@
 	assert.Equal(t, "h 1000 final=true [{x 1}]", summary(c.Due(at(16), []string{"h"}, false))[0])
 }
 
+// TestEarlyCounts guards against the loss of the counts of a process that is killed before it
+// knows true time, and against counting them twice: in later messages, which arrive with another
+// delay, and in the ordinary counts that replace them.
+func TestEarlyCounts(t *testing.T) {
+	c := Collector{Window: 5 * time.Second}
+	e := Early{Started: at(3600)}
+	for i := range 30 {
+		e.Count(at(3600+float64(i)/10), "x")
+		e.Count(at(3600+float64(i)/10), "x")
+		e.Count(at(3600+float64(i)/10), fmt.Sprint("an account with a long name ", i))
+	}
+	for i, delay := range []float64{0.02, 0, 0.09} {
+		now := 3603 + float64(i)
+		parts := e.Due(at(now), false)
+		assert.Greater(t, len(parts), 1)
+		assert.Empty(t, e.Due(at(now+0.9), false), "once a second")
+		assert.Len(t, e.Due(at(now+0.9), true), len(parts), "at once before the end")
+		e.Due(at(now), true)
+		for _, counts := range parts {
+			message := &wire.News{From: "a-process-with-a-rather-long-name", Incarnation: 1 << 62}
+			for _, n := range counts {
+				message.Early = append(message.Early, &wire.EarlyUsage{Account: n.Account, AgeMs: uint32(n.Age.Milliseconds()), Requests: n.Requests + 1<<30, Tick: n.Tick})
+			}
+			assert.LessOrEqual(t, proto.Size(message), 1200)
+			// The process started 1 s before the end of window 1000.
+			arrived := at(now - 3596 + delay)
+			c.AddEarly(arrived, arrived, "a", 1, counts)
+		}
+		assert.EqualValues(t, 20, c.Totals(1000)["x"])
+		assert.EqualValues(t, 40, c.Totals(1001)["x"])
+	}
+	other := Collector{Window: 5 * time.Second}
+	other.Restore(at(9), c.Save(0))
+	assert.Equal(t, c.Totals(1000), other.Totals(1000))
+
+	c.Add(at(10), "a", 1, Part{Window: 1000, Replaces: true, Counts: []Count{{"x", 19}}})
+	assert.EqualValues(t, 19, c.Totals(1000)["x"])
+	assert.EqualValues(t, 40, c.Totals(1001)["x"], "not replaced yet")
+	assert.False(t, c.Complete(1001, []Process{{"a", 1}}))
+	c.Add(at(10.6), "a", 1, Part{Window: 1001, Replaces: true, Final: true, Parts: 1, Counts: []Count{{"x", 41}}})
+	assert.EqualValues(t, 41, c.Totals(1001)["x"])
+}
+
 // TestFinalPartsAreBounded guards against a peer that fills the memory with final parts, by a
 // number of parts that no process has or by accounts whose counts are not kept.
 func TestFinalPartsAreBounded(t *testing.T) {
--- a/internal/plan/report/model_test.go
+++ b/internal/plan/report/model_test.go
@@ -30,6 +30,7 @@
 	collector Collector
 	fence     uint64
 	starts    int
+	started   time.Time
 	// saved has the counts of y that the store had when the process became the holder.
 	saved map[int64]uint32
 }
@@ -52,10 +53,66 @@
 	owners    map[uint64]string
 	lastFence uint64
 	failure   string
+	// u is a process that counts one request in an account of its own after each start.
+	// early has its starts after which it sent early counts.
+	u     restarts
+	early []restarts
 	// between, if set, happens once between the renewal of the lease and the next action.
 	between func()
 }
 
+// restarts is a process that starts again and again. It learns true time settle after a start,
+// which is longer than a window.
+type restarts struct {
+	incarnation uint64
+	started     time.Time
+}
+
+const settle = 7 * time.Second
+
+// account returns the account of an incarnation.
+func (r restarts) account() string { return fmt.Sprint("u", r.incarnation) }
+
+// restart ends u and starts it again. Each third incarnation sends early counts and is killed,
+// those of the others are lost, and they stop as planned.
+func (w *world) restart() {
+	before := w.u
+	w.u = restarts{before.incarnation + 1, w.now}
+	planned, early := before.incarnation%3 != 0, w.u.incarnation%3 == 0
+	for _, p := range w.processes {
+		if planned {
+			w.sendFinal(&p.collector, before, WindowAt(w.now, window))
+		}
+		if early {
+			p.collector.AddEarly(w.now, w.now, "u", w.u.incarnation, []EarlyCount{{Account: w.u.account(), Requests: 1}})
+		}
+	}
+	if early {
+		w.early = append(w.early, w.u)
+	}
+}
+
+// sendFinal sends the final counts of u of the windows since its start.
+func (w *world) sendFinal(c *Collector, u restarts, last int64) {
+	first := WindowAt(u.started, window)
+	for number := first; number <= last; number++ {
+		p := Part{Window: number, Final: true, Parts: 1, Replaces: true}
+		if number == first {
+			p.Counts = []Count{{u.account(), 1}}
+		}
+		c.Add(w.now, "u", u.incarnation, p)
+	}
+}
+
+// expected returns the processes whose counts a report waits for.
+func (w *world) expected() []Process {
+	list := expect("x")
+	if w.u.incarnation > 0 {
+		list = append(list, Process{"u", w.u.incarnation})
+	}
+	return list
+}
+
 func newWorld() *world {
 	w := &world{now: time.Unix(5000, 0), objects: map[string]store.Object{}, bodies: map[int64]string{}, owners: map[uint64]string{}}
 	w.copies = []map[string]store.Object{{}}
@@ -70,7 +127,7 @@
 func (w *world) start(i int) {
 	p := w.processes[i]
 	p.starts++
-	p.era, p.fence = 0, 0
+	p.era, p.fence, p.started = 0, 0, w.now
 	p.lease = lease.Lease{Holder: fmt.Sprint(p.name, "/", p.starts), Timing: modelTiming}
 	p.machine = Machine{Window: window, ReportWithin: reportWithin, First: WindowAt(w.now, window)}
 	p.collector = Collector{Window: window}
@@ -164,6 +221,9 @@
 	w.now = w.now.Add(d)
 	w.counted++
 	for i, p := range w.processes {
+		if w.u.incarnation > 0 && w.now.Sub(w.u.started) >= settle {
+			w.sendFinal(&p.collector, w.u, WindowAt(w.now.Add(-finalDelay), window)-1)
+		}
 		for number := WindowAt(w.now, window) - 2; number <= WindowAt(w.now, window); number++ {
 			p.collector.Add(w.now, "x", 1, Part{Window: number, Final: true, Parts: 1, Counts: []Count{{"a", w.counted + uint32(i)}}})
 		}
@@ -188,7 +248,7 @@
 		w.between()
 		w.between = nil
 	}
-	a := p.machine.Decide(w.now, p.era, &p.collector, expect("x"))
+	a := p.machine.Decide(w.now, p.era, &p.collector, w.expected())
 	switch a.Kind {
 	case Read:
 		o := w.get(p, usageKey)
@@ -210,7 +270,7 @@
 		}
 		p.machine.RemovedSaved()
 	case Fix:
-		w.checkSaved(p, a.Record.Report)
+		w.checkCounts(p, a.Record.Report)
 		version, written := w.put(p, store.Object{Key: usageKey, Value: a.Record.Encode(), Version: a.Version}, delayed)
 		if lost || !written {
 			p.machine.Unsettled()
@@ -261,13 +321,23 @@
 	return counts
 }
 
-// checkSaved checks that a report that is fixed has the counts that the store had when its
-// holder began.
-func (w *world) checkSaved(p *process, r Report) {
+// checkCounts checks that a report that is fixed has the counts that the store had when its
+// holder began, and those of the last start of u once, if it is not fixed at the latest time,
+// and early counts that reached the holder.
+func (w *world) checkCounts(p *process, r Report) {
 	var body struct{ Counts map[string]uint32 }
 	if err := json.Unmarshal([]byte(r.Body), &body); err != nil || body.Counts["b"] < p.saved[r.Window] {
 		w.failure = fmt.Sprintf("window %d lacks saved counts, %d: %s", r.Window, p.saved[r.Window], r.Body)
 	}
+	waited := w.now.Before(EndOf(r.Window, window).Add(reportWithin - latestFix))
+	if waited && w.u.incarnation > 0 && r.Window == WindowAt(w.u.started, window) && body.Counts[w.u.account()] != 1 {
+		w.failure = fmt.Sprintf("window %d lacks the last start: %s", r.Window, r.Body)
+	}
+	for _, u := range w.early {
+		if r.Window == WindowAt(u.started, window) && !p.started.After(u.started) && body.Counts[u.account()] != 1 {
+			w.failure = fmt.Sprintf("window %d has early counts not once: %s", r.Window, r.Body)
+		}
+	}
 }
 
 // receive checks a report at the platform.
@@ -313,10 +383,11 @@
 	{'c', func(w *world) { w.restore(7) }},
 	{'m', func(w *world) { w.between = func() { w.restore(1) } }},
 	{'a', (*world).stop},
+	{'u', (*world).restart},
 }
 
-// exhaustiveLength is the length up to which all sequences are walked, 20,736 of them. Length
-// 5 takes a minute. longSequences longer ones of up to maxLength events are drawn.
+// exhaustiveLength is the length up to which all sequences are walked, 28,561 of them. Length
+// 5 takes minutes. longSequences longer ones of up to maxLength events are drawn.
 const (
 	exhaustiveLength = 4
 	longSequences    = 4000
--- a/internal/plan/report/report.go
+++ b/internal/plan/report/report.go
@@ -10,6 +10,9 @@
 // A process that stops when no collector is left saves the counts that it holds to the store.
 // The next holder adds them to its own.
 //
+// A process that does not know true time yet counts with an Early instead, by the age of the
+// requests. A Collector adds these counts to windows until the process has sent its own.
+//
 // All of them are pure: they take the present true time and do no I/O.
 //
 // # Usage
@@ -20,7 +23,14 @@
 //		send(message.To, message.Part)
 //	}
 //
+//	early := &report.Early{Started: started}
+//	early.Count(at, "huka270")
+//	for _, counts := range early.Due(now, false) {
+//		send(collectors, counts)
+//	}
+//
 //	collector := &report.Collector{Window: 5 * time.Second}
+//	collector.AddEarly(now, arrived, "entry-2", incarnation, counts)
 //	collector.Add(now, "entry-2", incarnation, part)
 //
 //	machine := &report.Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second}
@@ -98,6 +108,8 @@
 	// then in how many Parts it sends its counts, none of which has an account of another.
 	Final bool
 	Parts int
+	// Replaces is set if the process has sent early counts, which hold no longer in the window.
+	Replaces bool
 	// Counts are sorted by account.
 	Counts []Count
 }
--- a/internal/plan/report/saved.go
+++ b/internal/plan/report/saved.go
@@ -66,7 +66,7 @@
 		for name, t := range processes {
 			for incarnation, h := range t.shares {
 				saved := SavedShare{Window: window, Process: name, Incarnation: incarnation, Final: h.final(), Closed: h.closed}
-				for account, n := range h.counts {
+				for account, n := range h.totals() {
 					index, ok := indexes[account]
 					if !ok {
 						index = uint32(len(s.Accounts))
