broker: the release of a permit says that its prefill has completed

A peer tells its coordinator that a local prefill has ended, and releases the permit at the end of the stream, at the same moment if that is short. If the release came first, it said that the prefill had failed: the coordinator forgot the prefix, and the engine seemed at work on what it had begun longer ago. It predicted a wait of 75 ms where 126 ms was left. Datagrams overtake each other, and get lost. Change: the release repeats that the prefill has completed. A coordinator that learns it from that records the progress, but no time of the prefill.

--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ebonyscale.example/ebonyscale/internal/fleet/kept"
+	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/assign"
 )
@@ -75,8 +76,8 @@
 type PermitRelease struct {
 	Number  uint64
 	Verdict usage.Verdict
-	// Prefilled is set if the prefill has completed, Kept if only the prefill
-	// has ended: the permit is still in use.
+	// Prefilled is set if the prefill has completed, also in the last message after one
+	// with Kept. Kept is set if only the prefill has ended: the permit is still in use.
 	Prefilled, Kept bool
 }
 
@@ -213,6 +214,7 @@
 	if !ok {
 		return
 	}
+	b.recordGranted(p, r)
 	b.endGrantedPrefill(p, r.Prefilled)
 	if r.Kept {
 		b.serveFreed(time.Now(), p.need.key)
@@ -221,12 +223,24 @@
 	b.reclaim(time.Now(), p, usage.Result{Verdict: r.Verdict, Work: p.need.key.work})
 }
 
+// recordGranted updates the times of the engine after the prefill of a peer's permit. If
+// the message at the end of a local prefill has not arrived before the release, when the
+// prefill has ended is not known, but that the engine has gone on is. b.mu must be held.
+func (b *Broker) recordGranted(p *permit, r PermitRelease) {
+	switch {
+	case p.units == 0 || !r.Prefilled:
+	case r.Kept || p.need.key.role == roster.Prefill:
+		b.recordPrefill(p)
+	default:
+		b.recordProgress(time.Now(), p.server.Key())
+	}
+}
+
 // endGrantedPrefill ends the prefill of a peer's permit. b.mu must be held.
 func (b *Broker) endGrantedPrefill(p *permit, completed bool) {
 	if p.units == 0 {
 		return
 	}
-	b.recordPrefill(p, completed)
 	b.recordKept(p, completed)
 	q := b.queue(p.need.key)
 	q.held -= p.units
--- a/internal/node/broker/coordinate_test.go
+++ b/internal/node/broker/coordinate_test.go
@@ -247,6 +247,42 @@
 	})
 }
 
+// overtaken delivers the messages that a prefill has ended after all others.
+type overtaken struct{ transport }
+
+func (c overtaken) Release(to string, r PermitRelease) {
+	if r.Kept {
+		time.AfterFunc(20*time.Millisecond, func() { c.transport.Release(to, r) })
+		return
+	}
+	c.transport.Release(to, r)
+}
+
+// TestReleaseOvertakesTheEndOfThePrefill guards against a coordinator that doesn't notice
+// that an engine has gone on, as datagrams are lost and overtake each other: it would grant
+// more than the engine can prefill in time.
+func TestReleaseOvertakesTheEndOfThePrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &serialEngines{
+			perSecond: map[string]float64{"d1": 150e3}, free: map[string]time.Time{}, known: map[string]bool{},
+			longest: map[string]time.Duration{}, work: map[string]time.Duration{},
+		}
+		s := newCluster(t, 2, &fleet{fallback: engines.serve})
+		coordinator, f := s.nodes["p0"], s.nodes["p1"]
+		f.Coordination = overtaken{transport{s, "p1"}}
+		prefilling, _ := coordinator.roster.Find("p1", 1)
+		coordinator.Usage.MarkUnreachable(time.Now(), prefilling)
+		f.serve(t.Context(), newPromptRequest("/chat/1", 9000, 100))
+		ended := time.Now()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		engine, _ := coordinator.roster.Find("d1", 1)
+		assert.Equal(t, ended.Add(time.Millisecond), coordinator.progress[engine.Key()])
+		assert.Zero(t, coordinator.Usage.Get(time.Now(), engine).Times, "it is not known how long the prefill took")
+		s.assertIdle(t)
+	})
+}
+
 // A grant says what its process has to know to go on: the tokens that the engine is
 // expected to prefill, so that a long prefill does not count as a stall, the engine's
 // times, in case the coordinator is lost, and an engine that keeps the prefix.
--- a/internal/node/broker/permit.go
+++ b/internal/node/broker/permit.go
@@ -25,6 +25,8 @@
 	// promptTokens is what the permit has in Broker.promptTokens.
 	promptTokens int
 	forecast     assign.Forecast
+	// prefilled is set once the prefill has completed.
+	prefilled bool
 	// fetch is the address of an engine from which the prefix is fetched; it is
 	// invalid if none is known.
 	fetch netip.AddrPort
@@ -109,7 +111,9 @@
 	result.Work = p.need.key.work
 	b.Usage.End(now, p.server, result)
 	if p.coordinator != "" {
-		b.releaseRemote(p, PermitRelease{Number: p.number, Verdict: result.Verdict, Prefilled: result.Prefilled})
+		// It says what the message at the end of the prefill said, which may be lost or
+		// arrive after this one.
+		b.releaseRemote(p, PermitRelease{Number: p.number, Verdict: result.Verdict, Prefilled: result.Prefilled || p.prefilled})
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -84,13 +84,10 @@
 	}
 }
 
-// recordPrefill updates the times of an engine after the prefill of a permit that
-// this process issued. The prefill has occupied the engine since it began or the one
-// before it completed. b.mu must be held.
-func (b *Broker) recordPrefill(p *permit, completed bool) {
-	if !completed {
-		return
-	}
+// recordPrefill updates the times of an engine that has just completed the prefill of a
+// permit that this process issued. The prefill has occupied the engine since it began or
+// the one before it completed. b.mu must be held.
+func (b *Broker) recordPrefill(p *permit) {
 	now, key := time.Now(), p.server.Key()
 	began := p.since
 	if last := b.progress[key]; last.After(began) {
@@ -176,13 +173,15 @@
 	q.held -= p.units
 	b.adjustEngine(p.server, Grants{0, -1, -p.units})
 	if p.coordinator == "" {
-		b.recordPrefill(p, completed)
+		if completed {
+			b.recordPrefill(p)
+		}
 	} else {
 		q.remote -= p.units
 		addGrant(b.remoteByEngine, p.server.Key(), Grants{0, -1, -p.units})
 	}
 	b.recordKept(p, completed)
-	p.units = 0
+	p.units, p.prefilled = 0, completed
 	b.serveFreed(time.Now(), p.need.key)
 	return true
 }
