pace: tests, bounds on reports, explain, fair ties between equal engines

Cause: the first engine in the list won every tie of predicted gaps; a status message with gaps could exceed one packet; explain did not show gaps. Change: the random score decides ties; the gaps in a message are as many as fit into 1,400 bytes, the others are told next; explain has the predicted gap of each engine; sums run in a fixed order.

--- a/internal/node/broker/explainservers.go
+++ b/internal/node/broker/explainservers.go
@@ -104,13 +104,14 @@
 // must be held.
 func (x *explainer) describeCandidates(n need, index map[string]*detail.Server) {
 	_, candidates, options := x.broker.candidates(x.now, n)
+	x.broker.predictGaps(x.now, n, candidates, options, &assign.Request{})
 	for i, unfit := range assign.Unfits(candidates) {
 		row := index[options[i].ID]
 		if row == nil {
 			// It has joined since All.
 			continue
 		}
-		row.Limit = candidates[i].Limit
+		row.Limit, row.GapMs = candidates[i].Limit, detail.Ms(candidates[i].Gap)
 		if unfit == assign.FullOfWork {
 			row.Limit = candidates[i].SameWorkLimit
 		}
--- a/internal/node/broker/gaps.go
+++ b/internal/node/broker/gaps.go
@@ -75,13 +75,14 @@
 		return
 	}
 	if !s.last.IsZero() && s.readyAt.Sub(s.last) <= maxReaderPause {
-		s.broker.recordGap(now, s.service, s.engine, now.Sub(s.last))
+		s.broker.RecordGap(now, s.service, s.engine, now.Sub(s.last))
 	}
 	s.last = now
 }
 
-// recordGap records a gap between two events of a stream.
-func (b *Broker) recordGap(now time.Time, service string, engine uint64, gap time.Duration) {
+// RecordGap records a gap between two events of a long stream on a route with a token gap
+// target.
+func (b *Broker) RecordGap(now time.Time, service string, engine uint64, gap time.Duration) {
 	b.gaps.mu.Lock()
 	defer b.gaps.mu.Unlock()
 	b.gaps.table(service).Record(now, engine, gap)
@@ -160,16 +161,16 @@
 	return true
 }
 
-// GapsMeasured returns the gaps that this process has measured since the last call, for its
-// peers.
-func (b *Broker) GapsMeasured() []pace.Report {
+// GapsMeasured returns what this process has measured and its peers have not been told, for at
+// most so many engines.
+func (b *Broker) GapsMeasured(most int) []pace.Report {
 	b.gaps.mu.Lock()
 	defer b.gaps.mu.Unlock()
 	var list []pace.Report
 	for _, t := range b.gaps.services {
-		list = append(list, t.Take()...)
+		list = append(list, t.Take(most-len(list))...)
 	}
-	return list[:min(len(list), pace.MaxTold)]
+	return list
 }
 
 // HearGaps handles the gaps that a peer has measured. Those at engines that the roster does not
--- a/internal/node/core/gaps.go
+++ b/internal/node/core/gaps.go
@@ -4,12 +4,23 @@
 	"math"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
 	"ebonyscale.example/ebonyscale/internal/route/pace"
 )
 
-// gapInterval is how often measured gaps are sent at least, while nothing else changes.
-const gapInterval = 200 * time.Millisecond
+const (
+	// gapInterval is how often measured gaps are sent at least, while nothing else changes.
+	gapInterval = 200 * time.Millisecond
+	// maxGaps bounds the engines in a status message whose gaps it has. There are fewer if
+	// the message would not fit into one packet.
+	maxGaps = 28
+	// maxStatus is the size up to which a status message fits into one packet, gapBytes the
+	// largest size of the gaps of one engine in it.
+	maxStatus = 1400
+	gapBytes  = 24
+)
 
 // addGaps adds to a status message the gaps between events that this process has measured
 // since the last one. It returns true if there are some: the message must be sent then, since
@@ -19,7 +30,7 @@
 	if !changed && now.Sub(n.gapsSent) < gapInterval {
 		return false
 	}
-	reports := n.Broker.GapsMeasured()
+	reports := n.Broker.GapsMeasured(min(maxGaps, (maxStatus-proto.Size(message))/gapBytes))
 	if len(reports) == 0 {
 		return false
 	}
--- a/internal/route/assign/paced.go
+++ b/internal/route/assign/paced.go
@@ -48,7 +48,7 @@
 			gap = lowest
 		}
 		cost := float64(gap)/float64(r.GapTarget) + pacedLoadWeight*c.load() + distance(*c, r, len(candidates))
-		if cost < bestCost {
+		if cost < bestCost || cost == bestCost && r.Seed != 0 && Score(c.Hash, r.Seed) < Score(candidates[best].Hash, r.Seed) {
 			best, bestCost = i, cost
 		}
 	}
--- a/internal/route/detail/detail.go
+++ b/internal/route/detail/detail.go
@@ -116,6 +116,9 @@
 	// WaitMs is the predicted time until a prefill of the prompt begins there, FinishMs
 	// that until it ends, in milliseconds; both are 0 if they can't be predicted.
 	WaitMs, FinishMs Milliseconds
+	// GapMs is the predicted time between two events of a stream there, in milliseconds; 0
+	// if the choice does not depend on it.
+	GapMs Milliseconds `json:",omitempty"`
 	// NotUsed is why the request would not be sent there, empty if it would.
 	NotUsed Cause `json:",omitempty"`
 }
--- a/internal/route/detail/text.go
+++ b/internal/route/detail/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -39,9 +40,14 @@
 	}
 	_ = w.Flush()
 	fmt.Fprintln(&table)
-	fmt.Fprintln(w, "SERVER\tZONE\tROLE\tRUNNING\tLIMIT\tCACHED\tWAIT\tFINISH\tNOT USED")
+	gaps := slices.ContainsFunc(e.Servers, func(s Server) bool { return s.GapMs > 0 })
+	heading := "SERVER\tZONE\tROLE\tRUNNING\tLIMIT\tCACHED\tWAIT\tFINISH\t"
+	if gaps {
+		heading += "GAP\t"
+	}
+	fmt.Fprintln(w, heading+"NOT USED")
 	for _, s := range e.Servers {
-		fmt.Fprintln(w, s.row())
+		fmt.Fprintln(w, s.row(gaps))
 	}
 	_ = w.Flush()
 	fmt.Fprintf(&table, "\ndecision: %s\n", e.Decision)
@@ -77,8 +83,8 @@
 		short(q.WaitMs), short(q.LongestWaitMs))
 }
 
-// row returns the cells of the table.
-func (s Server) row() string {
+// row returns the cells of the table, that of the predicted gap only if gap is set.
+func (s Server) row(gap bool) string {
 	role, notUsed := s.Role, string(s.NotUsed)
 	if role == "" {
 		role = "-"
@@ -86,6 +92,9 @@
 	if notUsed == "" {
 		notUsed = "(used)"
 	}
+	if gap {
+		notUsed = short(s.GapMs) + "\t" + notUsed
+	}
 	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s", clip(s.ID, maxID), clip(s.AvailabilityZone, maxZone), role, s.Running, s.Limit, s.CachedTokens,
 		short(s.WaitMs), short(s.FinishMs), notUsed)
 }
--- a/internal/route/detail/text_test.go
+++ b/internal/route/detail/text_test.go
@@ -14,8 +14,8 @@
 
 var update = flag.Bool("update", false, "overwrite the golden files")
 
-// examples are explanations of the three usual decisions. The last one has names that are
-// too long for the table.
+// examples are explanations of the three usual decisions, and of a stream with a token gap
+// target. The one before has names that are too long for the table.
 func examples() []Explanation {
 	prefill := Explanation{
 		Process: "entry-7", AvailabilityZone: "khomas-a", Version: 12, Route: "chat", Kind: "Stream", Account: "acme", Priority: 1,
@@ -47,7 +47,15 @@
 		Servers:  []Server{{ID: long, AvailabilityZone: long, Role: "Prefill", Running: 1 << 20, Limit: 1 << 20, CachedTokens: 1 << 24, WaitMs: Ms(time.Hour), FinishMs: Ms(time.Hour), NotUsed: "PrefillTooLong"}},
 		Decision: Decision{Action: Reject, Status: 503, Reason: "Overloaded", RetryAfterMinMs: 210, RetryAfterMaxMs: 350},
 	}
-	return []Explanation{prefill, wait, reject}
+	paced := prefill
+	paced.Work, paced.Queues = DecodeLong, []Queue{{Work: DecodeLong, Order: "Arrival"}}
+	paced.Servers = []Server{
+		{ID: "d1", AvailabilityZone: "khomas-a", Role: "Decode", Running: 3, Limit: 10, GapMs: 182, NotUsed: NotBest},
+		{ID: "d2", AvailabilityZone: "khomas-a", Role: "Decode", Running: 3, Limit: 10, GapMs: 74},
+		{ID: "p1", AvailabilityZone: "khomas-a", Role: "Prefill", NotUsed: OtherRole},
+	}
+	paced.Decision = Decision{Action: Send, Server: "d2"}
+	return []Explanation{prefill, wait, reject, paced}
 }
 
 // TestText guards against a table that operators can't read: changed columns, lines of more
--- a/internal/route/pace/load_test.go
+++ b/internal/route/pace/load_test.go
@@ -135,7 +135,7 @@
 		w.toldLong[e] += p.long[e] - p.toldLong[e]
 	}
 	p.toldRunning, p.toldLong = p.running, p.long
-	reports := p.table.Take()
+	reports := p.table.Take(28)
 	for i := range w.processes {
 		if &w.processes[i] != p {
 			w.processes[i].table.Hear(w.at(), reports)
--- a/internal/route/pace/pace.go
+++ b/internal/route/pace/pace.go
@@ -17,7 +17,7 @@
 //	if known {
 //		gap := p.Gap(engine)
 //	}
-//	send(table.Take())
+//	send(table.Take(28))
 //
 // The estimate of an engine is the mean of its samples, in which the weight of each halves
 // every 10 s. It is blended with the mean of all engines of the service: an engine of which
@@ -29,7 +29,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -63,9 +62,7 @@
 )
 
 const (
-	// MaxTold is the number of engines in the reports of Take, MaxHeard that of the reports
-	// of one message that Hear takes.
-	MaxTold  = 28
+	// MaxHeard is the number of reports that Hear takes from one message.
 	MaxHeard = 64
 	// maxCount and maxGap bound the samples of a report and their mean.
 	maxCount = 1000
@@ -84,12 +81,15 @@
 // Table has the estimates of the engines of one service.
 type Table struct {
 	engines map[uint64]*estimate
+	// list has the same estimates in a fixed order, so that sums do not vary.
+	list []*estimate
 	// active is when the last sample came or the last stream was sent.
 	active time.Time
 }
 
 // estimate is what is known of one engine.
 type estimate struct {
+	engine uint64
 	// sum is that of the gaps in seconds, weight their number, both decayed until at.
 	sum, weight float64
 	at          time.Time
@@ -131,8 +131,9 @@
 		if t.engines == nil {
 			t.engines = map[uint64]*estimate{}
 		}
-		e = &estimate{at: now}
+		e = &estimate{engine: engine, at: now}
 		t.engines[engine] = e
+		t.list = append(t.list, e)
 	}
 	t.active, e.used = now, now
 	return e
@@ -185,7 +186,7 @@
 		return Prediction{}, false
 	}
 	sum, weights := 0.0, 0.0
-	for _, e := range t.engines {
+	for _, e := range t.list {
 		d := e.decay(now)
 		sum += d * e.sum
 		weights += d * e.weight
@@ -209,23 +210,33 @@
 	return time.Duration(gap * float64(time.Second))
 }
 
-// Take returns what this process has measured since the last call, for at most MaxTold
-// engines, those with the most samples first. What does not fit is not told.
-func (t *Table) Take() []Report {
+// Take returns what this process has measured and not told yet, for at most so many engines,
+// those with the most samples first. The others are left for the next call.
+func (t *Table) Take(most int) []Report {
 	var list []Report
-	for key, e := range t.engines {
+	for _, e := range t.list {
 		if e.count > 0 {
-			list = append(list, Report{key, e.count, e.total / time.Duration(e.count)})
-			e.count, e.total = 0, 0
+			list = append(list, Report{e.engine, e.count, e.total / time.Duration(e.count)})
 		}
 	}
 	slices.SortFunc(list, func(a, b Report) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Engine, b.Engine))
 	})
-	return list[:min(len(list), MaxTold)]
+	list = list[:min(len(list), max(most, 0))]
+	for _, r := range list {
+		e := t.engines[r.Engine]
+		e.count, e.total = 0, 0
+	}
+	return list
 }
 
 // Sweep forgets the engines that have had no samples and streams for some time.
 func (t *Table) Sweep(now time.Time) {
-	maps.DeleteFunc(t.engines, func(_ uint64, e *estimate) bool { return now.Sub(e.used) > forgetAfter })
+	t.list = slices.DeleteFunc(t.list, func(e *estimate) bool {
+		if now.Sub(e.used) <= forgetAfter {
+			return false
+		}
+		delete(t.engines, e.engine)
+		return true
+	})
 }
