--- a/internal/node/broker/gaps_test.go
+++ b/internal/node/broker/gaps_test.go
@@ -61,7 +61,7 @@
 			}
 			return delays(time.Second, resumes(3, true))(ctx, s)
 		}
-		f.routeHolds["talk"] = 1
+		f.routeHolds["talk"] = routeHold{mean: 1}
 		got := f.serve(t.Context(), newPromptRequest("/talk/1", 100, 10))
 		assert.True(t, got.ended)
 		total := time.Duration(0)
