wire, peers: prompt tokens that processes hold at engines

Cause: a process knows the number of its peers' requests at an engine, not their prompts. Change: ServerLoad has PromptTokens and GrantedPromptTokens, News has TellsPrompts, which alone says whether 0 means none. peers.Load sums them, and counts in Untold the requests of peers that don't tell. TestApply compares whole loads, so that it names Untold now. Evidence: TestPromptsOfPeers; go test -race of fleet/peers passed.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -77,14 +77,28 @@
 	// PrefillTokens their prompt tokens. GrantedPrefills and GrantedTokens are
 	// those of them whose permit another process granted.
 	Prefills, PrefillTokens, GrantedPrefills, GrantedTokens int
+	// PromptTokens are the tokens of the whole prompts that an engine holds for the
+	// processes that tell them, GrantedPromptTokens those of Granted.
+	PromptTokens, GrantedPromptTokens int
+	// Untold are the requests of the processes that do not tell their prompts.
+	Untold Untold
 }
 
+// Untold counts requests whose whole prompts are not known: those of Load.Running,
+// PrefillTokens, Granted and GrantedTokens of some processes.
+type Untold struct{ Running, PrefillTokens, Granted, GrantedTokens int }
+
 // plus returns l plus o, or minus o if sign is -1.
 func (l Load) plus(o Load, sign int) Load {
 	return Load{
 		Running: l.Running + sign*o.Running, Long: l.Long + sign*o.Long, Waiting: l.Waiting + sign*o.Waiting,
 		Granted: l.Granted + sign*o.Granted, Prefills: l.Prefills + sign*o.Prefills, PrefillTokens: l.PrefillTokens + sign*o.PrefillTokens,
 		GrantedPrefills: l.GrantedPrefills + sign*o.GrantedPrefills, GrantedTokens: l.GrantedTokens + sign*o.GrantedTokens,
+		PromptTokens: l.PromptTokens + sign*o.PromptTokens, GrantedPromptTokens: l.GrantedPromptTokens + sign*o.GrantedPromptTokens,
+		Untold: Untold{
+			Running: l.Untold.Running + sign*o.Untold.Running, PrefillTokens: l.Untold.PrefillTokens + sign*o.Untold.PrefillTokens,
+			Granted: l.Untold.Granted + sign*o.Untold.Granted, GrantedTokens: l.Untold.GrantedTokens + sign*o.Untold.GrantedTokens,
+		},
 	}
 }
 
@@ -94,6 +108,9 @@
 	l.Running -= l.Granted
 	l.Prefills -= l.GrantedPrefills
 	l.PrefillTokens -= l.GrantedTokens
+	l.PromptTokens -= l.GrantedPromptTokens
+	l.Untold.Running -= l.Untold.Granted
+	l.Untold.PrefillTokens -= l.Untold.GrantedTokens
 	return l
 }
 
@@ -300,10 +317,7 @@
 	p.servers, p.queues = make(map[uint64]Load, len(message.Loads)), make(map[uint64]Load, len(message.Lines))
 	for _, l := range message.Loads {
 		p.running += int(l.Running)
-		p.servers[l.Server] = Load{
-			Running: int(l.Running), Long: int(l.Long), Granted: int(l.Granted), Prefills: int(l.Reading), PrefillTokens: int(l.Tokens),
-			GrantedPrefills: int(l.GrantedReading), GrantedTokens: int(l.GrantedTokens),
-		}
+		p.servers[l.Server] = serverLoad(l, message.TellsPrompts)
 	}
 	for _, l := range message.Lines {
 		p.queues[l.Line] = Load{Running: int(l.Running), Waiting: int(l.Waiting), Granted: int(l.Granted)}
@@ -315,6 +329,22 @@
 	return true
 }
 
+// serverLoad returns a peer's load at a backend server. tells is set if the peer tells its prompts.
+// A process of an older build does not, and neither does one without CacheTokens in its configuration:
+// 0 then means that the prompts are not known.
+func serverLoad(l *wire.ServerLoad, tells bool) Load {
+	load := Load{
+		Running: int(l.Running), Long: int(l.Long), Granted: int(l.Granted), Prefills: int(l.Reading), PrefillTokens: int(l.Tokens),
+		GrantedPrefills: int(l.GrantedReading), GrantedTokens: int(l.GrantedTokens),
+	}
+	if tells {
+		load.PromptTokens, load.GrantedPromptTokens = int(l.PromptTokens), int(l.GrantedPromptTokens)
+		return load
+	}
+	load.Untold = Untold{Running: load.Running, PrefillTokens: load.PrefillTokens, Granted: load.Granted, GrantedTokens: load.GrantedTokens}
+	return load
+}
+
 // recordHeard records that a status message came. The caller must hold mu.
 func (t *Table) recordHeard(now time.Time, name string) {
 	if _, ok := t.members[name]; !ok {
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -29,7 +29,7 @@
 	table := Table{Self: "a"}
 	assert.True(t, table.Apply(now, message("b", 1, 1, 3)))
 	assert.True(t, table.Apply(now, message("c", 1, 1, 4)))
-	assert.Equal(t, Load{Running: 7, Long: 2}, table.Server(7))
+	assert.Equal(t, Load{Running: 7, Long: 2, Untold: Untold{Running: 7}}, table.Server(7))
 	assert.Equal(t, 7, table.Queue(9).Waiting)
 	assert.True(t, table.Apply(now, message("b", 1, 2, 1)))
 	assert.Equal(t, 5, table.Server(7).Running, "a newer message replaces an older one")
@@ -374,3 +374,34 @@
 	table.Apply(now, &wire.News{From: "b", Incarnation: 1, Sequence: 9, Lost: []uint64{LostAll}})
 	assert.NotEqual(t, "b", table.Coordinator(other, false), "it has lost more services than a message names")
 }
+
+// TestPromptsOfPeers guards against a peer of an older build whose prompts count as nothing, and
+// against prompts that stay when a peer is silent.
+func TestPromptsOfPeers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := Table{Self: "a"}
+	tell := func(from string, sequence uint64, tells bool, l *wire.ServerLoad) {
+		l.Server = 7
+		assert.True(t, table.Apply(now, &wire.News{From: from, Incarnation: 1, Sequence: sequence, TellsPrompts: tells, Loads: []*wire.ServerLoad{l}}))
+	}
+	tell("new", 1, true, &wire.ServerLoad{Running: 3, Granted: 1, Tokens: 900, GrantedTokens: 400, PromptTokens: 9000, GrantedPromptTokens: 4000})
+	tell("short", 1, true, &wire.ServerLoad{Running: 2})
+	tell("old", 1, false, &wire.ServerLoad{Running: 4, Granted: 1, Tokens: 700, GrantedTokens: 300})
+	tell("cache", 1, true, &wire.ServerLoad{PromptTokens: 500})
+	want := Load{
+		Running: 9, Granted: 2, PrefillTokens: 1600, GrantedTokens: 700, PromptTokens: 9500, GrantedPromptTokens: 4000,
+		Untold: Untold{Running: 4, PrefillTokens: 700, Granted: 1, GrantedTokens: 300},
+	}
+	assert.Equal(t, want, table.Server(7))
+	rest := table.Server(7).WithoutGrants()
+	assert.Equal(t, 5500, rest.PromptTokens)
+	assert.Equal(t, 3, rest.Untold.Running)
+	assert.Equal(t, 400, rest.Untold.PrefillTokens)
+	tell("old", 2, true, &wire.ServerLoad{Running: 4, PromptTokens: 100})
+	assert.Zero(t, table.Server(7).Untold, "a process that has been upgraded")
+	assert.Equal(t, 9600, table.Server(7).PromptTokens)
+	tell("new", 2, false, &wire.ServerLoad{Running: 3, PromptTokens: 9000})
+	assert.Equal(t, 600, table.Server(7).PromptTokens, "only TellsPrompts decides")
+	table.Expire(now.Add(time.Minute))
+	assert.Zero(t, table.Server(7))
+}
