broker, hold, core: count the prompts that peers tell, and share out the memory

KV caches kept at prefill engines were not counted. A kept KV cache counts until the first event or the release of the decode permit. Beside prompts a message has 12 departures, not 16, to fit one packet.

--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -58,6 +58,8 @@
 	ejected bool
 	// peerLoad is the load of the peers in the queue.
 	peerLoad peers.Load
+	// memory is that of the backend servers, zero if it is not configured.
+	memory memory
 }
 
 // views are the views of the queues that can serve a waiter.
@@ -135,6 +137,7 @@
 	candidates = make([]assign.Candidate, 0, len(servers))
 	options = make([]roster.Server, 0, len(servers))
 	v = view{peerLoad: b.Peers.Queue(n.key.hash()), ejected: true}
+	v.memory.cache = b.cacheTokens(n.key.service)
 	ejected, throttled := 0, 0.0
 	for _, s := range servers {
 		if s.Role != n.key.role || !n.software.accepts(s) {
@@ -152,7 +155,7 @@
 			}
 			continue
 		}
-		c := b.candidate(n, s, snapshot)
+		c := b.candidate(n, s, snapshot, &v.memory)
 		v.usable++
 		v.capacity += c.SameWorkLimit
 		if c.Ejected {
@@ -170,10 +173,11 @@
 }
 
 // candidate combines the load of this process and its peers at a backend server
-// with its limits. b.mu must be held.
-func (b *Broker) candidate(n need, s roster.Server, snapshot usage.Snapshot) assign.Candidate {
+// with its limits, and adds its prompts to m. b.mu must be held.
+func (b *Broker) candidate(n need, s roster.Server, snapshot usage.Snapshot, m *memory) assign.Candidate {
 	share := b.zoneShare(s.Zone)
 	peerLoad := b.withoutGrants(n.key.service, b.Peers.Server(s.Key()))
+	b.addMemory(m, n, s.Key(), share, peerLoad)
 	granted := b.grantedByEngine[s.Key()].Requests
 	limit := scaled(n.perSlot*float64(s.Slots), share)
 	c := assign.Candidate{
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -117,13 +117,14 @@
 }
 
 // Grants sums the permits at an engine that one process granted to others: their
-// number, that of those whose prefill has not ended, and the prompt tokens of these.
-type Grants struct{ Requests, Prefills, Tokens int }
+// number, that of those whose prefill has not ended, the prompt tokens of these, and
+// the tokens of the whole prompts of all of them.
+type Grants struct{ Requests, Prefills, Tokens, Prompts int }
 
 // addGrant adds to the sum of an engine, and removes the entry if that is zero.
 func addGrant(sums map[uint64]Grants, key uint64, g Grants) {
 	sum := sums[key]
-	sum = Grants{sum.Requests + g.Requests, sum.Prefills + g.Prefills, sum.Tokens + g.Tokens}
+	sum = Grants{sum.Requests + g.Requests, sum.Prefills + g.Prefills, sum.Tokens + g.Tokens, sum.Prompts + g.Prompts}
 	if sum == (Grants{}) {
 		delete(sums, key)
 		return
@@ -193,8 +194,9 @@
 	b.holdPrompt(p)
 	q.add(p)
 	q.granted += p.units
-	addGrant(b.grantedByEngine, p.server.Key(), Grants{1, 1, p.units})
-	b.adjustEngine(p.server, Grants{1, 1, p.units})
+	added := Grants{1, 1, p.units, p.promptTokens}
+	addGrant(b.grantedByEngine, p.server.Key(), added)
+	b.adjustEngine(p.server, added)
 	b.Meters.Add("PlacesGranted", 1)
 }
 
@@ -231,8 +233,9 @@
 	q := b.queue(p.need.key)
 	q.held -= p.units
 	q.granted -= p.units
-	addGrant(b.grantedByEngine, p.server.Key(), Grants{0, -1, -p.units})
-	b.adjustEngine(p.server, Grants{0, -1, -p.units})
+	ended := Grants{Prefills: -1, Tokens: -p.units}
+	addGrant(b.grantedByEngine, p.server.Key(), ended)
+	b.adjustEngine(p.server, ended)
 	p.units = 0
 }
 
@@ -241,7 +244,7 @@
 func (b *Broker) reclaim(now time.Time, p *permit, result usage.Result) {
 	delete(b.grants, p.requester.requestKey)
 	b.endGrantedPrefill(p, false)
-	addGrant(b.grantedByEngine, p.server.Key(), Grants{-1, 0, 0})
+	addGrant(b.grantedByEngine, p.server.Key(), Grants{Requests: -1, Prompts: -p.promptTokens})
 	switch result.Verdict {
 	case usage.OK, usage.Full, usage.Replaced:
 		b.Usage.RecordRemote(now, p.server, result)
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -85,6 +85,8 @@
 	// prefilledBy is the prefill engine that has computed the prompt's KV
 	// cache.
 	prefilledBy roster.Server
+	// kept is the prompt of that KV cache while it is counted at the engine.
+	kept keptPrompt
 	// lastEvent is when the latest event of the stream arrived, longestGap the
 	// longest time between two events so far.
 	lastEvent  time.Time
--- a/internal/node/broker/permit.go
+++ b/internal/node/broker/permit.go
@@ -75,7 +75,11 @@
 	}
 	// A coordinator decides for all, so that there is nothing to share. The queue's load is
 	// that of all versions, which says nothing of the servers of a single one.
-	return n.software.limited() || b.coordinates(n.key) || b.queue(n.key).mayAcquire(now, v, n.size(), b.Seed)
+	if n.software.limited() || b.coordinates(n.key) {
+		return true
+	}
+	q := b.queue(n.key)
+	return q.mayAcquire(now, v, n.size(), b.Seed) && q.mayHold(now, v, n.tokens(), b.Seed)
 }
 
 // issueTo issues a permit at the backend server of v to the waiter. b.mu must be held.
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -174,12 +174,13 @@
 	b.Usage.EndPrefill(p.server, p.units)
 	q := b.queue(p.need.key)
 	q.held -= p.units
-	b.adjustEngine(p.server, Grants{0, -1, -p.units})
+	ended := Grants{Prefills: -1, Tokens: -p.units}
+	b.adjustEngine(p.server, ended)
 	if p.coordinator == "" {
 		b.recordPrefill(p, completed)
 	} else {
 		q.remote -= p.units
-		addGrant(b.remoteByEngine, p.server.Key(), Grants{0, -1, -p.units})
+		addGrant(b.remoteByEngine, p.server.Key(), ended)
 	}
 	b.recordKept(p, completed)
 	p.units = 0
@@ -273,6 +274,7 @@
 	j.stages = append(j.stages, zap.Duration("Prefill", took), zap.String("PrefillServer", p.server.ID))
 	if err == nil && response == nil {
 		j.prefilledBy = p.server
+		j.keepPrompt(p)
 		p.release(usage.Result{Verdict: usage.OK, Prefilled: true})
 		return source, nil
 	}
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -144,7 +144,7 @@
 	if b.remoteByEngine == nil {
 		b.remoteByEngine = map[uint64]Grants{}
 	}
-	addGrant(b.remoteByEngine, server.Key(), Grants{1, 1, p.units})
+	addGrant(b.remoteByEngine, server.Key(), Grants{1, 1, p.units, p.promptTokens})
 	return p, nil
 }
 
@@ -153,7 +153,7 @@
 	b.Coordination.Release(p.coordinator, r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	addGrant(b.remoteByEngine, p.server.Key(), Grants{-1, 0, 0})
+	addGrant(b.remoteByEngine, p.server.Key(), Grants{Requests: -1, Prompts: -p.promptTokens})
 }
 
 // register adds a permit request and returns its number.
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -32,6 +32,7 @@
 	if !ok {
 		return
 	}
+	defer j.freeKept()
 	for {
 		if p == nil && source.Handle == "" && j.attempted && j.cutOff() && j.carry() {
 			return
@@ -58,6 +59,7 @@
 			c.Fetch = j.fetchSource(p)
 		}
 		f := j.attempt(p, c)
+		j.freeKept()
 		if f == nil {
 			return
 		}
@@ -221,6 +223,7 @@
 	j.broker.clearAbort(p)
 	p.endPrefill()
 	if c.Source.Handle != "" {
+		j.freeKept()
 		j.broker.Usage.RecordTransfer(time.Now(), j.prefilledBy, time.Since(p.since))
 	}
 	j.stages = append(j.stages, zap.Duration("First", time.Since(j.request.Arrived)))
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -82,6 +82,7 @@
 			Tokens: uint32(snapshot.PrefillTokens),
 		})
 	})
+	n.addPrompts(message)
 	message.Loads = busiest(message.Loads)
 	for _, l := range message.Loads {
 		held := n.Broker.GrantsHeld(l.Server)
@@ -96,7 +97,7 @@
 	message.Lost = n.lostTold()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	message.Departures = n.departureBatch(time.Now())
+	message.Departures = n.departureBatch(time.Now(), message.TellsPrompts)
 	digest := digest(message)
 	changed := digest != n.lastDigest
 	n.lastDigest = digest
@@ -116,6 +117,9 @@
 	// the newest, the other half cycles through the older ones, so that each is
 	// sent a few times before it expires.
 	maxDepartures = 16
+	// departuresBesidePrompts is maxDepartures in a message with prompts, which take up to
+	// 8 bytes of each load.
+	departuresBesidePrompts = 12
 	// maxLimits bounds the rate limits in a status message. If there are more, some
 	// are sent at random.
 	maxLimits = 8
@@ -158,31 +162,54 @@
 	return list
 }
 
-// busiest returns the maxLoads loads with the most running requests. It reorders
-// loads if there are more.
+// addPrompts adds the prompts that the backend servers hold for this process, if its configuration
+// has them counted. Those that only keep a KV cache have no load before.
+func (n *Node) addPrompts(message *wire.News) {
+	if !n.Broker.CountsPrompts() {
+		return
+	}
+	message.TellsPrompts = true
+	n.Broker.Prompts(func(server uint64, tokens, granted int) {
+		i := slices.IndexFunc(message.Loads, func(l *wire.ServerLoad) bool { return l.Server == server })
+		if i < 0 {
+			i = len(message.Loads)
+			message.Loads = append(message.Loads, &wire.ServerLoad{Server: server})
+		}
+		message.Loads[i].PromptTokens, message.Loads[i].GrantedPromptTokens = uint32(tokens), uint32(granted)
+	})
+}
+
+// busiest returns the maxLoads loads with the most running requests, and among equals
+// with the most prompt tokens. It reorders loads if there are more.
 func busiest(loads []*wire.ServerLoad) []*wire.ServerLoad {
 	if len(loads) <= maxLoads {
 		return loads
 	}
-	slices.SortFunc(loads, func(a, b *wire.ServerLoad) int { return cmp.Compare(b.Running, a.Running) })
+	slices.SortFunc(loads, func(a, b *wire.ServerLoad) int {
+		return cmp.Or(cmp.Compare(b.Running, a.Running), cmp.Compare(b.PromptTokens, a.PromptTokens))
+	})
 	return loads[:maxLoads]
 }
 
 // departureBatch returns the departures for one status message, at most
-// maxDepartures. The caller must hold mu.
-func (n *Node) departureBatch(now time.Time) []*wire.Departure {
+// maxDepartures, or fewer beside prompts. The caller must hold mu.
+func (n *Node) departureBatch(now time.Time, prompts bool) []*wire.Departure {
+	most := maxDepartures
+	if prompts {
+		most = departuresBesidePrompts
+	}
 	var list []*wire.Departure
 	for _, d := range n.departures {
 		if now.Before(d.expires) {
 			list = append(list, &wire.Departure{Server: d.id, Born: d.born, Removed: d.removedRevision, Sequence: d.sequence})
 		}
 	}
-	if len(list) <= maxDepartures {
+	if len(list) <= most {
 		return list
 	}
-	older := list[:len(list)-maxDepartures/2]
+	older := list[:len(list)-most/2]
 	batch := list[len(older):]
-	for range maxDepartures / 2 {
+	for range most / 2 {
 		n.lastOlder = (n.lastOlder + 1) % len(older)
 		batch = append(batch, older[n.lastOlder])
 	}
--- a/internal/node/core/status_test.go
+++ b/internal/node/core/status_test.go
@@ -16,8 +16,14 @@
 // However many backend servers leave or are in use, a status message must fit into
 // one packet, and each departure must be sent within a few messages.
 func TestStatusMessageFitsOnePacket(t *testing.T) {
+	t.Run("without prompts", func(t *testing.T) { testStatusMessageSize(t, "", maxDepartures) })
+	t.Run("with prompts", func(t *testing.T) { testStatusMessageSize(t, `,"CacheTokens":317000`, departuresBesidePrompts) })
+}
+
+func testStatusMessageSize(t *testing.T, cacheTokens string, departures int) {
 	const count, packet = 600, 1400
 	n := newNode(t)
+	n.activate([]byte(fmt.Sprintf(promptTable, cacheTokens)), "test")
 	n.Name = "entry-kollam-17"
 	for i := range count {
 		s := roster.Server{ID: fmt.Sprintf("i-%010x", i), Born: 1771089897728 + int64(i), Service: "model"}
@@ -30,8 +36,13 @@
 	}
 	sent := map[string]bool{}
 	newest := fmt.Sprintf("i-%010x", count-1)
-	for range 2 * count / maxDepartures {
+	for range 2 * count / departures {
 		message, _ := n.composeStatus()
+		if message.TellsPrompts {
+			for _, l := range message.Loads {
+				l.PromptTokens, l.GrantedPromptTokens = 300_000, 300_000
+			}
+		}
 		assert.LessOrEqual(t, proto.Size(message), packet)
 		assert.Len(t, message.Loads, maxLoads)
 		assert.Equal(t, uint32(3), message.Loads[maxLoads-1].Running)
@@ -39,7 +50,7 @@
 		for _, d := range message.Departures {
 			inMessage[d.Server], sent[d.Server] = true, true
 		}
-		assert.Len(t, inMessage, maxDepartures)
+		assert.Len(t, inMessage, departures)
 		assert.Len(t, message.Limits, maxLimits)
 		assert.True(t, inMessage[newest])
 	}
--- a/internal/route/hold/hold_test.go
+++ b/internal/route/hold/hold_test.go
@@ -39,7 +39,11 @@
 		{"mean not known, little to prefill", 1000, Load{Others: 30, Prefill: 700}, 0, 200, true},
 		{"mean not known, much to prefill", 1000, Load{Others: 30, Prefill: 701}, 0, 200, false},
 		{"more to prefill than the mean says", 1000, Load{Others: 2, Prefill: 800}, 100, 200, false},
-		{"load that is already released", 1000, Load{Known: 100, Others: -2, Prefill: -5}, 100, 800, true},
+		{"prompts of peers that tell them", 1000, Load{Known: 200, Told: 400}, 100, 250, true},
+		{"prompts of peers and what they have sent since", 1000, Load{Known: 200, Told: 400}, 100, 251, false},
+		{"peers of both kinds", 1000, Load{Known: 200, Told: 160, Others: 2}, 100, 321, false},
+		{"the largest prompt beside one that is told", 1000, Load{Told: 1}, 100, 900, false},
+		{"load that is already released", 1000, Load{Known: 100, Told: -50, Others: -2, Prefill: -5}, 100, 800, true},
 	} {
 		assert.Equal(t, c.want, Fits(c.cache, c.load, c.mean, c.prompt), c.name)
 	}
