--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -317,6 +317,30 @@
 	}
 }
 
+// TestSavedCountsOfReportedWindows guards against a second report of a window whose counts were
+// saved, if the object of the last report is removed by hand, and against the loss of saved
+// counts if there was no report yet.
+func TestSavedCountsOfReportedWindows(t *testing.T) {
+	held := &Collector{Window: 5 * time.Second}
+	held.Add(at(1), "a", 1, Part{Window: 999, Counts: []Count{{"x", 1}}})
+	value, c := held.Save(0).Encode(), &Collector{Window: 5 * time.Second}
+	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
+	for _, want := range []int64{999, 1000} {
+		m.Begin(at(8))
+		require.NoError(t, m.Read(at(8), 0, nil, c))
+		require.NoError(t, m.ReadSaved(at(8), 7, value, c))
+		a := m.Decide(at(13), 0, c, nil)
+		if a.Kind == RemoveSaved {
+			m.RemovedSaved()
+			a = m.Decide(at(13), 0, c, nil)
+		}
+		require.Equal(t, Fix, a.Kind)
+		assert.Equal(t, want, a.Record.Report.Window)
+		m.Fixed(1, a)
+		m.Delivered(a.Record.Report)
+	}
+}
+
 // TestWrongTimeAtTheStart checks that a process whose clock is an hour ahead until it hears its
 // peers counts and reports in true time after that.
 func TestWrongTimeAtTheStart(t *testing.T) {
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -94,6 +94,8 @@
 	begun time.Time
 	// next is the next window to report. It does not decrease unless it is too far ahead.
 	next int64
+	// unreported is set while no window has been reported, as next was chosen by the counts.
+	unreported bool
 	// floor is the next window by the store's object. Those before may have been reported.
 	floor int64
 	// done is the window whose report is delivered or given up, refusals counts the
@@ -171,7 +173,7 @@
 // store's era and revision 0 if there is none. The error says that the value is not a record
 // of this package; it is then replaced.
 func (m *Machine) Read(now time.Time, version uint64, value []byte, c *Collector) error {
-	m.version, m.record, m.floor, m.refusals = version, Record{}, 0, 0
+	m.version, m.record, m.floor, m.refusals, m.unreported = version, Record{}, 0, 0, false
 	present := WindowAt(now.Add(skipMargin), m.Window)
 	if store.Revision(version) == 0 {
 		m.version, m.known = 0, true
@@ -181,6 +183,7 @@
 			return nil
 		}
 		if m.next == 0 {
+			m.unreported = true
 			m.next = min(c.Earliest(m.First), present)
 		}
 		return nil
@@ -226,7 +229,7 @@
 		m.known = false
 		return
 	}
-	m.version, m.record, m.floor, m.refusals = version, a.Record, a.Record.Next, 0
+	m.version, m.record, m.floor, m.refusals, m.unreported = version, a.Record, a.Record.Next, 0, false
 	m.next = max(m.next, a.Record.Next)
 }
 
--- a/internal/plan/report/saved.go
+++ b/internal/plan/report/saved.go
@@ -129,8 +129,7 @@
 	if s.Era == store.Era(version) {
 		m.savedLast = c.Restore(now, s)
 	}
-	if m.version == 0 && store.Era(version) == 0 {
-		// No window has been reported yet.
+	if m.unreported {
 		m.next = c.Earliest(m.next)
 	}
 	return nil
