--- a/internal/node/broker/explain_test.go
+++ b/internal/node/broker/explain_test.go
@@ -101,6 +101,16 @@
 			}
 		},
 	},
+	{
+		name: "long stream by predicted gaps", path: "/chat/x", tokens: 100, action: detail.Send, work: detail.DecodeLong,
+		notUsed: map[string]detail.Cause{"d": detail.NotBest, "e": ""},
+		prepare: func(_ context.Context, f *fixture) {
+			f.addEnginePairs()
+			f.routeHolds = map[string]float64{"chat": 1}
+			f.hearGaps("d", 200*time.Millisecond)
+			f.hearGaps("e", 80*time.Millisecond)
+		},
+	},
 	{
 		name: "all busy", path: "/read/x", action: detail.Wait, reason: detail.NoPermit, notUsed: map[string]detail.Cause{"a": "Full", "b": "Full"},
 		prepare: func(_ context.Context, f *fixture) {
--- a/internal/node/broker/gaps.go
+++ b/internal/node/broker/gaps.go
@@ -119,25 +119,16 @@
 	b.gaps.table(p.need.key.service).Sent(now, p.server.Key())
 }
 
-// activeGaps returns the estimates of a service while it has long work on a route with a token gap
-// target, else nil. b.gaps.mu must be held.
-func (b *Broker) activeGaps(now time.Time, service string) *pace.Table {
-	t := b.gaps.services[service]
-	if !t.Active(now) || b.gapTarget(service) <= 0 {
-		return nil
-	}
-	return t
-}
-
-// spareLongWork makes a short request prefer, at equal cost, the engines without long work.
+// spareLongWork makes a short request prefer, at equal cost, the engines without long work, while
+// the service has long work on a route with a token gap target.
 func (b *Broker) spareLongWork(now time.Time, n need, candidates []assign.Candidate, options []roster.Server, r *assign.Request) {
-	if n.key.work != usage.Short || n.key.role != roster.Decode {
+	if n.key.work != usage.Short || n.key.role != roster.Decode || b.gapTarget(n.key.service) <= 0 {
 		return
 	}
 	b.gaps.mu.Lock()
 	defer b.gaps.mu.Unlock()
-	t := b.activeGaps(now, n.key.service)
-	if t == nil {
+	t := b.gaps.services[n.key.service]
+	if !t.Active(now) {
 		return
 	}
 	r.SpareLongWork = true
@@ -147,12 +138,16 @@
 }
 
 // markLongWork adds to the engines with long work those that had some a moment ago. It returns
-// false, and changes nothing, unless prefills avoid them.
+// false, and changes nothing, unless prefills avoid them: the service has long work on a route
+// with a token gap target.
 func (b *Broker) markLongWork(now time.Time, service string, states []*engineState) bool {
+	if b.gapTarget(service) <= 0 {
+		return false
+	}
 	b.gaps.mu.Lock()
 	defer b.gaps.mu.Unlock()
-	t := b.activeGaps(now, service)
-	if t == nil {
+	t := b.gaps.services[service]
+	if !t.Active(now) {
 		return false
 	}
 	for _, s := range states {
--- a/internal/node/broker/gaps_test.go
+++ b/internal/node/broker/gaps_test.go
@@ -88,7 +88,7 @@
 	v := f.choose(time.Now(), n)
 	assert.Equal(t, "d1", v.server.ID, "without estimates the load decides")
 	assert.False(t, v.paced)
-	f.hearGaps("d1", 200*time.Millisecond)
+	f.hearGaps("d1", 100*time.Millisecond)
 	f.hearGaps("d2", 80*time.Millisecond)
 	v = f.choose(time.Now(), n)
 	assert.Equal(t, "d2", v.server.ID)
@@ -103,7 +103,7 @@
 	f.HearGaps(time.Now(), []pace.Report{{Engine: 7, Count: 1000, Mean: time.Minute}})
 	table := f.gaps.services["model"]
 	p, _ := table.Predict(time.Now())
-	assert.Less(t, p.Gap(7), 200*time.Millisecond, "an engine that the roster does not have")
+	assert.Less(t, p.Gap(7), 100*time.Millisecond, "an engine that the roster does not have")
 }
 
 // TestLocalPrefillSparesLongWork guards against prefills beside long streams while another
--- a/internal/route/assign/prefill.go
+++ b/internal/route/assign/prefill.go
@@ -57,7 +57,7 @@
 	// from what every engine needs.
 	Delay time.Duration
 	// Full is set if the engine has no free slot for another prefill. LongWork is set
-	// if it has streams that a prefill would interrupt for longer than they should be.
+	// if it has streams that occupy it for long; it counts only if Query.Spare is set.
 	Full, LongWork bool
 	// Suspect, OwnRunning, Ejected and Excluded have the meaning of Candidate.
 	Suspect           bool
