--- a/internal/node/broker/explain_test.go
+++ b/internal/node/broker/explain_test.go
@@ -106,7 +106,7 @@
 		notUsed: map[string]detail.Cause{"d": detail.NotBest, "e": ""},
 		prepare: func(_ context.Context, f *fixture) {
 			f.addEnginePairs()
-			f.routeHolds = map[string]float64{"chat": 1}
+			f.routeHolds = map[string]routeHold{"chat": {mean: 1}}
 			f.hearGaps("d", 200*time.Millisecond)
 			f.hearGaps("e", 80*time.Millisecond)
 		},
