plan/scale: on-demand servers carry half of the mean load; no lowering below the last peak

Change: half of it; spot servers of the remaining zones carry the load if those of one or two are reclaimed, and the fallback orders on demand at once.

--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -184,7 +184,7 @@
 	ordered := p.desired(false)
 	want, reason := ordered, ""
 	if ordered < p.limitOnDemand && !p.cutOff {
-		want, reason = p.wantOnDemand, p.reason("on-demand servers are to carry the mean load alone", p.needs.base)
+		want, reason = p.wantOnDemand, p.reason("on-demand servers are to carry their part of the mean load", p.needs.base)
 	}
 	if n := p.fallback(now, ordered); n > want {
 		want, reason = n, p.reason("the present load, as spot servers are missing", p.needs.fallback)
@@ -330,7 +330,9 @@
 	return s.orders(p.reason("the load has been lower", p.needs.base))
 }
 
-// dispensable returns how many of the ready servers may leave in one step.
+// dispensable returns how many of the ready servers may leave in one step. What remains
+// carries the highest load of the horizon, too: spot servers that are wanted for it may not
+// be available.
 func (p *plan) dispensable() int {
 	all := fleet{ready: Counts{}}
 	all.ready.add(p.onDemand.ready)
@@ -338,7 +340,7 @@
 	total := all.ready.total()
 	n := min(int(float64(total)*stepShare), max(total-p.keep, 0))
 	enough := func(n int) bool {
-		return p.needs.steady.met(func(r roster.Role) float64 { return all.expect(r, total-n) }) &&
+		return p.needs.peak.met(func(r roster.Role) float64 { return all.expect(r, total-n) }) &&
 			p.needs.safe.met(func(r roster.Role) float64 { return float64(all.ready[r] - n) })
 	}
 	for ; n > 0 && !enough(n); n-- {
--- a/internal/plan/scale/policy.go
+++ b/internal/plan/scale/policy.go
@@ -45,19 +45,21 @@
 
 // On-demand capacity.
 const (
-	// baseUtilisation is the target of on-demand servers alone at the mean load, which
-	// includes bursts: between bursts it is about three quarters of that. They are raised
-	// again from baseLimit on; the range between prevents swings.
-	baseUtilisation = 0.9
-	baseLimit       = 1.05
+	// baseUtilisation is the utilisation of on-demand servers alone at the mean load: they
+	// carry half of it if all spot servers are reclaimed at once, until on-demand servers that
+	// are ordered then have booted. Spot servers of the remaining zones carry the load if
+	// those of one or two are. They are raised again from baseLimit on; the range between
+	// prevents swings.
+	baseUtilisation = 2.0
+	baseLimit       = 2.3
 	// roleLimit is the utilisation from which they are raised because few of them have a
 	// role by chance, roleExcess bounds that increase, as a factor. Spot servers carry that
 	// load; without them the fallback does, after the boot time.
-	roleLimit  = 1.2
+	roleLimit  = 2.6
 	roleExcess = 1.25
 	// onDemandShare is the least share of on-demand servers in the capacity held for
 	// bursts of the mean load, and in the number of servers first seen.
-	onDemandShare = 0.3
+	onDemandShare = 0.15
 	// fallbackUtilisation is the target for the present load while spot servers are not
 	// available. It leaves little headroom, since that would cost the full price. It applies
 	// from fallbackLimit on; the range between prevents swings.
--- a/internal/plan/scale/scale.go
+++ b/internal/plan/scale/scale.go
@@ -1,9 +1,9 @@
 // Package scale decides how many backend servers of each kind are ordered in each
 // availability zone.
 //
-// On-demand servers carry the mean load alone at a high utilisation. Spot servers, which
-// cost a fraction and may be reclaimed, provide the headroom for bursts. They are spread
-// evenly over the zones, since those of a zone are reclaimed together. If spot servers are
+// On-demand servers carry half of the mean load. Spot servers, which cost a fraction and may
+// be reclaimed, carry the rest and provide the headroom for bursts. They are spread evenly
+// over the zones, since those of a zone are reclaimed together. If spot servers are
 // not available, on-demand servers carry the present load until they are. Capacity is
 // raised at once and lowered in steps; policy.go has the thresholds.
 //
--- a/internal/plan/scale/scale_test.go
+++ b/internal/plan/scale/scale_test.go
@@ -88,6 +88,28 @@
 	assert.Less(t, p.costShare(44), 0.6, "replaced by spot servers all the same")
 }
 
+// TestFirstBurstWithoutSpotServers guards against on-demand servers that are lowered by a mean
+// load that is still low, while the first burst saturates the fleet and no spot servers can be
+// ordered.
+func TestFirstBurstWithoutSpotServers(t *testing.T) {
+	begin, end := 12*time.Second, 30*time.Second
+	for seed := range uint64(12) {
+		p := newPlayed(seed, 44)
+		p.load = func(at time.Duration) Load {
+			if at < begin {
+				return Load{roster.Prefill: 0, roster.Decode: 0}
+			}
+			return Load{roster.Prefill: 11, roster.Decode: 8}
+		}
+		p.none = func(at time.Duration, _ string, spot bool) bool { return spot && at >= begin && at < end }
+		p.run(end)
+		p.checkOrders(t, seed)
+		for _, o := range p.orders {
+			assert.False(t, o.at > begin && o.Desired < o.before, "seed %d: lowered in a burst: %v", seed, o)
+		}
+	}
+}
+
 // TestReclaims guards against a loss of service when the spot servers of one zone, or of
 // all shortly after each other with none available for 10 s, are reclaimed.
 func TestReclaims(t *testing.T) {
