duty: read the lease from the start of the process on

Cause: the first holder acted about 11 s after the start of a deployment. 3 s of that were the time for which a process may have had the lease before a restart (Span), and 4.02 s the time for which the lease must have been unchanged, one after the other, although neither needs the other to be over. All servers cost the full price in that time.

Change: a process that is chosen reads the lease from its start on, and only its acquisition waits for Span (Keeper.Defer). The pause between reads ends when that time is over.

Tested: TestFirstHolder failed for two of four stores before the change (no grant 4 s after the start) and passes now; it also checks that nothing is granted earlier than Span or the duration. state/duty, state/lease and state/orders pass with -race, as do the tests of the duties in node/core (without -race).

Conclusion: 3 s less at the full price. The 3 s in which the load is learnt stay.

--- a/internal/state/duty/duty.go
+++ b/internal/state/duty/duty.go
@@ -11,7 +11,8 @@
 // it is still on its way when the next process acquires the lease. And a process that
 // has held the lease does not acquire it again within Span, so that two processes never
 // act in the order A, B, A within that time. As it may have held the lease before a
-// restart, the same holds after its start.
+// restart, the same holds after its start. It reads the lease from its start on, so that
+// the time for which it must have seen the lease unchanged counts from then too.
 //
 // # Usage
 //
@@ -92,9 +93,7 @@
 // error of ctx. It releases the lease then.
 func (h *Holder) Run(ctx context.Context) error {
 	defer h.release()
-	if !timer.Wait(ctx, h.Span) {
-		return ctx.Err()
-	}
+	h.Keeper.Defer(time.Now().Add(h.Span))
 	var nextStep time.Time
 	for timer.Wait(ctx, checkInterval) {
 		held := h.Keeper.Held()
--- a/internal/state/duty/duty_test.go
+++ b/internal/state/duty/duty_test.go
@@ -155,6 +155,40 @@
 	})
 }
 
+// TestFirstHolder guards against a first holder that waits for Span and only then begins to
+// wait until the lease is free, and against one that acquires the lease before Span is over.
+func TestFirstHolder(t *testing.T) {
+	// before is the lease of an earlier holder in a store of era 1.
+	before := func(released bool) *eras {
+		value := fmt.Appendf(nil, `{"Holder":"b","Fence":%d,"Released":%v}`, uint64(1)<<32+1, released)
+		return &eras{era: 1, revision: 1, objects: map[string]store.Object{"lease/duties": {Key: "lease/duties", Value: value, Version: 1}}}
+	}
+	for name, c := range map[string]struct {
+		store store.Writer
+		after time.Duration
+	}{
+		"a store without eras":                 {&platf.Platform{}, span},
+		"a lease that the store may have lost": {&eras{era: 1, objects: map[string]store.Object{}}, timing.Duration},
+		"a holder that was killed":             {before(false), timing.Duration},
+		"a holder that released the lease":     {before(true), span},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(c.store)
+				ctx, cancel := context.WithCancel(t.Context())
+				s.choose("a")
+				s.start(ctx, "a")
+				s.run(t, c.after-40*time.Millisecond)
+				assert.Empty(t, s.actor)
+				s.run(t, 200*time.Millisecond)
+				assert.Equal(t, "a", s.actor)
+				cancel()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
 // TestHandOver checks that a released lease is taken over quickly, one of a killed holder
 // after its duration, and that a holder that is chosen again at once waits for Span.
 func TestHandOver(t *testing.T) {
--- a/internal/state/lease/keeper.go
+++ b/internal/state/lease/keeper.go
@@ -66,14 +66,20 @@
 	}
 }
 
-// Interval returns the pause until the next step.
+// Interval returns the pause until the next step. It ends when the lease may be acquired
+// again at the latest.
 func (k *Keeper) Interval() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.lease.Held() {
 		return k.renewInterval()
 	}
-	return k.lease.poll(time.Now())
+	now := time.Now()
+	interval := k.lease.poll(now)
+	if deferred := k.notBefore.Sub(now); deferred > 0 {
+		interval = min(interval, deferred)
+	}
+	return interval
 }
 
 // Step renews the lease if it is held, else reads the object and acquires the
