report, core: forward the counts of ended processes to new collectors

Cause: a process that becomes a collector gets the counts of live processes from themselves, but nobody sent it those of processes that had ended.

Change: - A process that has counts of ended processes sends them to each process that becomes a collector: in messages of at most 1,200 bytes, four in 250 ms, three times within 1.5 s, and once in 10 s to one that comes and goes. Former collectors do so too, as both collectors may be new. - WindowUsage gets Process, Incarnation, Closed, Number and Total. News.TakesEnded announces that a process handles them; others get none. - A holder that became a collector less than 1.5 s ago fixes no window that began before that, until another collector has forwarded all that it has, or until 2 s before the report is due. Number and Total say when that is so. - What arrives before true time is known is kept until then.

The model test has processes that end, and forwards of which each third message is lost and the others come twice and in reverse order. Its check of early counts compared start times; a process started again at the same instant after the counts passed for one that had got them, which one of the changed long sequences met (uulrukukrdn). It now compares the number of starts, which is stricter.

Tested: without the forwards the model fails (after vkhr) and so does TestUsageReportsOfEndedProcesses (9.6 % of the requests missing); with them both pass. go test ./internal/plan/report (20.8 s), go test -race ./internal/node/core ./internal/fleet/peers, FuzzUsage for 10 s: all pass.

Conclusion: counts of ended processes reach a new collector while any process has them.

--- a/internal/fleet/peers/choose.go
+++ b/internal/fleet/peers/choose.go
@@ -53,6 +53,18 @@
 	return live
 }
 
+// TakesEnded returns whether a live member handles usage counts of ended processes from others,
+// and its incarnation. One that has started again is not known to until its first status message.
+func (t *Table) TakesEnded(name string) (incarnation uint64, takes bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	p, live := t.peers[name]
+	if !live || !p.takesEnded || p.incarnation < t.members[name].Incarnation {
+		return 0, false
+	}
+	return p.incarnation, true
+}
+
 // candidates is Coordinators without the peers that are excluded.
 func (t *Table) candidates(key uint64, stopping bool, count int, excluded func(*peer) bool) []string {
 	t.mu.RLock()
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -125,6 +125,8 @@
 	// is the number of its requests in progress.
 	lost    []uint64
 	running int
+	// takesEnded is set if it handles usage counts of ended processes from others.
+	takesEnded bool
 }
 
 // Table has the members and the state of the live peers. Self must be set before
@@ -313,7 +315,7 @@
 	if known {
 		t.addLoads(before, -1)
 	}
-	p := &peer{incarnation: message.Incarnation, sequence: message.Sequence, receivedAt: now, version: message.TableVersion, stopping: message.Stopping, lost: message.Lost}
+	p := &peer{incarnation: message.Incarnation, sequence: message.Sequence, receivedAt: now, version: message.TableVersion, stopping: message.Stopping, lost: message.Lost, takesEnded: message.TakesEnded}
 	p.servers, p.queues = make(map[uint64]Load, len(message.Loads)), make(map[uint64]Load, len(message.Lines))
 	for _, l := range message.Loads {
 		p.running += int(l.Running)
--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -97,6 +98,54 @@
 	})
 }
 
+// TestUsageReportsOfEndedProcesses guards against the loss of counts that only one process still has:
+// two of three stop as planned in the same window, one after the other, start again, and the first
+// becomes the holder.
+func TestUsageReportsOfEndedProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newUsageFleet(t, 3)
+		o.run(13 * time.Second)
+		holder := o.platform.holder()
+		collectors := o.live()[holder].accounting.collectors()
+		require.Equal(t, holder, collectors[0])
+		for _, name := range collectors {
+			o.stop(name)
+		}
+		o.run(200 * time.Millisecond)
+		for _, name := range collectors {
+			o.start(name)
+		}
+		o.run(13 * time.Second)
+		o.rest()
+		o.check(0, 1e-9)
+		assert.Equal(t, holder, o.platform.holder())
+	})
+}
+
+// TestForwardsToItsOwnBuild guards against counts of ended processes that a process of the previous
+// build would add to those of the sender.
+func TestForwardsToItsOwnBuild(t *testing.T) {
+	n := newNode(t)
+	n.Duties = Duties{Address: n.Address, Reports: (&reports{}).from("a"), Era: func() uint64 { return 0 }, Window: 5 * time.Second, ReportWithin: 10 * time.Second}
+	n.Prepare()
+	n.peers.Replace([]peers.Member{{Name: "a"}, {Name: "b", Incarnation: 3}})
+	for _, c := range []struct {
+		status *wire.News
+		want   int
+	}{
+		{&wire.News{Incarnation: 3, Sequence: 1}, 0},
+		{&wire.News{Incarnation: 3, Sequence: 2, TakesEnded: true}, 1},
+		{&wire.News{Incarnation: 4, Sequence: 1}, 0},
+		{&wire.News{Incarnation: 5, Sequence: 1, TakesEnded: true}, 1},
+	} {
+		c.status.From = "b"
+		n.handleStatus(c.status)
+		assert.Len(t, n.accounting.receivers(n.accounting.collectors()), c.want)
+	}
+	status, _ := n.composeStatus()
+	assert.True(t, status.TakesEnded)
+}
+
 // TestUsageReportsOfEarlyKills guards against the loss of more than a second of counts of a
 // process that is killed before it knows true time, which takes 5 s with two peers.
 func TestUsageReportsOfEarlyKills(t *testing.T) {
@@ -199,6 +248,7 @@
 	assert.Nil(t, n.Broker.Counter)
 	status, _ := n.composeStatus()
 	assert.Zero(t, status.WallMs)
+	assert.False(t, status.TakesEnded)
 	assert.False(t, strings.Contains(n.Meters.JSON(), "DutyHolder"))
 }
 
@@ -210,6 +260,11 @@
 		{From: "b", Incarnation: 1, Usage: []*wire.WindowUsage{{Window: window, Final: true, Parts: 1, Accounts: []*wire.AccountUsage{{Account: "x", Requests: 3}}}}},
 		{From: "b", WallMs: -1, Usage: []*wire.WindowUsage{{Window: -1 << 63, Final: true}, {Window: window + 1, Parts: 1 << 31, Final: true, Accounts: []*wire.AccountUsage{{}, {Requests: 1<<32 - 1}}}}},
 		{From: "c", WallMs: 1<<63 - 1},
+		{From: "c", Incarnation: 4, Usage: []*wire.WindowUsage{
+			{Window: window, Final: true, Parts: 1, Process: "b", Incarnation: 1 << 63, Closed: true, Number: 1, Total: 2, Accounts: []*wire.AccountUsage{{Account: "x", Requests: 3}}},
+			{Window: window, Process: "a", Number: 1 << 31, Total: 1<<32 - 1},
+			{Number: 1, Total: 1},
+		}},
 		{From: "d", Incarnation: 2, EarlyReplaced: true, Early: []*wire.EarlyUsage{{Account: "x", AgeMs: 1<<32 - 1, Tick: 1<<32 - 1}, {}, {Account: "x", AgeMs: 3000, Requests: 1<<32 - 1}}},
 	} {
 		data, err := proto.Marshal(m)
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -82,6 +82,7 @@
 			Tokens: uint32(snapshot.PrefillTokens),
 		})
 	})
+	message.TakesEnded = n.accounting != nil
 	n.addPrompts(message)
 	message.Loads = busiest(message.Loads)
 	for _, l := range message.Loads {
--- a/internal/node/core/usage.go
+++ b/internal/node/core/usage.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -64,8 +65,15 @@
 	requests  []earlyRequest
 	early     report.Early
 	sentEarly bool
-	// heard has the early counts of peers that came before true time was known here.
+	// heard has the early counts of peers that came before true time was known here, ended the
+	// counts of ended processes.
 	heard []heardCounts
+	ended []endedCounts
+
+	// forwarder is used by Count only. reported is the window before which all are reported, as
+	// far as this process knows.
+	forwarder report.Forwarder
+	reported  atomic.Int64
 }
 
 // earlyRequest is a request that began at a time of this process's clock.
@@ -117,8 +125,8 @@
 // countEarly counts the requests that began before true time was known, also those of peers.
 func (a *accounting) countEarly(at time.Time) {
 	a.mu.Lock()
-	requests, heard := a.requests, a.heard
-	a.requests, a.heard, a.early = nil, nil, report.Early{Started: a.started}
+	requests, heard, ended := a.requests, a.heard, a.ended
+	a.requests, a.heard, a.ended, a.early = nil, nil, nil, report.Early{Started: a.started}
 	a.mu.Unlock()
 	for _, r := range requests {
 		a.counter.Count(a.clock.Time(r.at), r.account)
@@ -126,6 +134,9 @@
 	for _, h := range heard {
 		a.collector.AddEarly(a.clock.Time(at), a.clock.Time(h.at), h.from, h.incarnation, h.counts)
 	}
+	for _, e := range ended {
+		a.collector.AddForwarded(a.clock.Time(at), e.from, e.counts)
+	}
 }
 
 // sendEarly sends the counts of the requests so far to the collectors, by their age, as true
@@ -171,6 +182,7 @@
 func (a *accounting) Count(ctx context.Context) error {
 	for timer.Wait(ctx, countInterval) {
 		a.sendDue(time.Now())
+		a.forward(time.Now())
 	}
 	return ctx.Err()
 }
@@ -182,6 +194,7 @@
 		return
 	}
 	a.countEarly(at)
+	a.observe(at)
 	now, stopping := a.clock.Time(at), a.node.stopping.Load()
 	a.counter.Begin(a.clock.Time(a.started))
 	for _, m := range a.counter.Due(now, a.collectors(), stopping) {
@@ -292,6 +305,10 @@
 	}
 	now := a.clock.Time(at)
 	for _, u := range message.Usage {
+		if isForwarded(u) {
+			a.handleForwarded(at, message, u)
+			continue
+		}
 		p := decodeUsage(u)
 		p.Replaces = message.EarlyReplaced
 		a.collector.Add(now, message.From, message.Incarnation, p)
@@ -344,6 +361,8 @@
 			return nil
 		}
 	}
+	a.countEarly(time.Now())
+	a.observe(time.Now())
 	if a.machine.First == 0 {
 		a.machine.First = report.WindowAt(a.clock.Time(a.started), a.node.Duties.Window)
 	}
@@ -358,6 +377,7 @@
 		}
 		now := a.clock.Time(time.Now())
 		action := a.machine.Decide(now, a.node.Duties.era(), &a.collector, a.expected(time.Now()))
+		a.reported.Store(a.machine.Reported())
 		a.countSkipped()
 		if action.Kind == report.Wait {
 			pause = reportInterval
--- a/internal/node/core/usage_test.go
+++ b/internal/node/core/usage_test.go
@@ -179,6 +179,20 @@
 	o.stops[name]()
 }
 
+// stop ends a process as planned, with its final counts sent.
+func (o *usageFleet) stop(name string) {
+	n := o.live()[name]
+	n.stopping.Store(true)
+	n.accounting.sendDue(time.Now())
+	o.run(600 * time.Millisecond)
+	a, now := n.accounting, n.accounting.clock.Time(time.Now())
+	for _, m := range a.counter.Flush(now, a.collectors()) {
+		a.send(now, m, n.coordination.push)
+	}
+	time.Sleep(50 * time.Millisecond)
+	o.kill(name)
+}
+
 // reached is a store that a killed process no longer reaches.
 type reached struct {
 	store.Writer
--- a/internal/plan/report/collector.go
+++ b/internal/plan/report/collector.go
@@ -25,6 +25,8 @@
 	ended map[string]ending
 	// starts has the starts of the incarnations with early counts, in true time.
 	starts map[incarnationKey]time.Time
+	// intake says whether other processes have forwarded their counts.
+	intake intake
 }
 
 // ending is the last incarnation of a process and the last window that it counted in.
@@ -59,12 +61,27 @@
 // highest count of each account holds. Parts of windows that are not kept, and those with
 // counts that no process sends, are ignored.
 func (c *Collector) Add(now time.Time, process string, incarnation uint64, p Part) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.addCounts(now, process, incarnation, p)
+	if s == nil || !p.finals() {
+		return
+	}
+	s.addFinal(p)
+	if now.Before(EndOf(p.Window, c.Window)) {
+		c.addEnding(process, ending{incarnation, p.Window})
+	} else {
+		s.closed = true
+	}
+}
+
+// addCounts adds the counts of a part. It returns nil if they are not kept. The caller must hold
+// mu.
+func (c *Collector) addCounts(now time.Time, process string, incarnation uint64, p Part) *share {
 	current := WindowAt(now, c.Window)
 	if p.Window <= current-kept || p.Window > current+1 || len(process) > maxName {
-		return
+		return nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for number := range c.windows {
 		if number <= current-kept {
 			delete(c.windows, number)
@@ -76,22 +93,18 @@
 	}
 	s := c.share(p.Window, process, incarnation)
 	if s == nil {
-		return
+		return nil
 	}
 	s.replaced = s.replaced || p.Replaces
 	for _, n := range p.Counts {
 		s.raise(n.Account, n.Requests)
 	}
-	if p.Final && p.Parts > 0 && p.Parts <= maxAccounts {
-		s.addFinal(p)
-		if now.Before(EndOf(p.Window, c.Window)) {
-			c.addEnding(process, ending{incarnation, p.Window})
-		} else {
-			s.closed = true
-		}
-	}
+	return s
 }
 
+// finals reports whether the part has final counts in a number of parts that a process sends.
+func (p *Part) finals() bool { return p.Final && p.Parts > 0 && p.Parts <= maxAccounts }
+
 // raise raises the count of an account, if it is lower.
 func (s *share) raise(account string, requests uint32) {
 	known, ok := s.counts[account]
--- a/internal/plan/report/counter.go
+++ b/internal/plan/report/counter.go
@@ -196,18 +196,23 @@
 	}
 }
 
-// parts returns the counts of a window in parts. The accounts of each part depend on the
-// counted accounts only, so that final counts are always split in the same way.
+// parts returns the counts of a window in parts.
 func (w *counted) parts(number int64, final bool) []Part {
-	counts := make([]Count, 0, len(w.counts))
-	for account, n := range w.counts {
+	return split(number, final, w.counts, partBytes)
+}
+
+// split returns the counts of a window in parts of at most the given size in bytes. The accounts of each part
+// depend on the counted accounts only, so that final counts are always split in the same way.
+func split(number int64, final bool, all map[string]uint32, most int) []Part {
+	counts := make([]Count, 0, len(all))
+	for account, n := range all {
 		counts = append(counts, Count{account, n})
 	}
 	slices.SortFunc(counts, func(a, b Count) int { return cmp.Compare(a.Account, b.Account) })
 	var list []Part
 	for begin := 0; begin < len(counts) || begin == 0 && len(list) == 0; {
 		end, size := begin, 0
-		for end < len(counts) && (end == begin || size+len(counts[end].Account)+countBytes <= partBytes) {
+		for end < len(counts) && (end == begin || size+len(counts[end].Account)+countBytes <= most) {
 			size += len(counts[end].Account) + countBytes
 			end++
 		}
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -119,6 +119,10 @@
 // Skipped returns how many windows have been skipped in total.
 func (m *Machine) Skipped() int64 { return m.skipped }
 
+// Reported returns the window before which all are reported or skipped, as far as this process
+// knows from the store's object.
+func (m *Machine) Reported() int64 { return m.floor }
+
 // Decide returns the next action. era is the latest known era of the store, processes are
 // those whose counts are waited for.
 func (m *Machine) Decide(now time.Time, era uint64, c *Collector, processes []Process) Action {
@@ -151,7 +155,7 @@
 	if collected := m.begun.Add(collectTime); latest.Before(collected) {
 		latest = collected
 	}
-	if now.Before(latest) && !c.Complete(m.next, processes) {
+	if now.Before(latest) && (!c.Complete(m.next, processes) || c.awaitsForwarded(now, m.next)) {
 		return Action{}
 	}
 	record := Record{Era: era, Next: m.next + 1, Report: New(m.next, c.Totals(m.next))}
--- a/internal/plan/report/model_test.go
+++ b/internal/plan/report/model_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +34,9 @@
 	started   time.Time
 	// saved has the counts of y that the store had when the process became the holder.
 	saved map[int64]uint32
+	// forwarder is that of the process. messages counts what it has sent.
+	forwarder Forwarder
+	messages  int
 }
 
 // world is the model: a store with conditional writes that can be restored from an older
@@ -57,15 +61,55 @@
 	// early has its starts after which it sent early counts.
 	u     restarts
 	early []restarts
+	// ended are the processes that counted one request in an account of their own, reached both
+	// processes with it, and stopped as planned.
+	ended []endedProcess
 	// between, if set, happens once between the renewal of the lease and the next action.
 	between func()
 }
 
+// endedProcess has the window of its request and the starts of the processes that have its counts.
+type endedProcess struct {
+	window int64
+	starts [2]int
+}
+
+// end lets a process count and stop.
+func (w *world) end() {
+	number := WindowAt(w.now, window)
+	e := endedProcess{window: number}
+	name := fmt.Sprint("v", len(w.ended))
+	for i, p := range w.processes {
+		p.collector.Add(w.now, name, 1, Part{Window: number, Final: true, Parts: 1, Counts: []Count{{name, 1}}})
+		e.starts[i] = p.starts
+	}
+	w.ended = append(w.ended, e)
+}
+
+// forward lets the processes forward counts to each other. Each third message is lost, and others
+// come twice and in another order.
+func (w *world) forward() {
+	for i, p := range w.processes {
+		other := w.processes[1-i]
+		p.collector.Observe(w.now, true, 1)
+		live := func(q Process) bool { return q.Name == "x" || q == Process{"u", w.u.incarnation} }
+		list := p.forwarder.Due(w.now, &p.collector, []Process{{other.name, uint64(other.starts)}}, p.machine.Reported(), live)
+		slices.Reverse(list)
+		for _, m := range append(list, list...) {
+			if p.messages++; p.messages%3 != 0 {
+				other.collector.AddForwarded(w.now, p.name, m.Forwarded)
+			}
+		}
+	}
+}
+
 // restarts is a process that starts again and again. It learns true time settle after a start,
 // which is longer than a window.
 type restarts struct {
 	incarnation uint64
 	started     time.Time
+	// starts are those of the two processes as it started.
+	starts [2]int
 }
 
 const settle = 7 * time.Second
@@ -77,7 +121,7 @@
 // those of the others are lost, and they stop as planned.
 func (w *world) restart() {
 	before := w.u
-	w.u = restarts{before.incarnation + 1, w.now}
+	w.u = restarts{before.incarnation + 1, w.now, [2]int{w.processes[0].starts, w.processes[1].starts}}
 	planned, early := before.incarnation%3 != 0, w.u.incarnation%3 == 0
 	for _, p := range w.processes {
 		if planned {
@@ -130,7 +174,7 @@
 	p.era, p.fence, p.started = 0, 0, w.now
 	p.lease = lease.Lease{Holder: fmt.Sprint(p.name, "/", p.starts), Timing: modelTiming}
 	p.machine = Machine{Window: window, ReportWithin: reportWithin, First: WindowAt(w.now, window)}
-	p.collector = Collector{Window: window}
+	p.collector, p.forwarder, p.messages = Collector{Window: window}, Forwarder{}, p.starts
 }
 
 func (w *world) get(p *process, key string) store.Object {
@@ -218,7 +262,10 @@
 
 // pass lets time pass, in which both collectors get further counts, not always the same.
 func (w *world) pass(d time.Duration) {
-	w.now = w.now.Add(d)
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(min(end.Sub(w.now), forwardDelays[1])) {
+		w.forward()
+	}
+	w.forward()
 	w.counted++
 	for i, p := range w.processes {
 		if w.u.incarnation > 0 && w.now.Sub(w.u.started) >= settle {
@@ -323,7 +370,7 @@
 
 // checkCounts checks that a report that is fixed has the counts that the store had when its
 // holder began, and those of the last start of u once, if it is not fixed at the latest time,
-// and early counts that reached the holder.
+// early counts that reached the holder, and those of ended processes that one process has kept.
 func (w *world) checkCounts(p *process, r Report) {
 	var body struct{ Counts map[string]uint32 }
 	if err := json.Unmarshal([]byte(r.Body), &body); err != nil || body.Counts["b"] < p.saved[r.Window] {
@@ -333,8 +380,14 @@
 	if waited && w.u.incarnation > 0 && r.Window == WindowAt(w.u.started, window) && body.Counts[w.u.account()] != 1 {
 		w.failure = fmt.Sprintf("window %d lacks the last start: %s", r.Window, r.Body)
 	}
+	for i, e := range w.ended {
+		held := w.processes[0].starts == e.starts[0] || w.processes[1].starts == e.starts[1]
+		if r.Window == e.window && held && w.now.Sub(p.started) >= collectTime && body.Counts[fmt.Sprint("v", i)] != 1 {
+			w.failure = fmt.Sprintf("window %d lacks counts of an ended process: %s", r.Window, r.Body)
+		}
+	}
 	for _, u := range w.early {
-		if r.Window == WindowAt(u.started, window) && !p.started.After(u.started) && body.Counts[u.account()] != 1 {
+		if r.Window == WindowAt(u.started, window) && p.starts == u.starts[w.holder] && body.Counts[u.account()] != 1 {
 			w.failure = fmt.Sprintf("window %d has early counts not once: %s", r.Window, r.Body)
 		}
 	}
@@ -384,9 +437,10 @@
 	{'m', func(w *world) { w.between = func() { w.restore(1) } }},
 	{'a', (*world).stop},
 	{'u', (*world).restart},
+	{'v', (*world).end},
 }
 
-// exhaustiveLength is the length up to which all sequences are walked, 28,561 of them. Length
+// exhaustiveLength is the length up to which all sequences are walked, 38,416 of them. Length
 // 5 takes minutes. longSequences longer ones of up to maxLength events are drawn.
 const (
 	exhaustiveLength = 4
