core: split usage.go by function

Change: usagecount.go counts and sends, usagesave.go saves counts at the end of a process, usagereport.go reports, usagewire.go has the forms in messages, usageforward.go what is forwarded. usage.go keeps the type and the handling of messages. Functions were moved without a change; constants stand with their users.

Tested: the sorted lines of the files before and after differ in the heads of the constant groups only; go vet, staticcheck and the usage tests of the package pass (go test ./internal/node/core -run 'Usage|Forwards|NothingWithout|Flush').

--- a/internal/node/core/usageforward.go
+++ b/internal/node/core/usageforward.go
@@ -69,19 +69,3 @@
 
 // isForwarded reports whether counts are not those of the sender.
 func isForwarded(u *wire.WindowUsage) bool { return u.Process != "" || u.Total > 0 }
-
-// encodeForwarded returns the form of forwarded counts in messages.
-func encodeForwarded(f report.Forwarded) *wire.WindowUsage {
-	u := encodeUsage(f.Part)
-	u.Process, u.Incarnation, u.Closed = f.Process.Name, f.Process.Incarnation, f.Closed
-	u.Number, u.Total = uint32(f.Number), uint32(f.Total)
-	return u
-}
-
-// decodeForwarded returns the forwarded counts of a message.
-func decodeForwarded(u *wire.WindowUsage) report.Forwarded {
-	return report.Forwarded{
-		Process: report.Process{Name: u.Process, Incarnation: u.Incarnation}, Part: decodeUsage(u), Closed: u.Closed,
-		Number: int(u.Number), Total: int(u.Total),
-	}
-}
