report, core: name the windows of saved counts that were left out

Cause: counts that a process saves at its end are limited to 1 MiB, the largest value of the store. The oldest windows were left out without a log line, so that an operator could not see why their reports lack counts.

Change: Saved.Encode returns the windows that it left out, and a warning names them when the object was written.

Tested: TestSavedCountsBeyondTheLimit (four shares of a quarter of the limit each: the older window is left out and named, the other is kept); the tests of saved counts and the usage tests of node/core pass.

Conclusion: a loss by the limit is visible in the log of the process that saved.

--- a/internal/node/core/usagesave.go
+++ b/internal/node/core/usagesave.go
@@ -49,8 +49,11 @@
 	if saved, err := report.ParseSaved(object.Value); err == nil && saved.Era == a.node.Duties.era() {
 		a.collector.Restore(now, saved)
 	}
-	value := a.collector.Save(a.node.Duties.era()).Encode()
+	value, left := a.collector.Save(a.node.Duties.era()).Encode()
 	_, err = a.node.Store.Put(ctx, store.Object{Key: savedKey, Value: value, Version: versionOf(object)})
+	if err == nil && len(left) > 0 {
+		a.node.Log.Warn("usage counts of the oldest windows are lost, they are too many to be saved", zap.Int64s("Windows", left))
+	}
 	return err
 }
 
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -276,10 +276,10 @@
 	add(first, "a", 5)
 	add(second, "a", 4)
 	add(second, "b", 7)
-	saved, err := ParseSaved(first.Save(1).Encode())
+	saved, err := ParseSaved(encoded(first.Save(1)))
 	require.NoError(t, err)
 	assert.EqualValues(t, 1000, second.Restore(at(4), saved))
-	value := second.Save(1).Encode()
+	value := encoded(second.Save(1))
 	for i, c := range []struct {
 		value string
 		era   uint64
@@ -317,13 +317,33 @@
 	}
 }
 
+// encoded returns the value of the store's object.
+func encoded(s Saved) []byte {
+	value, _ := s.Encode()
+	return value
+}
+
+// TestSavedCountsBeyondTheLimit checks that the windows which are left out, the oldest, are named.
+func TestSavedCountsBeyondTheLimit(t *testing.T) {
+	var s Saved
+	for i := range 4 {
+		s.Shares = append(s.Shares, SavedShare{Window: int64(i / 2), Process: strings.Repeat("x", store.MaxValue/4)})
+	}
+	value, left := s.Encode()
+	assert.Equal(t, []int64{0}, left)
+	assert.LessOrEqual(t, len(value), store.MaxValue)
+	saved, err := ParseSaved(value)
+	require.NoError(t, err)
+	assert.Equal(t, s.Shares[2:], saved.Shares)
+}
+
 // TestSavedCountsOfReportedWindows guards against a second report of a window whose counts were
 // saved, if the object of the last report is removed by hand, and against the loss of saved
 // counts if there was no report yet.
 func TestSavedCountsOfReportedWindows(t *testing.T) {
 	held := &Collector{Window: 5 * time.Second}
 	held.Add(at(1), "a", 1, Part{Window: 999, Counts: []Count{{"x", 1}}})
-	value, c := held.Save(0).Encode(), &Collector{Window: 5 * time.Second}
+	value, c := encoded(held.Save(0)), &Collector{Window: 5 * time.Second}
 	m := &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
 	for _, want := range []int64{999, 1000} {
 		m.Begin(at(8))
--- a/internal/plan/report/model_test.go
+++ b/internal/plan/report/model_test.go
@@ -347,7 +347,7 @@
 		if s, err := ParseSaved(o.Value); err == nil && s.Era == w.era {
 			p.collector.Restore(w.now, s)
 		}
-		o.Version, o.Value = w.objects[savedKey].Version, p.collector.Save(w.era).Encode()
+		o.Version, o.Value = w.objects[savedKey].Version, encoded(p.collector.Save(w.era))
 		w.apply(o)
 		w.start(i)
 	}
--- a/internal/plan/report/saved.go
+++ b/internal/plan/report/saved.go
@@ -44,15 +44,16 @@
 }
 
 // Encode returns the value of the store's object, without the oldest windows if they are too
-// many for it.
-func (s Saved) Encode() []byte {
+// many for it. These are returned as left.
+func (s Saved) Encode() (value []byte, left []int64) {
 	for {
 		// Marshal cannot fail for this type.
-		value, _ := json.Marshal(s)
+		value, _ = json.Marshal(s)
 		if len(value) <= store.MaxValue || len(s.Shares) == 0 {
-			return value
+			return value, left
 		}
 		oldest := s.Shares[0].Window
+		left = append(left, oldest)
 		s.Shares = slices.DeleteFunc(slices.Clone(s.Shares), func(h SavedShare) bool { return h.Window == oldest })
 	}
 }
