report, core: read saved counts again while a process is silent

Cause: a process that stops while it reaches the store but none of its peers saves its counts in duties/counts. The holder read that object only when it began, so that the counts came too late.

Change: the holder reads it again, at most once a second, while a member is silent that has sent no final counts of a window not fixed yet, or while an earlier incarnation of a live one lacks them; and once more after that, before it fixes a report. Whether the stop was planned can't be seen of a process that was cut off, so a killed one counts too, for up to 15 s. Saved final counts from before the end of their window now record a planned end, so that the reads and the wait stop.

--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -122,6 +122,39 @@
 	})
 }
 
+// TestUsageReportsOfCutOffProcesses guards against the loss of counts that a process saves as it stops
+// while it reaches the store but no peer and a holder is running, also if it starts again at once,
+// and against reads of the store while all processes live.
+func TestUsageReportsOfCutOffProcesses(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			o := newUsageFleet(t, 5)
+			o.run(13 * time.Second)
+			name := "p0"
+			if o.platform.holder() == name {
+				name = "p1"
+			}
+			reads := o.store.readsOf(savedKey)
+			o.run(4 * time.Second)
+			assert.Equal(t, reads, o.store.readsOf(savedKey), "nobody ended")
+			o.partition(name)
+			o.run(3 * time.Second)
+			n := o.live()[name]
+			n.stopping.Store(true)
+			n.accounting.Flush(t.Context(), time.Now())
+			o.kill(name)
+			if again {
+				o.partition()
+				o.start(name)
+			}
+			o.run(15 * time.Second)
+			o.rest()
+			o.check(0, 1e-9)
+			assert.LessOrEqual(t, o.store.readsOf(savedKey)-reads, 20, "once a second, while its end is not known")
+		})
+	}
+}
+
 // TestForwardsToItsOwnBuild guards against counts of ended processes that a process of the previous
 // build would add to those of the sender.
 func TestForwardsToItsOwnBuild(t *testing.T) {
--- a/internal/node/core/lasting_test.go
+++ b/internal/node/core/lasting_test.go
@@ -33,6 +33,15 @@
 	silent atomic.Bool
 	writes int
 	lists  int
+	// reads counts the calls of Get, by key.
+	reads map[string]int
+}
+
+// readsOf returns how often an object was read.
+func (m *memoryStore) readsOf(key string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads[key]
 }
 
 const memoryStoreDelay = 4 * time.Millisecond
@@ -76,6 +85,10 @@
 		return store.Object{}, err
 	}
 	defer m.mu.Unlock()
+	if m.reads == nil {
+		m.reads = map[string]int{}
+	}
+	m.reads[key]++
 	o, found := m.objects[key]
 	if !found {
 		return store.Object{}, store.ErrAbsent
--- a/internal/node/core/usagereport.go
+++ b/internal/node/core/usagereport.go
@@ -49,15 +49,12 @@
 		if !ok || grant.Fence != fence {
 			return nil
 		}
-		now := a.clock.Time(time.Now())
-		action := a.machine.Decide(now, a.node.Duties.era(), &a.collector, a.expected(time.Now()))
-		a.reported.Store(a.machine.Reported())
-		a.countSkipped()
+		action := a.decide(time.Now())
 		if action.Kind == report.Wait {
 			pause = reportInterval
 			continue
 		}
-		if err := a.act(ctx, now, grant, action); err != nil {
+		if err := a.act(ctx, a.clock.Time(time.Now()), grant, action); err != nil {
 			pause = retry.NextBackOff()
 			continue
 		}
@@ -67,17 +64,19 @@
 	return nil
 }
 
-// expected returns the processes whose counts a report waits for: the live members, and those
-// that have recently become silent without a planned end. They may be partitioned from this
-// process and still serve clients.
-func (a *accounting) expected(at time.Time) []report.Process {
-	var list []report.Process
-	for name, incarnation := range a.node.peers.LiveMembers() {
-		if name == a.node.Name {
-			incarnation = a.node.incarnation
-		}
-		list = append(list, report.Process{Name: name, Incarnation: incarnation})
+// liveIncarnations returns the live members with their latest known incarnations.
+func (a *accounting) liveIncarnations() map[string]uint64 {
+	live := a.node.peers.LiveMembers()
+	if _, member := live[a.node.Name]; member {
+		live[a.node.Name] = a.node.incarnation
 	}
+	return live
+}
+
+// silent returns the members that have recently become silent without a planned end. They may be
+// partitioned from this process and still serve clients.
+func (a *accounting) silent(at time.Time) []report.Process {
+	var list []report.Process
 	for name, heard := range a.node.peers.Quiet() {
 		member, _ := a.node.peers.Member(name)
 		p := report.Process{Name: name, Incarnation: member.Incarnation}
@@ -88,6 +87,20 @@
 	return list
 }
 
+// decide returns the next action of the machine. A report waits for the counts of live and silent
+// processes.
+func (a *accounting) decide(at time.Time) report.Action {
+	now, live, silent := a.clock.Time(at), a.liveIncarnations(), a.silent(at)
+	a.machine.RereadSaved(now, &a.collector, silent, live)
+	for name, incarnation := range live {
+		silent = append(silent, report.Process{Name: name, Incarnation: incarnation})
+	}
+	action := a.machine.Decide(now, a.node.Duties.era(), &a.collector, silent)
+	a.reported.Store(a.machine.Reported())
+	a.countSkipped()
+	return action
+}
+
 // countSkipped updates the metric of skipped windows.
 func (a *accounting) countSkipped() {
 	if skipped := a.machine.Skipped(); skipped != a.tracked {
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -337,6 +337,40 @@
 	assert.Equal(t, s.Shares[2:], saved.Shares)
 }
 
+// TestSavedCountsAreReadAgain checks when the holder reads saved counts again: at most once a second
+// while a process is silent that has sent no final counts, and once after that, before a report
+// is fixed.
+func TestSavedCountsAreReadAgain(t *testing.T) {
+	c, m := &Collector{Window: window}, &Machine{Window: window, ReportWithin: reportWithin, First: 1000}
+	m.Begin(at(0))
+	require.NoError(t, m.Read(at(0), 0, nil, c))
+	reads := func(from, to float64, silent []Process, live map[string]uint64) (times []float64) {
+		for second := from; second <= to; second += 0.25 {
+			m.RereadSaved(at(second), c, silent, live)
+			for a := m.Decide(at(second), 0, c, silent); a.Kind != Wait; a = m.Decide(at(second), 0, c, silent) {
+				if a.Kind == Fix {
+					m.Fixed(1, a)
+					m.Delivered(a.Record.Report)
+					continue
+				}
+				require.Equal(t, ReadSaved, a.Kind)
+				require.NoError(t, m.ReadSaved(at(second), 0, nil, c))
+				times = append(times, second)
+			}
+		}
+		return times
+	}
+	assert.Equal(t, []float64{0}, reads(0, 4.75, nil, nil), "nobody ended")
+	assert.Equal(t, []float64{5, 6, 7}, reads(5, 7.25, expect("b"), nil))
+	assert.EqualValues(t, 1000, m.next, "a silent process is waited for")
+	assert.Equal(t, []float64{8}, reads(7.5, 9.75, nil, map[string]uint64{"b": 2}), "it has started again")
+	assert.EqualValues(t, 1001, m.next)
+	c.Add(at(10), "b", 1, Part{Window: 1001})
+	assert.Equal(t, []float64{10}, reads(10, 10.75, nil, map[string]uint64{"b": 2}))
+	c.Add(at(11), "b", 1, Part{Window: 1001, Final: true, Parts: 1})
+	assert.Equal(t, []float64{11}, reads(11, 15, nil, map[string]uint64{"b": 2}), "its former counts are final")
+}
+
 // TestSavedCountsOfReportedWindows guards against a second report of a window whose counts were
 // saved, if the object of the last report is removed by hand, and against the loss of saved
 // counts if there was no report yet.
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -110,6 +110,10 @@
 	savedKnown   bool
 	savedVersion uint64
 	savedLast    int64
+	// savedAt is when the object was read. lacks is set while saved counts may be missing, unread
+	// if they may have been saved since the object was read.
+	savedAt       time.Time
+	lacks, unread bool
 }
 
 // Begin records that this process has become the holder. What other holders have done
@@ -155,7 +159,7 @@
 	if collected := m.begun.Add(collectTime); latest.Before(collected) {
 		latest = collected
 	}
-	if now.Before(latest) && (!c.Complete(m.next, processes) || c.awaitsForwarded(now, m.next)) {
+	if now.Before(latest) && (!c.Complete(m.next, processes) || c.awaitsForwarded(now, m.next) || m.unread) {
 		return Action{}
 	}
 	record := Record{Era: era, Next: m.next + 1, Report: New(m.next, c.Totals(m.next))}
--- a/internal/plan/report/model_test.go
+++ b/internal/plan/report/model_test.go
@@ -295,6 +295,7 @@
 		w.between()
 		w.between = nil
 	}
+	p.machine.RereadSaved(w.now, &p.collector, nil, map[string]uint64{"x": 1, "u": w.u.incarnation})
 	a := p.machine.Decide(w.now, p.era, &p.collector, w.expected())
 	switch a.Kind {
 	case Read:
--- a/internal/plan/report/saved.go
+++ b/internal/plan/report/saved.go
@@ -111,14 +111,62 @@
 		h.closed = h.closed || saved.Closed
 		last = max(last, saved.Window)
 	}
+	for _, saved := range s.Shares {
+		if t := c.windows[saved.Window][saved.Process]; t != nil && saved.Final && t.shares[saved.Incarnation] != nil {
+			c.addKnownEnding(Process{saved.Process, saved.Incarnation}, saved.Window, t.shares[saved.Incarnation])
+		}
+	}
 	return last
 }
 
+// savedInterval is the least time between two reads of the object with saved counts while a
+// process is silent.
+const savedInterval = time.Second
+
+// RereadSaved makes the object with saved counts be read again if a process may have saved its
+// counts since, and until it was read once after that. silent are the processes that are waited
+// for and do not live: one that was cut off may have stopped as planned. live has the latest
+// incarnations of those that live.
+func (m *Machine) RereadSaved(now time.Time, c *Collector, silent []Process, live map[string]uint64) {
+	lacks := c.lacks(now, m.next, silent, live)
+	m.lacks, m.unread = lacks, m.unread || m.lacks && !lacks
+	if (m.lacks || m.unread) && now.Sub(m.savedAt) >= savedInterval {
+		m.savedKnown = false
+	}
+}
+
+// lacks reports whether a silent process, or an earlier incarnation of a live one, has sent no
+// final counts of a window from the given one to the present.
+func (c *Collector) lacks(now time.Time, from int64, silent []Process, live map[string]uint64) bool {
+	current := WindowAt(now, c.Window)
+	for window := max(from, current-kept+1); window <= current; window++ {
+		if !c.Complete(window, silent) || c.lacksEarlier(window, live) {
+			return true
+		}
+	}
+	return false
+}
+
+// lacksEarlier reports whether an earlier incarnation of a live process has sent no final counts
+// of a window in which it counted.
+func (c *Collector) lacksEarlier(window int64, live map[string]uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, t := range c.windows[window] {
+		for incarnation, s := range t.shares {
+			if incarnation < live[name] && !s.final() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ReadSaved records the object with saved counts as read at now, and adds them to the
 // collector. version is that of the object, or consists of the store's era and revision 0 if
 // there is none. The error says that the value has no counts; the object is then removed.
 func (m *Machine) ReadSaved(now time.Time, version uint64, value []byte, c *Collector) error {
-	m.savedKnown, m.savedVersion, m.savedLast = true, 0, 0
+	m.savedKnown, m.savedVersion, m.savedLast, m.savedAt, m.unread = true, 0, 0, now, false
 	if store.Revision(version) == 0 || len(value) == 0 {
 		return nil
 	}
