--- a/internal/plan/report/report.go
+++ b/internal/plan/report/report.go
@@ -10,6 +10,9 @@
 // A process that stops when no collector is left saves the counts that it holds to the store.
 // The next holder adds them to its own.
 //
+// A process that has counts of others which have ended forwards them, with a Forwarder, to those
+// that become collectors.
+//
 // A process that does not know true time yet counts with an Early instead, by the age of the
 // requests. A Collector adds these counts to windows until the process has sent its own.
 //
@@ -33,8 +36,16 @@
 //	collector.AddEarly(now, arrived, "entry-2", incarnation, counts)
 //	collector.Add(now, "entry-2", incarnation, part)
 //
+//	forwarder := &report.Forwarder{}
+//	collector.Observe(now, collecting, others)
+//	for _, message := range forwarder.Due(now, collector, collectors, machine.Reported(), live) {
+//		send(message.To, message.Forwarded)
+//	}
+//	collector.AddForwarded(now, "entry-3", forwarded)
+//
 //	machine := &report.Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second}
 //	machine.Begin(now)
+//	machine.RereadSaved(now, collector, silent, incarnations)
 //	switch a := machine.Decide(now, era, collector, processes); a.Kind {
 //	case report.Read:
 //		object, err := store.Get(ctx, key)
@@ -54,7 +65,8 @@
 //	}
 //
 //	// At the end of a process:
-//	store.Put(ctx, object(collector.Save(era).Encode()))
+//	value, left := collector.Save(era).Encode()
+//	store.Put(ctx, object(value))
 package report
 
 import (
