--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -110,6 +110,10 @@
 	savedKnown   bool
 	savedVersion uint64
 	savedLast    int64
+	// savedAt is when the object was read. lacks is set while saved counts may be missing, unread
+	// if they may have been saved since the object was read.
+	savedAt       time.Time
+	lacks, unread bool
 }
 
 // Begin records that this process has become the holder. What other holders have done
@@ -119,6 +123,10 @@
 // Skipped returns how many windows have been skipped in total.
 func (m *Machine) Skipped() int64 { return m.skipped }
 
+// Reported returns the window before which all are reported or skipped, as far as this process
+// knows from the store's object.
+func (m *Machine) Reported() int64 { return m.floor }
+
 // Decide returns the next action. era is the latest known era of the store, processes are
 // those whose counts are waited for.
 func (m *Machine) Decide(now time.Time, era uint64, c *Collector, processes []Process) Action {
@@ -151,7 +159,7 @@
 	if collected := m.begun.Add(collectTime); latest.Before(collected) {
 		latest = collected
 	}
-	if now.Before(latest) && !c.Complete(m.next, processes) {
+	if now.Before(latest) && (!c.Complete(m.next, processes) || c.awaitsForwarded(now, m.next) || m.unread) {
 		return Action{}
 	}
 	record := Record{Era: era, Next: m.next + 1, Report: New(m.next, c.Totals(m.next))}
