peers: the coordinator is found without a sorted list

Cause: each tick elects the coordinator of each service with engines. Coordinator built a list of all candidates with a score each, allocated two strings for each score and sorted the list, to use only its first element.

Change: Coordinator and Chosen look for the minimum in one pass, and the scores are computed from a buffer on the stack. Coordinators still sorts. The order is the same, so that builds with and without the change agree.

--- a/internal/fleet/peers/choose.go
+++ b/internal/fleet/peers/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"strconv"
 
@@ -13,28 +14,45 @@
 // stopping says whether this process is not eligible. Processes with the same live peers
 // get the same result. Without a candidate it is this process.
 func (t *Table) Coordinator(key uint64, stopping bool) string {
-	return t.first(t.candidates(key, stopping, 1, func(p *peer) bool { return p.hasLost(key) }))
+	return t.first(key, stopping, func(p *peer) bool { return p.hasLost(key) })
 }
 
 // Chosen returns the name of the process that has the duty with a key for all, the first of
 // the Coordinators.
 func (t *Table) Chosen(key uint64, stopping bool) string {
-	return t.first(t.Coordinators(key, stopping, 1))
+	return t.first(key, stopping, func(*peer) bool { return false })
 }
 
-// first returns the first name, that of this process if there is none.
-func (t *Table) first(names []string) string {
-	if len(names) == 0 {
-		return t.Self
+// first returns the first of the candidates without those that are excluded, this process if
+// there is none. It is called in every tick.
+func (t *Table) first(key uint64, stopping bool, excluded func(*peer) bool) string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	best, found := candidate{name: t.Self}, false
+	for c := range t.candidates(key, stopping, excluded) {
+		if !found || c.compare(best) < 0 {
+			best, found = c, true
+		}
 	}
-	return names[0]
+	return best.name
 }
 
 // Coordinators returns up to count of the live members that are not stopping, those with the
 // most cores first; rendezvous hashing by the key decides between equals. It is the order in
 // which they would replace each other.
 func (t *Table) Coordinators(key uint64, stopping bool, count int) []string {
-	return t.candidates(key, stopping, count, func(*peer) bool { return false })
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	list := make([]candidate, 0, len(t.peers)+1)
+	for c := range t.candidates(key, stopping, func(*peer) bool { return false }) {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, candidate.compare)
+	names := make([]string, 0, count)
+	for _, c := range list[:min(count, len(list))] {
+		names = append(names, c.name)
+	}
+	return names
 }
 
 // LiveMembers returns the live members, this process included if it is one, with the latest
@@ -53,35 +71,34 @@
 	return live
 }
 
-// candidates is Coordinators without the peers that are excluded.
-func (t *Table) candidates(key uint64, stopping bool, count int, excluded func(*peer) bool) []string {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	type candidate struct {
-		name  string
-		cores float64
-		score uint64
-	}
-	candidates := make([]candidate, 0, len(t.peers)+1)
-	consider := func(name string) {
-		if m, ok := t.members[name]; ok {
-			candidates = append(candidates, candidate{name, m.Cores, rendezvous(name, key)})
+// candidate is a process that may be a coordinator. score is its rendezvous score for the key.
+type candidate struct {
+	name  string
+	cores float64
+	score uint64
+}
+
+// compare orders the candidates: the first one becomes the coordinator.
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(o.cores, c.cores), cmp.Compare(c.score, o.score))
+}
+
+// candidates returns the live members that are not stopping, in no order and without the peers
+// that are excluded. The caller must hold mu.
+func (t *Table) candidates(key uint64, stopping bool, excluded func(*peer) bool) iter.Seq[candidate] {
+	return func(yield func(candidate) bool) {
+		if m, ok := t.members[t.Self]; ok && !stopping && !yield(candidate{t.Self, m.Cores, rendezvous(t.Self, key)}) {
+			return
 		}
-	}
-	if !stopping {
-		consider(t.Self)
-	}
-	for name, p := range t.peers {
-		if !p.stopping && !excluded(p) {
-			consider(name)
+		for name, p := range t.peers {
+			if p.stopping || excluded(p) {
+				continue
+			}
+			if m, ok := t.members[name]; ok && !yield(candidate{name, m.Cores, rendezvous(name, key)}) {
+				return
+			}
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.score, b.score)) })
-	names := make([]string, 0, count)
-	for _, c := range candidates[:min(count, len(candidates))] {
-		names = append(names, c.name)
-	}
-	return names
 }
 
 // Reacher is a live member that reaches backend servers of a service.
@@ -186,5 +203,10 @@
 
 // rendezvous returns the score of a process for a key. The lowest comes first.
 func rendezvous(name string, key uint64) uint64 {
-	return xxhash.Sum64String(name + "/" + strconv.FormatUint(key, 16))
+	var buffer [rendezvousBytes]byte
+	text := append(append(buffer[:0], name...), '/')
+	return xxhash.Sum64(strconv.AppendUint(text, key, 16))
 }
+
+// rendezvousBytes is enough for most names with a key; longer ones are allocated.
+const rendezvousBytes = 96
