peers: a status message reuses the maps of the one before

Cause: Apply made a record and two maps for each status message, 200 a second, and dropped those of the message before.

Change: the record and the maps of a known process are cleared and filled again. Nothing outside of the table refers to them, and they change with the table's lock held, as before.

Tested: internal/fleet/peers and internal/peer/mesh with -race, internal/node/core; all pass.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -310,11 +310,17 @@
 	if t.peers == nil {
 		t.peers, t.servers, t.queues = map[string]*peer{}, map[uint64]Load{}, map[uint64]Load{}
 	}
+	p := before
 	if known {
-		t.addLoads(before, -1)
+		t.addLoads(p, -1)
+		clear(p.servers)
+		clear(p.queues)
+	} else {
+		p = &peer{servers: make(map[uint64]Load, len(message.Loads)), queues: make(map[uint64]Load, len(message.Lines))}
+		t.peers[message.From] = p
 	}
-	p := &peer{incarnation: message.Incarnation, sequence: message.Sequence, receivedAt: now, version: message.TableVersion, stopping: message.Stopping, lost: message.Lost}
-	p.servers, p.queues = make(map[uint64]Load, len(message.Loads)), make(map[uint64]Load, len(message.Lines))
+	p.incarnation, p.sequence, p.receivedAt = message.Incarnation, message.Sequence, now
+	p.version, p.stopping, p.lost, p.running = message.TableVersion, message.Stopping, message.Lost, 0
 	for _, l := range message.Loads {
 		p.running += int(l.Running)
 		p.servers[l.Server] = serverLoad(l, message.TellsPrompts)
@@ -322,7 +328,6 @@
 	for _, l := range message.Lines {
 		p.queues[l.Line] = Load{Running: int(l.Running), Waiting: int(l.Waiting), Granted: int(l.Granted)}
 	}
-	t.peers[message.From] = p
 	delete(t.silent, message.From)
 	t.addLoads(p, 1)
 	t.recordHeard(now, message.From)
