mesh: received messages are decoded into the same struct

Cause: each received datagram was decoded into a new wire.News, whose struct alone is most of what a message without loads allocates.

Change: Receive decodes into one struct, which proto.Unmarshal resets first. Handle may keep what the message refers to, as the slices and messages in it are new each time, but not the message itself; the field says so. None of the handlers in internal/node/core keeps it.

Tested: internal/peer/mesh with -race and internal/node/core pass.

--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -64,7 +64,8 @@
 	// Compose returns the status message to send next and whether the state has
 	// changed since the last one.
 	Compose func() (*wire.News, bool)
-	// Handle is called with each received message, from one goroutine.
+	// Handle is called with each received message, from one goroutine. The message is valid
+	// until it returns; what the message refers to stays.
 	Handle func(*wire.News)
 	Meters *meter.Set
 	Log    *zap.Logger
@@ -148,7 +149,7 @@
 func (m *Mesh) Receive(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { m.Conn.Close() })
 	defer stop()
-	buffer := make([]byte, maxDatagram)
+	buffer, message := make([]byte, maxDatagram), &wire.News{}
 	for ctx.Err() == nil {
 		n, from, err := m.Conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -160,7 +161,6 @@
 			continue
 		}
 		m.Meters.Add(BytesIn, int64(n))
-		message := &wire.News{}
 		if err := proto.Unmarshal(buffer[:n], message); err != nil {
 			m.Log.Info("message cannot be decoded", zap.Stringer("From", from), zap.Error(err))
 			continue
