broker, roster: the choice of a backend server allocates nothing

Cause: for each request, candidates made two lists of all backend servers of the service, and computed the key of each up to four times from new strings; the hash of a queue was formatted with fmt. In the profile of a plain call that was 16 % at 24 backend servers.

Change: the lists are buffers of the Broker, which are used with its lock held, as engineBuffer is. A backend server's key is computed once for each choice, and keys and hashes from a buffer on the stack.

--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
@@ -405,3 +406,11 @@
 	table.Expire(now.Add(time.Minute))
 	assert.Zero(t, table.Server(7))
 }
+
+// TestRendezvousIsThatOfOtherBuilds guards against processes of two builds that choose different
+// coordinators.
+func TestRendezvousIsThatOfOtherBuilds(t *testing.T) {
+	for _, name := range []string{"", "entry-1", strings.Repeat("e", 2*rendezvousBytes)} {
+		assert.Equal(t, xxhash.Sum64String(name+"/ff00000000000001"), rendezvous(name, 0xff00000000000001))
+	}
+}
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -430,3 +431,12 @@
 	assert.True(t, list[1].Spot)
 	assert.Len(t, r.Service("s"), 1)
 }
+
+// TestKeyIsThatOfOtherBuilds guards against processes that take the backend servers in the status
+// messages of another build for other ones.
+func TestKeyIsThatOfOtherBuilds(t *testing.T) {
+	for _, id := range []string{"", "i-1", strings.Repeat("i", 2*keyBytes)} {
+		assert.Equal(t, xxhash.Sum64String(id+"/-7"), Key(id, -7))
+		assert.Equal(t, xxhash.Sum64String(id+"/1771089897728"), Key(id, 1771089897728))
+	}
+}
--- a/internal/fleet/roster/server.go
+++ b/internal/fleet/roster/server.go
@@ -64,9 +64,14 @@
 
 // Key returns the hash that identifies an incarnation of a backend server.
 func Key(id string, born int64) uint64 {
-	return xxhash.Sum64String(id + "/" + strconv.FormatInt(born, 10))
+	var buffer [keyBytes]byte
+	text := append(append(buffer[:0], id...), '/')
+	return xxhash.Sum64(strconv.AppendInt(text, born, 10))
 }
 
+// keyBytes is enough for most IDs with the start; longer ones are allocated.
+const keyBytes = 96
+
 // ErrInvalidEntry means that an entry does not describe a backend server.
 var ErrInvalidEntry = errors.New("entry describes no backend server")
 
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -267,9 +267,11 @@
 	// progress is when each engine last completed a prefill or began the first
 	// one, by engine key.
 	progress map[uint64]time.Time
-	// engineSets has the evaluated engines by service. engineBuffer is reused.
-	engineSets   map[string]*engineSet
-	engineBuffer []assign.Engine
+	// engineSets has the evaluated engines by service. The buffers are reused.
+	engineSets      map[string]*engineSet
+	engineBuffer    []assign.Engine
+	candidateBuffer []assign.Candidate
+	optionBuffer    []roster.Server
 	// returns has the requests that were rejected, with Admission CostToCallers.
 	returns shed.Returns
 	endings crash.Endings[usage.Incarnation, roster.Server]
--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -141,11 +141,10 @@
 }
 
 // candidates evaluates the backend servers for work other than prefills. The server of the
-// view is not chosen yet. b.mu must be held.
+// view is not chosen yet. The lists are valid until the next call. b.mu must be held.
 func (b *Broker) candidates(now time.Time, n need) (v view, candidates []assign.Candidate, options []roster.Server) {
 	servers := b.Roster.Service(n.key.service)
-	candidates = make([]assign.Candidate, 0, len(servers))
-	options = make([]roster.Server, 0, len(servers))
+	candidates, options = b.candidateBuffer[:0], b.optionBuffer[:0]
 	v = view{peerLoad: b.Peers.Queue(n.key.hash()), ejected: true}
 	v.memory.cache = b.cacheTokens(n.key.service)
 	ejected, throttled := 0, 0.0
@@ -175,6 +174,7 @@
 		candidates = append(candidates, c)
 		options = append(options, s)
 	}
+	b.candidateBuffer, b.optionBuffer = candidates, options
 	if ejected < v.capacity {
 		v.capacity -= ejected
 	}
@@ -185,10 +185,10 @@
 // candidate combines the load of this process and its peers at a backend server
 // with its limits, and adds its prompts to m. b.mu must be held.
 func (b *Broker) candidate(n need, s roster.Server, snapshot usage.Snapshot, m *memory) assign.Candidate {
-	share := b.zoneShare(s.Zone)
-	peerLoad := b.withoutGrants(n.key.service, b.Peers.Server(s.Key()))
-	b.addMemory(m, n, s.Key(), share, peerLoad)
-	granted := b.grantedByEngine[s.Key()].Requests
+	key, share := s.Key(), b.zoneShare(s.Zone)
+	peerLoad := b.withoutGrants(n.key.service, b.Peers.Server(key))
+	b.addMemory(m, n, key, share, peerLoad)
+	granted := b.grantedByEngine[key].Requests
 	limit := scaled(n.perSlot*float64(s.Slots), share)
 	c := assign.Candidate{
 		Hash: xxhash.Sum64String(s.ID), Zone: s.Zone, Running: snapshot.Running + peerLoad.Running + granted, Slots: s.Slots,
@@ -197,7 +197,7 @@
 		LongWork: snapshot.Long+peerLoad.Long > 0,
 	}
 	c.SameWork = c.Running
-	if b.connectionsUsed(s.Service, snapshot) || !b.promptFits(n, s.Key(), share, peerLoad) {
+	if b.connectionsUsed(s.Service, snapshot) || !b.promptFits(n, key, share, peerLoad) {
 		c.Limit = min(c.Limit, c.Running)
 	}
 	if n.key.work == usage.Long {
--- a/internal/node/broker/queuekey.go
+++ b/internal/node/broker/queuekey.go
@@ -1,7 +1,7 @@
 package broker
 
 import (
-	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,9 +24,14 @@
 
 // hash identifies the queue in messages between processes.
 func (k queueKey) hash() uint64 {
-	return xxhash.Sum64String(fmt.Sprint(k.service, "/", k.role, "/", int(k.work)))
+	var buffer [queueKeyBytes]byte
+	text := append(append(append(append(buffer[:0], k.service...), '/'), k.role...), '/')
+	return xxhash.Sum64(strconv.AppendInt(text, int64(k.work), 10))
 }
 
+// queueKeyBytes is enough for most names of services; longer ones are allocated.
+const queueKeyBytes = 96
+
 // QueueHash returns the hash that identifies the queue for a kind of work at the backend
 // servers of a service with a role, in Queues and in messages between processes.
 func QueueHash(service string, role roster.Role, work usage.Work) uint64 {
