event, httpd: lines are read without a list of them

Cause: the check of a request's header and that of each event of a stream split their text into a new list of lines, the latter 20 times in a stream of 20 events.

Change: both iterate with bytes.SplitSeq. The lines are the same.

The code is as long as before.

Tested: internal/route/event and internal/node/httpd with -race; both pass.

Conclusion: one allocation less for each event and for each request.

--- a/internal/node/httpd/read.go
+++ b/internal/node/httpd/read.go
@@ -170,7 +170,7 @@
 		return fmt.Errorf("%w: the request target must be a path", errMalformed)
 	}
 	var lengths, encodings, hosts int
-	for _, line := range bytes.Split(header.RawHeaders(), []byte("\n")) {
+	for line := range bytes.SplitSeq(header.RawHeaders(), []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) == 0 {
 			continue
--- a/internal/route/event/event.go
+++ b/internal/route/event/event.go
@@ -143,7 +143,7 @@
 	if !utf8.Valid(text) {
 		return e, fmt.Errorf("%w: not UTF-8", ErrMalformed)
 	}
-	for _, line := range bytes.Split(text, []byte("\n")) {
+	for line := range bytes.SplitSeq(text, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) == 0 || line[0] == ':' {
 			continue
