call: long requests are encoded into reused buffers

Cause: a request with a body of 16 KB or more is written concurrently with reading the response, from a copy, as the caller may reuse the request. Each copy was a new buffer of the body's size and 16 KB: in the allocation profile of a prompt of 80 KB that goes to a prefill and a decode engine, 43 % of all bytes.

Change: the buffers come from a sync.Pool, and go back once they are written. When they are not used, the garbage collector frees them.

Tested: internal/fleet/call and internal/fleet/engine with -race; both pass.

Conclusion: the largest allocation of a long prompt is gone; the copy itself remains.

--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -33,6 +33,7 @@
 	"io"
 	"net/netip"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -256,24 +257,29 @@
 		return err
 	}
 	go func() {
-		_, err := conn.Write(encoded)
+		_, err := conn.Write(encoded.Bytes())
+		encodedBuffers.Put(encoded)
 		x.written <- err
 	}()
 	return nil
 }
 
-// encode returns the bytes of a request.
-func encode(request *fasthttp.Request) ([]byte, error) {
-	var encoded bytes.Buffer
+// encodedBuffers has buffers for the bytes of long requests.
+var encodedBuffers = sync.Pool{New: func() any { return &bytes.Buffer{} }}
+
+// encode returns the bytes of a request, in one of encodedBuffers.
+func encode(request *fasthttp.Request) (*bytes.Buffer, error) {
+	encoded := encodedBuffers.Get().(*bytes.Buffer)
+	encoded.Reset()
 	encoded.Grow(len(request.Body()) + longRequestBytes)
-	w := bufio.NewWriter(&encoded)
+	w := bufio.NewWriter(encoded)
 	if err := request.Write(w); err != nil {
 		return nil, fmt.Errorf("encode: %w", err)
 	}
 	if err := w.Flush(); err != nil {
 		return nil, fmt.Errorf("encode: %w", err)
 	}
-	return encoded.Bytes(), nil
+	return encoded, nil
 }
 
 // bytesSent returns the number of bytes of the request that were written.
