broker: a coordinator grants the permits of scarce plain services

Cause: a plain service with fewer permits than processes leaves each process a fraction of a permit, which it may use in that fraction of the intervals of 0.1 s, by loads that are up to 0.6 s old. Requests wait while servers are idle, and meet at full ones.

Change: with Admission CostToCallers the coordinator of such a service grants the permits to all processes while half of the slots are in use, with the messages of prefills. Each process issues permits by itself as before if the coordinator does not respond.

Not measured yet on a deployment.

--- a/internal/node/broker/choose.go
+++ b/internal/node/broker/choose.go
@@ -129,7 +129,7 @@
 	}
 	v, candidates, options := b.candidates(now, n)
 	request := assign.Request{PrefixHash: n.prompt.PrefixHash, Affinity: n.affinity, Zone: b.Zone}
-	if b.Peers.Live() > peers.MaxFresh {
+	if b.Peers.Live() > peers.MaxFresh && !b.coordinates(n.key) {
 		request.Seed = b.nextRandom()
 	}
 	v.paced = b.predictGaps(now, n, candidates, options, &request)
@@ -222,7 +222,7 @@
 // granted to them. Unless another process is the coordinator, this process
 // granted them and counts them itself. b.mu must be held.
 func (b *Broker) withoutGrants(service string, load peers.Load) peers.Load {
-	if b.elected[service] != "" {
+	if coordinator, elected := b.elected[service]; !elected || coordinator != "" {
 		return load
 	}
 	return load.WithoutGrants()
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -107,8 +107,8 @@
 // coordinatorState has the permits and the waiters of peers for the services of
 // which this process is the coordinator.
 type coordinatorState struct {
-	// elected has the coordinator of each service by name; "" if this process
-	// issues the permits by itself.
+	// elected has the coordinator of each coordinated service by name; "" if this
+	// process issues the permits by itself.
 	elected map[string]string
 	// grantedByEngine sums the permits granted to peers by engine key.
 	grantedByEngine map[uint64]Grants
@@ -140,7 +140,7 @@
 // HandleRequest handles a peer's permit request.
 func (b *Broker) HandleRequest(from string, r PermitRequest) {
 	now := time.Now()
-	w := remoteWaiter(now, from, r)
+	w := b.remoteWaiter(now, from, r)
 	key := w.requester.requestKey
 	if b.byCost() {
 		w.need.caller = &caller{account: r.Account, output: r.OutputTokens, returning: r.Returning, deadline: now.Add(r.TimeLeft)}
@@ -174,28 +174,35 @@
 }
 
 // remoteWaiter returns the waiter for a peer's permit request.
-func remoteWaiter(now time.Time, from string, r PermitRequest) *waiter {
-	n, alternative := prefillNeeds(r.Service, newPrompt(r.OwnTokens, r.Chain), r.Chain)
+func (b *Broker) remoteWaiter(now time.Time, from string, r PermitRequest) *waiter {
+	w := &waiter{since: now, requester: requester{requestKey{from, r.Number}, now.Add(r.TimeLeft + grantGrace)}}
+	if b.isPlain(r.Service) {
+		w.need = plainNeed(r.Service)
+	} else {
+		prefill, local := prefillNeeds(r.Service, newPrompt(r.OwnTokens, r.Chain), r.Chain)
+		w.need, w.alternative = prefill, &local
+	}
+	n := &w.need
 	n.excluded = make(map[string]bool, len(r.Excluded))
 	for _, id := range r.Excluded {
 		n.excluded[id] = true
 	}
 	n.priority, n.target, n.startBy, n.maxWait = r.Priority, r.Target, now.Add(r.StartWithin), r.MaxWait
-	alternative.target = n.target
-	alternative.priority, alternative.startBy, alternative.maxWait, alternative.excluded = n.priority, n.startBy, n.maxWait, n.excluded
-	return &waiter{
-		need: n, alternative: &alternative, since: now,
-		requester: requester{requestKey{from, r.Number}, now.Add(r.TimeLeft + grantGrace)},
+	if a := w.alternative; a != nil {
+		a.priority, a.target, a.startBy, a.maxWait, a.excluded = n.priority, n.target, n.startBy, n.maxWait, n.excluded
 	}
+	return w
 }
 
 // grant issues a permit of the queue to a peer. b.mu must be held.
 func (b *Broker) grant(q *queue, p *permit) {
-	b.startPrefill(p)
+	if p.need.key.prefills() {
+		b.startPrefill(p)
+	}
 	b.holdPrompt(p)
 	q.add(p)
 	q.granted += p.units
-	added := Grants{1, 1, p.units, p.promptTokens}
+	added := p.grant()
 	addGrant(b.grantedByEngine, p.server.Key(), added)
 	b.adjustEngine(p.server, added)
 	b.Meters.Add("PlacesGranted", 1)
@@ -217,7 +224,7 @@
 		return
 	}
 	b.recordGranted(p, r)
-	b.endGrantedPrefill(p, r.Prefilled)
+	b.endGranted(p, r.Prefilled)
 	if r.Kept {
 		b.serveFreed(time.Now(), p.need.key)
 		return
@@ -238,18 +245,21 @@
 	}
 }
 
-// endGrantedPrefill ends the prefill of a peer's permit. b.mu must be held.
-func (b *Broker) endGrantedPrefill(p *permit, completed bool) {
+// endGranted frees the queue's capacity that a peer's permit has: that of a prefill at its
+// end, else that of the request. b.mu must be held.
+func (b *Broker) endGranted(p *permit, completed bool) {
 	if p.units == 0 {
 		return
 	}
-	b.recordKept(p, completed)
 	q := b.queue(p.need.key)
 	q.held -= p.units
 	q.granted -= p.units
-	ended := Grants{Prefills: -1, Tokens: -p.units}
-	addGrant(b.grantedByEngine, p.server.Key(), ended)
-	b.adjustEngine(p.server, ended)
+	if p.need.key.prefills() {
+		b.recordKept(p, completed)
+		ended := Grants{Prefills: -1, Tokens: -p.units}
+		addGrant(b.grantedByEngine, p.server.Key(), ended)
+		b.adjustEngine(p.server, ended)
+	}
 	p.units = 0
 }
 
@@ -257,7 +267,7 @@
 // held.
 func (b *Broker) reclaim(now time.Time, p *permit, result usage.Result) {
 	delete(b.grants, p.requester.requestKey)
-	b.endGrantedPrefill(p, false)
+	b.endGranted(p, false)
 	addGrant(b.grantedByEngine, p.server.Key(), Grants{Requests: -1, Prompts: -p.promptTokens})
 	switch result.Verdict {
 	case usage.OK, usage.Full, usage.Replaced:
@@ -299,8 +309,8 @@
 	}
 }
 
-// elect updates the coordinator of each service that has engines. b.mu must be
-// held.
+// elect updates the coordinator of each service that has engines or few plain servers.
+// b.mu must be held.
 func (b *Broker) elect() {
 	t := b.Table()
 	if t == nil || b.Coordination == nil {
@@ -310,7 +320,8 @@
 		b.elected = map[string]string{}
 	}
 	for name, s := range t.Services {
-		if s.Engine == nil {
+		if s.Engine == nil && !b.isScarce(name) {
+			delete(b.elected, name)
 			continue
 		}
 		coordinator := ""
@@ -330,7 +341,11 @@
 // coordinates reports whether this process issues all permits of the queue, as the
 // coordinator or as the only process. b.mu must be held.
 func (b *Broker) coordinates(key queueKey) bool {
-	return key.prefills() && b.elected[key.service] == ""
+	if key.prefills() {
+		return b.elected[key.service] == ""
+	}
+	coordinator, elected := b.elected[key.service]
+	return elected && coordinator == "" && b.isPlain(key.service)
 }
 
 // Decision is a coordinator's decision on a permit request. The values are part
--- a/internal/node/broker/explainservers.go
+++ b/internal/node/broker/explainservers.go
@@ -27,7 +27,7 @@
 		Work: x.workOf(n.key), Order: string(cmp.Or(b.Admission, shed.Arrival)), Waiting: len(q.waiting), Units: n.size(),
 		PerSecond: all.throughput(n), LongestWaitMs: detail.Ms(n.longestWait(x.now)),
 	}
-	if name := b.elected[n.key.service]; n.key.prefills() && !n.software.limited() && !x.now.Before(b.avoided[name]) {
+	if name := b.elected[n.key.service]; (n.key.prefills() || b.isBusy(n.key)) && !n.software.limited() && !x.now.Before(b.avoided[name]) {
 		d.Coordinator = name
 	}
 	waiting := q.waiting
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -134,7 +134,7 @@
 		if j.attempted && j.cutOff() && j.carry() {
 			return
 		}
-		p, err := j.broker.acquire(j.ctx, j.need("", usage.Short, plainPerSlot), nil)
+		p, err := j.acquirePlain()
 		if err != nil {
 			j.giveUp(err)
 			return
@@ -155,10 +155,6 @@
 	}
 }
 
-// plainPerSlot is the number of permits per slot of a plain service, including
-// those for requests that wait at the backend server.
-const plainPerSlot = 1.5
-
 // need returns what the request needs from a queue of its service.
 func (j *job) need(role roster.Role, work usage.Work, perSlot float64) need {
 	return j.withTiming(need{key: queueKey{j.service.Name, role, work}, perSlot: perSlot})
--- a/internal/node/broker/memory_test.go
+++ b/internal/node/broker/memory_test.go
@@ -126,7 +126,7 @@
 			for range 4 {
 				p := &permit{broker: f.Broker, need: n, server: server, since: time.Now(), units: n.size()}
 				f.grant(f.queue(n.key), p)
-				f.endGrantedPrefill(p, true)
+				f.endGranted(p, true)
 			}
 			f.mu.Unlock()
 			f.Peers = loadedPeers{load: load}
--- a/internal/node/broker/permit.go
+++ b/internal/node/broker/permit.go
@@ -41,6 +41,15 @@
 	requester requester
 }
 
+// grant returns what the permit adds to the sums of its engine if a coordinator granted it.
+func (p *permit) grant() Grants {
+	g := Grants{Requests: 1, Prompts: p.promptTokens}
+	if p.need.key.prefills() {
+		g.Prefills, g.Tokens = 1, p.units
+	}
+	return g
+}
+
 // tryAcquire issues a permit to the waiter if one is free. b.mu must be held.
 func (b *Broker) tryAcquire(now time.Time, w *waiter, v views) *permit {
 	n, chosen, free := b.freePermit(now, w, v)
@@ -135,6 +144,9 @@
 	delete(q.permits, p)
 	b.adjustEngine(p.server, Grants{Requests: -1})
 	q.held -= p.units
+	if p.coordinator != "" {
+		q.remote -= p.units
+	}
 	p.units = 0
 	p.abort = nil
 	if result.Verdict == usage.OK {
--- a/internal/node/broker/requester.go
+++ b/internal/node/broker/requester.go
@@ -50,7 +50,7 @@
 		return j.broker.acquire(j.ctx, n, &alternative)
 	}
 	if coordinator := j.broker.coordinatorOf(j.service.Name); coordinator != "" {
-		p, err := j.broker.requestPermit(j.ctx, coordinator, j, n, alternative)
+		p, err := j.broker.requestPermit(j.ctx, coordinator, j, n, &alternative)
 		if !errors.Is(err, errNoDecision) {
 			return p, err
 		}
@@ -71,9 +71,10 @@
 }
 
 // requestPermit requests a permit from the coordinator and waits for it. The
-// error is errNoDecision if the coordinator did not respond, has no engine, or
-// granted one that is not in the roster of this process.
-func (b *Broker) requestPermit(ctx context.Context, coordinator string, j *job, n, alternative need) (*permit, error) {
+// error is errNoDecision if the coordinator did not respond, has no server, or
+// granted one that is not in the roster of this process. alternative is nil if there is no
+// second queue.
+func (b *Broker) requestPermit(ctx context.Context, coordinator string, j *job, n need, alternative *need) (*permit, error) {
 	start := time.Now()
 	p := &pendingRequest{coordinator, make(chan PermitGrant, 2)}
 	number := b.register(p)
@@ -107,14 +108,14 @@
 				return nil, errNoDecision
 			}
 		case <-timer.C:
-			b.cancel(coordinator, number)
+			b.cancel(coordinator, n.key, number)
 			if queued {
 				return nil, errOverloaded
 			}
 			b.avoid(coordinator)
 			return nil, errNoDecision
 		case <-ctx.Done():
-			b.cancel(coordinator, number)
+			b.cancel(coordinator, n.key, number)
 			return nil, context.Cause(ctx)
 		}
 	}
@@ -122,14 +123,14 @@
 
 // accept registers a permit that the coordinator granted, or releases it if the
 // engine is not in the roster of this process or wants no request from it now.
-func (b *Broker) accept(start time.Time, coordinator string, g PermitGrant, n, alternative need) (*permit, error) {
+func (b *Broker) accept(start time.Time, coordinator string, g PermitGrant, n need, alternative *need) (*permit, error) {
 	server, ok := b.Roster.Find(g.ID, g.Born)
 	if snapshot := b.Usage.Get(time.Now(), server); !ok || snapshot.Paused || snapshot.Throttled {
-		b.Coordination.Release(coordinator, PermitRelease{Number: g.Number})
+		b.sendRelease(coordinator, n.key, PermitRelease{Number: g.Number})
 		return nil, errNoDecision
 	}
-	if g.LocalPrefill {
-		n = alternative
+	if g.LocalPrefill && alternative != nil {
+		n = *alternative
 	}
 	now := time.Now()
 	b.mu.Lock()
@@ -137,20 +138,22 @@
 	q := b.queue(n.key)
 	p := &permit{broker: b, need: n, server: server, since: now, units: max(g.Tokens, 1)}
 	p.coordinator, p.number, p.waited = coordinator, g.Number, now.Sub(start)
-	b.Usage.SetTimes(now, server, g.Times)
+	if n.key.prefills() {
+		b.Usage.SetTimes(now, server, g.Times)
+	}
 	b.issue(q, p)
 	p.fetch = g.Fetch
 	q.remote += p.units
 	if b.remoteByEngine == nil {
 		b.remoteByEngine = map[uint64]Grants{}
 	}
-	addGrant(b.remoteByEngine, server.Key(), Grants{1, 1, p.units, p.promptTokens})
+	addGrant(b.remoteByEngine, server.Key(), p.grant())
 	return p, nil
 }
 
 // releaseRemote returns a permit to the coordinator that granted it.
 func (b *Broker) releaseRemote(p *permit, r PermitRelease) {
-	b.Coordination.Release(p.coordinator, r)
+	b.sendRelease(p.coordinator, p.need.key, r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	addGrant(b.remoteByEngine, p.server.Key(), Grants{Requests: -1, Prompts: -p.promptTokens})
@@ -172,11 +175,11 @@
 
 // cancel cancels a permit request. The coordinator also releases the permit if
 // it has granted one meanwhile.
-func (b *Broker) cancel(coordinator string, number uint64) {
+func (b *Broker) cancel(coordinator string, key queueKey, number uint64) {
 	b.mu.Lock()
 	delete(b.pending, number)
 	b.mu.Unlock()
-	b.Coordination.Release(coordinator, PermitRelease{Number: number})
+	b.sendRelease(coordinator, key, PermitRelease{Number: number})
 }
 
 // avoid backs off from a coordinator that did not respond.
