usage: count requests without a response while links may be cut

Change: while Watch is on, a record has the last two requests without a response. A request counts that was closed, aborted at a stalled server or had the response of a wrong server, and one that has been in progress for as long as makes a server count as stalled. Any response of a healthy kind starts anew, and only requests sent after it count. Reach decides from these counts, purely. Nothing is tracked, locked or allocated while Watch is off.

Tested: go test -race ./internal/fleet/usage, green; twelve sequences of requests, retries within 5 s, Reach for eight sets of servers. Conclusion: the decision is in place and not used yet.

--- a/internal/fleet/usage/reach.go
+++ b/internal/fleet/usage/reach.go
@@ -13,6 +13,7 @@
 	defer t.mu.Unlock()
 	r := t.record(server)
 	r.lastActive, r.heardAt, r.unreachable = now, now, false
+	r.contact.respond(now)
 }
 
 // Undialable returns the backend servers to which the latest connection could not be made,
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -59,6 +59,10 @@
 	LatencyRatio float64
 	// Prefilled is set if a prefill has completed with the request.
 	Prefilled bool
+	// Answer is what the request shows of the way to the backend server, Sent the time that
+	// was passed to Start.
+	Answer Answer
+	Sent   time.Time
 }
 
 // Work is the kind of work that a request is for a backend server.
@@ -127,6 +131,9 @@
 	// Undialable is set after a connection could not be made, until one succeeds. Those
 	// that are open may still work.
 	Undialable bool
+	// Unanswered counts the last requests to which the backend server has not responded, at
+	// most 2, while Watch is on.
+	Unanswered int
 	// HeardAt is when the backend server last sent something to this process.
 	HeardAt time.Time
 	// Paused is set while the backend server wants no request from this process. It
@@ -164,6 +171,7 @@
 	ejectedUntil          time.Time
 	pausedUntil           time.Time
 	limited               limited
+	contact               contact
 	lastUsed              time.Time
 	// lastActive is when the backend server last sent something, or when it
 	// got a request while it had none.
@@ -242,6 +250,7 @@
 	r.running++
 	r.work[work]++
 	r.lastUsed = now
+	r.contact.start(now)
 }
 
 // End counts the end of a request that Start counted, and applies its result.
@@ -255,6 +264,7 @@
 	if result.Verdict == OK || result.Verdict == Full {
 		r.lastActive, r.heardAt, r.unreachable = now, now, false
 	}
+	r.contact.end(now, result.Sent, result.Answer)
 	t.observe(now, r, result)
 }
 
@@ -329,8 +339,12 @@
 	}
 	shareless := r.limited.active(now) && r.limited.share == 0
 	stalled := r.stalled(now)
+	if stalled && r.contact.tracked() {
+		r.contact.settle(now, r.stallTime())
+	}
 	return Snapshot{
-		Paused: now.Before(r.pausedUntil) || shareless, Throttled: r.limited.throttled(now), LimitShare: r.limited.share, Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
+		Unanswered: r.contact.count(),
+		Paused:     now.Before(r.pausedUntil) || shareless, Throttled: r.limited.throttled(now), LimitShare: r.limited.share, Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
 		Times: r.prefills.times(now, server.Role), LatencyRatio: r.latencyRatio, Suspect: r.suspect,
 		Ejected: stalled || r.unreachable || now.Before(r.ejectedUntil), Stalled: stalled, Unreachable: r.unreachable, Undialable: r.undialable, HeardAt: r.heardAt,
 		TransferSeconds: r.transferSeconds, TransferAt: r.transferAt,
