usage: an unresponsive server counts as unreachable after 0.2 s

Change: a server counts as unresponsive once two unanswered requests have counted for 0.2 s (tellTime). From the first unanswered request on, what peers are told already says that the service is lost, so that processes in the same state have told each other by then.

--- a/internal/fleet/usage/contact.go
+++ b/internal/fleet/usage/contact.go
@@ -29,6 +29,9 @@
 	// minCut is the number of backend servers that can't be connected to from which on the
 	// links of this process may be cut.
 	minCut = 2
+	// tellTime is how long a backend server has not responded before it counts as
+	// unreachable. Meanwhile peers that fail there too say so, and are not handed requests.
+	tellTime = 200 * time.Millisecond
 	// retryInterval is the least time between two requests to a backend server that does
 	// not respond.
 	retryInterval = time.Second
@@ -39,8 +42,8 @@
 type Reach struct {
 	// All counts all, Undialable those to which no connection can be made.
 	All, Undialable int
-	// Unresponsive counts those that accept connections and have responded to none of the
-	// last requests, Doubtful those that have not responded to the last one.
+	// Unresponsive counts those that accept connections and do not respond to requests,
+	// Doubtful those that may not: they have not responded to the last request.
 	Unresponsive, Doubtful int
 }
 
@@ -50,7 +53,7 @@
 	switch {
 	case s.Undialable:
 		r.Undialable++
-	case s.Unanswered >= minUnanswered:
+	case s.Unresponsive:
 		r.Unresponsive++
 	case s.Unanswered > 0:
 		r.Doubtful++
@@ -82,6 +85,8 @@
 	since time.Time
 	// sent has requests without a response.
 	sent [minUnanswered]unanswered
+	// failing is since when minUnanswered requests count, zero if fewer do.
+	failing time.Time
 	// lastSent is when the last request was sent.
 	lastSent time.Time
 }
@@ -129,6 +134,7 @@
 	case sent.Before(c.since):
 	default:
 		c.close(sent, a == Unanswered)
+		c.decide(now)
 	}
 }
 
@@ -166,6 +172,19 @@
 	for i, s := range c.sent {
 		c.sent[i].failed = s.failed || !s.at.IsZero() && now.Sub(s.at) > stall
 	}
+	c.decide(now)
+}
+
+// decide records when the backend server began to fail.
+func (c *contact) decide(now time.Time) {
+	if c.failing.IsZero() && c.count() == minUnanswered {
+		c.failing = now
+	}
+}
+
+// unresponsive reports whether the backend server counts as unreachable.
+func (c *contact) unresponsive(now time.Time) bool {
+	return !c.failing.IsZero() && now.Sub(c.failing) >= tellTime
 }
 
 // count returns the number of requests that count as unanswered, at most minUnanswered.
@@ -181,7 +200,7 @@
 
 // tryAgain reports whether a request may be sent to a backend server that does not respond.
 func (c *contact) tryAgain(now time.Time) bool {
-	if c.count() < minUnanswered || now.Sub(c.lastSent) < retryInterval {
+	if c.failing.IsZero() || now.Sub(c.lastSent) < retryInterval {
 		return false
 	}
 	c.lastSent = now
--- a/internal/fleet/usage/contact_test.go
+++ b/internal/fleet/usage/contact_test.go
@@ -92,12 +92,14 @@
 		}
 	}
 	assert.Equal(t, 4, tries)
+	assert.False(t, table.Get(now.Add(tellTime-1), server).Unresponsive, "peers may not know that they fail too")
+	assert.True(t, table.Get(now.Add(tellTime), server).Unresponsive)
 	table.Pause(now, server, time.Minute)
 	assert.False(t, table.TryAgain(now.Add(30*time.Second), server), "it wants no request")
 }
 
 func TestReach(t *testing.T) {
-	undialable, silent, doubtful, sound := Snapshot{Undialable: true, Unanswered: 2}, Snapshot{Unanswered: 2}, Snapshot{Unanswered: 1}, Snapshot{}
+	undialable, silent, doubtful, sound := Snapshot{Undialable: true, Unresponsive: true}, Snapshot{Unanswered: 2, Unresponsive: true}, Snapshot{Unanswered: 2}, Snapshot{}
 	for _, c := range []struct {
 		name                              string
 		list                              []Snapshot
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -132,8 +132,10 @@
 	// that are open may still work.
 	Undialable bool
 	// Unanswered counts the last requests to which the backend server has not responded, at
-	// most 2, while Watch is on.
-	Unanswered int
+	// most 2, while Watch is on. Unresponsive is set if there were 2 for long enough that
+	// peers know of theirs.
+	Unanswered   int
+	Unresponsive bool
 	// HeardAt is when the backend server last sent something to this process.
 	HeardAt time.Time
 	// Paused is set while the backend server wants no request from this process. It
@@ -343,8 +345,8 @@
 		r.contact.settle(now, r.stallTime())
 	}
 	return Snapshot{
-		Unanswered: r.contact.count(),
-		Paused:     now.Before(r.pausedUntil) || shareless, Throttled: r.limited.throttled(now), LimitShare: r.limited.share, Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
+		Unanswered: r.contact.count(), Unresponsive: r.contact.unresponsive(now),
+		Paused: now.Before(r.pausedUntil) || shareless, Throttled: r.limited.throttled(now), LimitShare: r.limited.share, Running: r.running, Long: r.work[Long], Prefills: r.prefills.running, PrefillTokens: r.prefills.tokens,
 		Times: r.prefills.times(now, server.Role), LatencyRatio: r.latencyRatio, Suspect: r.suspect,
 		Ejected: stalled || r.unreachable || now.Before(r.ejectedUntil), Stalled: stalled, Unreachable: r.unreachable, Undialable: r.undialable, HeardAt: r.heardAt,
 		TransferSeconds: r.transferSeconds, TransferAt: r.transferAt,
