broker: hand requests to peers if the servers left do not respond

Cause: a process that could connect to one address of a service's four, at which another program listened, sent everything there. The service counted as lost only if connections to all servers failed.

Change: Reconnect has usage track responses while connections to half of a service's servers, and at least two, fail. cutOff also counts servers that accept connections and do not respond, while a peer reaches the service. Lost and Reaches count doubtful servers too, whether or not a peer reaches the service, so that processes that all fail hand over nothing. One repeatable request a second tries such a server; requests that waited for a permit there leave for a peer; a resumed stream that failed there goes on at a peer, within the retry quota.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -402,7 +402,7 @@
 		j.reject(originUnknown)
 		return
 	}
-	if j.cutOff() && j.carry() {
+	if j.cutOff() && !j.tryAgain() && j.carry() {
 		return
 	}
 	j.restrict()
--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -14,6 +14,7 @@
 	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/event"
 	"ebonyscale.example/ebonyscale/internal/route/retry"
 )
@@ -124,58 +125,63 @@
 // the request.
 func (j *job) cutOff() bool { return j.broker.cutOff(j.service.Name, j.software) }
 
-// cutOff reports whether connections to all backend servers of the service that can go on
-// with a stream of the version fail. Prefill engines don't count, as any other engine
-// can stand in for them.
+// cutOff reports whether this process reaches none of the backend servers of the service that
+// can go on with a stream of the version: connections to all of them fail, or those that
+// accept connections don't respond while a peer reaches servers of the service. Prefill
+// engines don't count, as any other engine can stand in for them.
 func (b *Broker) cutOff(service string, s software) bool {
-	failed, all := b.countUndialable(service, s)
-	return all > 0 && failed == all
+	r := b.reach(service, s)
+	return r.NoneDialable() || r.NoneResponds() && b.Carrier != nil && b.Carrier.Choose(service, nil) != ""
 }
 
 // mostlyCut reports whether connections to half of the backend servers of the service fail.
 func (j *job) mostlyCut() bool {
-	failed, all := j.broker.countUndialable(j.service.Name, j.software)
-	return failed > 0 && 2*failed >= all
+	r := j.broker.reach(j.service.Name, j.software)
+	return r.Undialable > 0 && 2*r.Undialable >= r.All
 }
 
-// countUndialable counts the backend servers of a service to which connections fail, and
-// all. Both are 0 while there is no such server at all.
-func (b *Broker) countUndialable(service string, s software) (failed, all int) {
+// reach counts the backend servers of a service, and those that this process does not reach.
+// The result is zero while connections to all backend servers succeed.
+func (b *Broker) reach(service string, s software) usage.Reach {
+	var r usage.Reach
 	if b.undialable.Load() == 0 {
-		return 0, 0
+		return r
 	}
 	now := time.Now()
 	for _, server := range b.Roster.Service(service) {
-		if server.Role == roster.Prefill || !s.accepts(server) {
-			continue
-		}
-		all++
-		if b.Usage.Get(now, server).Undialable {
-			failed++
+		if server.Role != roster.Prefill && s.accepts(server) {
+			r.Add(b.Usage.Get(now, server))
 		}
 	}
-	return failed, all
+	return r
 }
 
 // Lost returns the names of the services of which this process reaches no backend server,
-// sorted.
+// sorted. Those are among them whose servers don't respond, whether or not a peer reaches
+// them: if all processes say so, none hands requests to another.
 func (b *Broker) Lost() []string {
+	return b.servicesWhere(func(name string) bool { return !b.Reaches(name) })
+}
+
+// servicesWhere returns the names of the services for which the condition holds, sorted; none
+// while connections to all backend servers succeed.
+func (b *Broker) servicesWhere(condition func(name string) bool) []string {
 	t := b.Table()
 	if t == nil || b.undialable.Load() == 0 {
 		return nil
 	}
-	var lost []string
+	var list []string
 	for name := range t.Services {
-		if b.cutOff(name, software{}) {
-			lost = append(lost, name)
+		if condition(name) {
+			list = append(list, name)
 		}
 	}
-	slices.Sort(lost)
-	return lost
+	slices.Sort(list)
+	return list
 }
 
 // Reaches reports whether this process can serve requests to the service for others.
-func (b *Broker) Reaches(service string) bool { return !b.cutOff(service, software{}) }
+func (b *Broker) Reaches(service string) bool { return !b.reach(service, software{}).NoneProven() }
 
 // cutAlone reports whether this process reaches no backend server of the service while a
 // peer does: its links are cut, and the servers have not ended.
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -106,6 +106,11 @@
 	recorded <-chan struct{}
 	// hop is set if the request is served for a peer.
 	hop CarriedOutput
+	// trial is the ID of the only backend server to which the request may be sent, empty if
+	// there are others. left is set once the request has given up a permit at a backend
+	// server that does not respond.
+	trial string
+	left  bool
 	// failedAt has the IDs of the backend servers that the request has reached, carriers
 	// those of the peers that it was handed to.
 	failedAt []string
@@ -131,7 +136,7 @@
 // servePlain serves a request without a prefill stage.
 func (j *job) servePlain() {
 	for {
-		if j.attempted && j.cutOff() && j.carry() {
+		if (j.attempted || j.left) && j.cutOff() && j.carry() {
 			return
 		}
 		p, err := j.broker.acquire(j.ctx, j.need("", usage.Short, plainPerSlot), nil)
@@ -145,6 +150,10 @@
 			j.giveUp(errQuarantined)
 			return
 		}
+		if j.leaves(p) {
+			p.release(usage.Result{})
+			continue
+		}
 		f := j.attempt(p, j.newCall())
 		if f == nil {
 			return
@@ -220,21 +229,22 @@
 	if err != nil {
 		f := j.sendFailure(ctx, err)
 		j.checkBroken(ctx, p.server, err)
-		p.release(usage.Result{Verdict: j.verdict(f)})
+		p.release(j.result(f))
 		return f
 	}
 	defer response.Body.Close()
 	if f := rejection(response); f != nil {
-		p.release(usage.Result{Verdict: j.verdict(f)})
+		p.release(j.result(f))
 		return f
 	}
+	p.responded = true
 	stream := j.route.Kind == table.Stream && response.Status < 300
 	if !stream {
 		j.countBegan()
 	}
 	if !j.continues(response.Status, response.Fields) {
 		f := &failure{outcome: retry.Unknown, reason: serverFailed, err: errOtherResponse(response)}
-		p.release(usage.Result{Verdict: j.verdict(f)})
+		p.release(j.result(f))
 		return f
 	}
 	if stream {
@@ -249,7 +259,7 @@
 		}
 		p.release(usage.Result{Verdict: usage.OK, LatencyRatio: j.broker.latencyRatio(p.need.key, took)})
 	default:
-		p.release(usage.Result{Verdict: j.verdict(f)})
+		p.release(j.result(f))
 	}
 	return f
 }
@@ -294,6 +304,7 @@
 // ends the request.
 func (j *job) prepareRetry(server roster.Server, f *failure) bool {
 	j.recordFailure(f)
+	j.endTrial()
 	if j.excluded == nil {
 		j.excluded = map[string]bool{}
 	}
--- a/internal/node/broker/permit.go
+++ b/internal/node/broker/permit.go
@@ -30,6 +30,8 @@
 	// fetch is the address of an engine from which the prefix is fetched; it is
 	// invalid if none is known.
 	fetch netip.AddrPort
+	// responded is set once a response of the backend server has begun.
+	responded bool
 	// abort cancels the attempt so that the request can be retried on another
 	// backend server; nil if it cannot.
 	abort func()
@@ -115,7 +117,10 @@
 	now := time.Now()
 	b := p.broker
 	p.finishPrefill(result.Prefilled)
-	result.Work = p.need.key.work
+	result.Work, result.Sent = p.need.key.work, p.since
+	if p.responded || result.Verdict == usage.OK {
+		result.Answer = usage.Responded
+	}
 	b.Usage.End(now, p.server, result)
 	if p.coordinator != "" {
 		// It says what the message at the end of the prefill said, which may be lost or
--- a/internal/node/broker/probe.go
+++ b/internal/node/broker/probe.go
@@ -67,18 +67,13 @@
 		return false
 	}
 	for name := range b.Table().Services {
-		failed, all := b.countUndialable(name, software{})
-		if failed > 0 && 2*failed >= all && (failed >= minCut || failed == all) && b.Carrier.Choose(name, nil) != "" {
+		if r := b.reach(name, software{}); (r.MayBeCut() || r.NoneDialable()) && b.Carrier.Choose(name, nil) != "" {
 			return true
 		}
 	}
 	return false
 }
 
-// minCut is the number of backend servers that can't be connected to from which on the
-// links of this process may be cut.
-const minCut = 2
-
 // idle lists the backend servers of all services that can be connected to as far as is
 // known and have sent nothing lately.
 func (r *reconnector) idle(now time.Time) []usage.Incarnation {
@@ -116,7 +111,7 @@
 // logLost logs each service whose last reachable backend server is lost, or of which one
 // can be reached again.
 func (r *reconnector) logLost() {
-	lost := r.broker.Lost()
+	lost := r.broker.servicesWhere(func(name string) bool { return r.broker.cutOff(name, software{}) })
 	for _, name := range lost {
 		if !slices.Contains(r.lost, name) {
 			r.broker.Log.Warn("no backend server of a service can be reached, its requests go to peers", zap.String("Service", name))
--- a/internal/node/broker/reconnect.go
+++ b/internal/node/broker/reconnect.go
@@ -31,7 +31,7 @@
 // Reconnect probes unreachable backend servers by connecting to them, so that no
 // request is spent on that. It blocks until ctx ends and returns its error.
 func (b *Broker) Reconnect(ctx context.Context) error {
-	r := reconnector{broker: b, dialing: map[usage.Incarnation]bool{}, cutAt: map[string]time.Time{}, probed: map[probe]time.Time{}}
+	r := reconnector{broker: b, dialing: map[usage.Incarnation]bool{}, cutAt: map[string]time.Time{}, watched: map[string]bool{}, probed: map[probe]time.Time{}}
 	defer r.attempts.Wait()
 	for timer.Wait(ctx, reconnectInterval) {
 		if b.Table() == nil {
@@ -40,6 +40,7 @@
 		undialable := b.Usage.Undialable()
 		b.undialable.Store(int64(len(undialable)))
 		r.logChanges(undialable)
+		r.watch(time.Now())
 		r.logLost()
 		for _, i := range undialable {
 			server, ok := b.Roster.Find(i.ID, i.Born)
@@ -63,6 +64,8 @@
 	undialable map[usage.Incarnation]bool
 	// probed is until when each probe of a backend server that seemed silent is not repeated.
 	probed map[probe]time.Time
+	// watched has the services for whose backend servers Usage.Watch is on.
+	watched map[string]bool
 	// lost has the services of which no backend server can be reached.
 	lost []string
 
@@ -138,7 +141,7 @@
 // noteCut records that most backend servers of a service can't be reached: the links of this
 // process may be cut.
 func (r *reconnector) noteCut(now time.Time, service string) {
-	if failed, all := r.broker.countUndialable(service, software{}); 2*failed > all {
+	if reach := r.broker.reach(service, software{}); 2*reach.Undialable > reach.All {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.cutAt[service] = now
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -34,7 +34,7 @@
 	}
 	defer j.freeKept()
 	for {
-		if p == nil && source.Handle == "" && j.attempted && j.cutOff() && j.carry() {
+		if p == nil && source.Handle == "" && (j.attempted || j.left) && j.cutOff() && j.carry() {
 			return
 		}
 		var err error
@@ -53,6 +53,12 @@
 			j.giveUp(errQuarantined)
 			return
 		}
+		if j.leaves(p) {
+			p.release(usage.Result{})
+			j.releaseKV(source)
+			source, p = KVSource{}, nil
+			continue
+		}
 		c := j.newCall()
 		c.Source = source
 		if p.need.key.work == usage.LocalPrefill {
@@ -318,7 +324,7 @@
 func (j *job) handleBroken(p *permit, r *event.Reader, err error) *failure {
 	f := &failure{outcome: retry.Unknown, reason: streamBroken, err: err}
 	j.checkBroken(j.ctx, p.server, err)
-	p.release(usage.Result{Verdict: j.verdict(f)})
+	p.release(j.result(f))
 	if !j.headerSent {
 		return f
 	}
@@ -372,7 +378,7 @@
 	if f.dialFailed {
 		j.attempts--
 	}
-	if f.unreachable() && j.carry() {
+	if (f.unreachable() || j.cutOff() && j.broker.tryRetry(j.service.Name)) && j.carry() {
 		return
 	}
 	j.logEnd(0, f.reason, f.err)
