core, broker: a part in quarantine is tried and withdrawn if it is served

A harmless part that was in all prompts while servers crashed had every request rejected for ten minutes.

The process that all choose for the part has one request with it sent to one server, without a separate prefill engine, once more than half of the processes vote for that. If it is served completely with a success status, the part is withdrawn: News.Withdrawn tells it to all for 3 s, to those that still tell the finding and to a process that becomes live again, and the entry in the store is removed, again if it comes back. A request that reached a server counts as a trial also if the server refused it, since the limit counts requests that reach servers; one that got no permit or no connection is repeated after a second.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -286,6 +286,13 @@
 	return quiet
 }
 
+// LiveCount returns the number of live members, this process included.
+func (t *Table) LiveCount() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.live()
+}
+
 // Live returns the number of processes that are not silent, this one included.
 // They need not be members.
 func (t *Table) Live() int {
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -177,6 +177,28 @@
 	Succeeded(content uint64, parts []string)
 }
 
+// Trials has requests with a part in quarantine tried, to find out whether the part still
+// crashes backend servers. It must be safe for concurrent use, and Try must neither block
+// nor call the Broker.
+type Trials interface {
+	// Try begins a trial with a request that Quarantine rejects; false if it must not be
+	// sent.
+	Try(now time.Time, content uint64, parts []string) (Trial, bool)
+}
+
+// Trial is a request that may be sent once though Quarantine rejects it.
+type Trial interface {
+	// Agree waits for a moment until the peers know of the trial. It returns false if the
+	// request must not be sent.
+	Agree(ctx context.Context) bool
+	// Send is called right before the request is sent to a backend server. It returns false
+	// if it must not be.
+	Send() bool
+	// End is called once. reached is set if a backend server may have got the request, served
+	// if it was served completely.
+	End(reached, served bool)
+}
+
 // Origins knows where streams began. It must be safe for concurrent use. host is that of the
 // stream's route, path that of the request.
 type Origins interface {
@@ -217,6 +239,8 @@
 	Announce func(server roster.Server)
 	// Quarantine, if set, has what crashes backend servers.
 	Quarantine Quarantine
+	// Trials, if set, has parts in quarantine tried.
+	Trials Trials
 	// Origins, if set, has the origins of the streams of all processes.
 	Origins Origins
 	// Name is the name of this process. Coordination sends messages to peers;
@@ -394,7 +418,8 @@
 		b.countRequest(j.service.Name)
 		b.Meters.Add("Requests", 1)
 	}
-	if j.quarantined() {
+	defer j.endTrial(false)
+	if j.quarantined() && !j.beginTrial() {
 		j.giveUp(errQuarantined)
 		return
 	}
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -96,6 +96,10 @@
 	// quarantinedUntil is when the quarantine of the request ends, zero if it is in
 	// none.
 	quarantinedUntil time.Time
+	// trial is set while the request is the trial of a part in quarantine, trialSent once it
+	// may have been sent.
+	trial     Trial
+	trialSent bool
 	// software is bound once the stream has begun. originFrom is set if the client resumes
 	// a stream.
 	software   software
@@ -140,7 +144,7 @@
 			return
 		}
 		j.waited += p.waited
-		if j.quarantined() {
+		if j.quarantined() && !j.sendTrial() {
 			p.release(usage.Result{})
 			j.giveUp(errQuarantined)
 			return
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -216,9 +216,9 @@
 // prefillPrompt prefills the prompt if it is not small. It returns the KV cache
 // of a prefill engine, or a permit at a decode engine that prefills locally;
 // neither if the prompt is small or no engine prefills. It returns false if the
-// request has ended.
+// request has ended. A trial goes to one server, which prefills and decodes.
 func (j *job) prefillPrompt() (KVSource, *permit, bool) {
-	if j.request.PromptTokens <= smallPrompt {
+	if j.request.PromptTokens <= smallPrompt || j.trial != nil {
 		return KVSource{}, nil, true
 	}
 	for {
--- a/internal/node/broker/quarantine.go
+++ b/internal/node/broker/quarantine.go
@@ -27,9 +27,44 @@
 func (j *job) recordServed(response *Response) {
 	if q := j.broker.Quarantine; q != nil && !response.UntilClose {
 		q.Succeeded(j.request.content, j.request.sharedParts())
+		// The server may have refused the request with an error status and not run it.
+		j.endTrial(response.Status < 300)
 	}
 }
 
+// beginTrial reports whether the request, which has a part in quarantine, may be sent as the
+// trial of that. A stream that is resumed, or a request that is served for a peer, is none.
+func (j *job) beginTrial() bool {
+	if j.broker.Trials == nil || j.hop != nil || j.request.After != "" || j.cutOff() {
+		return false
+	}
+	t, begun := j.broker.Trials.Try(time.Now(), j.request.content, j.request.sharedParts())
+	if !begun {
+		return false
+	}
+	j.trial = t
+	return t.Agree(j.ctx)
+}
+
+// sendTrial reports whether the request may be sent now as a trial. That is once.
+func (j *job) sendTrial() bool {
+	if j.trial == nil || j.trialSent || !j.trial.Send() {
+		return false
+	}
+	j.trialSent = true
+	return true
+}
+
+// endTrial ends the trial that the request is, if it is one.
+func (j *job) endTrial(served bool) {
+	if j.trial == nil {
+		return
+	}
+	// Attempts whose server could not be connected to are not counted.
+	j.trial.End(j.trialSent && j.attempts > 0, served)
+	j.trial = nil
+}
+
 // maxChain bounds the parts of a prompt that count as shared.
 const maxChain = 16
 
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -47,7 +47,7 @@
 			return
 		}
 		j.waited += p.waited
-		if j.quarantined() {
+		if j.quarantined() && !j.sendTrial() {
 			p.release(usage.Result{})
 			j.releaseKV(source)
 			j.giveUp(errQuarantined)
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -208,7 +208,7 @@
 	n.Broker = &broker.Broker{
 		Zone: n.Zone, Table: n.table.Load, Roster: &n.roster, Usage: &n.usage, Servers: n.Servers,
 		Peers: &n.peers, Name: n.Name, Coordination: n.coordination, RetryLimit: n.RetryLimit, Admission: n.Admission, Meters: n.Meters, Log: n.Log, Seed: n.Seed,
-		Announce: n.announceLeaving, Quarantine: n.quarantine, Origins: n.origins,
+		Announce: n.announceLeaving, Quarantine: n.quarantine, Trials: n.quarantine, Origins: n.origins,
 	}
 	if n.Hops != nil {
 		n.Broker.Carrier = n.carrier
--- a/internal/node/core/quarantine.go
+++ b/internal/node/core/quarantine.go
@@ -27,6 +27,9 @@
 // all and written to the store, from which processes learn it that start later or were
 // cut off. Nothing depends on the processes agreeing on the collectors: a finding is
 // the same from whoever makes it, and made by several it has the same effect.
+//
+// A part in quarantine is tried with single requests, see crash.Trials. If one is served,
+// the part is withdrawn: all are told, and the entry in the store is removed.
 type quarantine struct {
 	node *Node
 	// subjects are in quarantine.
@@ -40,6 +43,9 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	evidence crash.Evidence
+	trials   crash.Trials
+	// withdrawals are the parts that were withdrawn after a trial of this process.
+	withdrawals map[string]*withdrawal
 	// reports are this process's own recent ones, reported is when the last report or
 	// finding came, also from a peer.
 	reports  []*ownReport
@@ -106,6 +112,7 @@
 	return &quarantine{
 		node: n, writes: ring.New[store.Object]("Quarantine", maxQuarantineWrites), wake: make(chan struct{}, 1), asked: map[string]time.Time{},
 		questions: map[string]question{}, found: map[string]finding{}, stored: map[string]uint64{}, written: map[string]time.Time{},
+		trials: crash.Trials{Self: n.Name, Incarnation: n.incarnation, Started: time.Now()}, withdrawals: map[string]*withdrawal{},
 	}
 }
 
@@ -206,7 +213,7 @@
 
 // handle handles what a peer says of crashes.
 func (q *quarantine) handle(now time.Time, message *wire.News) {
-	if len(message.Crashes)+len(message.Suspects)+len(message.Served)+len(message.Quarantined) == 0 {
+	if len(message.Crashes)+len(message.Suspects)+len(message.Served)+len(message.Quarantined)+len(message.Trials)+len(message.Withdrawn) == 0 {
 		return
 	}
 	q.mu.Lock()
@@ -223,21 +230,25 @@
 	q.answer(now, message)
 	for _, p := range message.Quarantined {
 		left := min(time.Duration(p.Ms)*time.Millisecond, crash.QuarantineTime)
-		if p.Part != "" && len(p.Part) <= crash.MaxPartBytes {
-			q.add(now, p.Part, left, message.From)
+		if p.Part != "" && len(p.Part) <= crash.MaxPartBytes && !q.add(now, p.Part, left, message.From) {
+			q.tellWithdrawnTo(now, message.From, p.Part)
 		}
 	}
+	q.handleTrials(now, message)
 }
 
-// add puts a subject into quarantine that a peer or the store has named. q.mu must be
-// held.
-func (q *quarantine) add(now time.Time, subject string, left time.Duration, source string) {
+// add puts a subject into quarantine that a peer or the store has named. It returns false if
+// that was withdrawn since. q.mu must be held.
+func (q *quarantine) add(now time.Time, subject string, left time.Duration, source string) bool {
+	if !q.trials.Found(subject, now.Add(left)) {
+		return false
+	}
 	q.evidence.Found(now, subject, left)
-	if !q.subjects.Add(subject, now.Add(left)) {
-		return
+	if q.subjects.Add(subject, now.Add(left)) {
+		q.active(now)
+		q.node.Log.Info("quarantine begun elsewhere", zap.String("Subject", subject), zap.Duration("Left", left), zap.String("Source", source))
 	}
-	q.active(now)
-	q.node.Log.Info("quarantine begun elsewhere", zap.String("Subject", subject), zap.Duration("Left", left), zap.String("Source", source))
+	return true
 }
 
 // answer responds to a peer's question which subjects this process has served. q.mu must
@@ -279,13 +290,16 @@
 // wait waits for the next tick.
 func (q *quarantine) wait(ctx context.Context) {
 	q.mu.Lock()
-	busy := time.Since(q.reported) < 2*resendFor || len(q.found) > 0
+	busy, interval := time.Since(q.reported) < 2*resendFor || len(q.found) > 0, idleInterval
+	if q.trials.Len() > 0 {
+		interval = trialsInterval
+	}
 	q.mu.Unlock()
 	if busy {
 		timer.Wait(ctx, quarantineInterval)
 		return
 	}
-	pause := time.NewTimer(idleInterval)
+	pause := time.NewTimer(interval)
 	defer pause.Stop()
 	select {
 	case <-q.wake:
@@ -302,12 +316,14 @@
 	q.ask(now)
 	for _, c := range q.evidence.Causes(now, q.known(now)) {
 		q.evidence.Found(now, c.Subject, c.For)
+		q.trials.Found(c.Subject, now.Add(c.For))
 		q.subjects.Add(c.Subject, now.Add(c.For))
 		q.found[c.Subject] = finding{at: now}
 		q.node.Meters.Add("CrashCausesFound", 1)
 		q.node.Log.Warn("requests crash backend servers and are in quarantine", zap.String("Subject", c.Subject), zap.Duration("For", c.For))
 	}
 	q.tell(now)
+	q.tellTrials(now)
 	for subject, asked := range q.questions {
 		if now.After(asked.expires) {
 			delete(q.questions, subject)
@@ -362,7 +378,7 @@
 		}
 		if now.Sub(f.told) >= resendInterval {
 			q.found[subject] = finding{f.at, now}
-			due = append(due, &wire.PartTime{Part: subject, Ms: uint32(until.Sub(now).Milliseconds())})
+			due = append(due, encodeLeft(now, subject, until))
 		}
 	}
 	if len(due) > 0 {
--- a/internal/node/core/quarantine_test.go
+++ b/internal/node/core/quarantine_test.go
@@ -30,7 +30,7 @@
 	for i := range c {
 		c[i] = newNode(t)
 		c[i].Name = string(rune('a' + i))
-		c[i].peers.Self = c[i].Name
+		c[i].peers.Self, c[i].quarantine.trials.Self = c[i].Name, c[i].Name
 	}
 	for i, n := range c {
 		for k, other := range c {
--- a/internal/node/core/quarantined.go
+++ b/internal/node/core/quarantined.go
@@ -130,6 +130,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.stored[entry.Part] = version
+	// The entry of a part that was withdrawn is removed again.
 	v.add(now, entry.Part, left, "store")
 }
 
@@ -144,6 +145,7 @@
 		delete(v.stored, subject)
 		delete(v.found, subject)
 		v.evidence.Forget(subject)
+		v.trials.Forget(subject)
 		if v.subjects.Remove(subject) {
 			v.node.Log.Info("quarantine has ended", zap.String("Subject", subject))
 		}
