--- a/internal/fleet/crash/crash.go
+++ b/internal/fleet/crash/crash.go
@@ -29,7 +29,8 @@
 //     did not have it.
 //
 // A Quarantine has the subjects that were found. They expire, since a later version of a
-// server may not crash.
+// server may not crash. Trials decides which single requests with a part in quarantine are
+// sent nevertheless, to find out that the part is harmless.
 //
 // # Usage
 //
