core: the time of a write is forgotten once a withdrawn entry is gone

The time at which an entry was last given to the writer stayed in memory for each part that was withdrawn, for the life of the process: forgetEnded deletes it for subjects in quarantine only, which a withdrawn part is not any more.

removeWithdrawn deletes it once the store has no entry of the part. Behavior is the same otherwise; a part that comes back is removed again at once instead of after what was left of a second. go test ./internal/node/core: green.

--- a/internal/node/core/trials.go
+++ b/internal/node/core/trials.go
@@ -214,6 +214,9 @@
 func (q *quarantine) removeWithdrawn(now time.Time) {
 	for part := range q.trials.Withdrawn() {
 		version, stored := q.stored[part]
+		if !stored {
+			delete(q.written, part)
+		}
 		own := q.withdrawals[part] != nil && q.withdrawals[part].own
 		if !stored || now.Sub(q.written[part]) < quarantineWriteRetry || !own && !q.writesToStore() {
 			continue
