broker: test which requests go to a server that does not respond

Cause: three changes of the product by hand passed all tests: no request gives up its permit at such a server (leaves), a trial is not restricted to it, and the restriction stays after the trial.

Change: one test of leaves, tryAgain and endTrial, with a process that can connect to one server of three, which responds as a wrong one.

Tested: the test passes with -race, and fails with each of the three changes of the product. TestServerThatDoesNotRespondIsTriedOnceASecond already failed with a trial by a request that may not run twice. No code of the product changes.

--- a/internal/node/broker/contact_test.go
+++ b/internal/node/broker/contact_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
+	"ebonyscale.example/ebonyscale/internal/route/retry"
 )
 
 // newFailingFixture returns a fixture that can connect to a alone of three plain servers, at
@@ -136,3 +138,34 @@
 		})
 	}
 }
+
+// TestRequestsForServerThatDoesNotRespond guards against requests that are sent there though a
+// peer would serve them: only a repeatable one may be, and one that has waited for a permit
+// gives that up once.
+func TestRequestsForServerThatDoesNotRespond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newFailingFixture(t, unverified, "p1")
+		stop := f.run(t)
+		f.sendFor(t, time.Second)
+		server, _ := f.roster.Find("a", 1)
+		newJob := func(kind table.Kind) *job {
+			return &job{broker: f.Broker, ctx: t.Context(), route: &table.Route{Kind: kind, Attempts: 2}, service: table.Service{Name: "plain"}}
+		}
+		j := newJob(table.AtMostOnce)
+		time.Sleep(2 * time.Second)
+		assert.False(t, j.tryAgain(), "it must not run twice")
+		assert.True(t, j.leaves(&permit{server: server}))
+		assert.False(t, j.leaves(&permit{server: server}), "no peer has taken it")
+		j = newJob(table.AtMostOnce)
+		j.recordOutcome(retry.Unknown)
+		assert.False(t, j.leaves(&permit{server: server}), "it may have run")
+		j = newJob(table.Idempotent)
+		assert.True(t, j.tryAgain())
+		assert.Equal(t, map[string]bool{"b": true, "c": true}, j.excluded)
+		assert.False(t, j.leaves(&permit{server: server}), "it tries the server")
+		j.endTrial()
+		assert.Empty(t, j.excluded)
+		assert.False(t, newJob(table.Idempotent).tryAgain(), "one was sent within a second")
+		stop()
+	})
+}
