--- a/internal/node/broker/contact_test.go
+++ b/internal/node/broker/contact_test.go
@@ -163,7 +163,7 @@
 		assert.True(t, j.tryAgain())
 		assert.Equal(t, map[string]bool{"b": true, "c": true}, j.excluded)
 		assert.False(t, j.leaves(&permit{server: server}), "it tries the server")
-		j.endTrial()
+		j.endProbe()
 		assert.Empty(t, j.excluded)
 		assert.False(t, newJob(table.Idempotent).tryAgain(), "one was sent within a second")
 		stop()
