--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -258,7 +258,7 @@
 	}
 	go func() {
 		_, err := conn.Write(encoded.Bytes())
-		encodedBuffers.Put(encoded)
+		freeEncoded(encoded)
 		x.written <- err
 	}()
 	return nil
@@ -273,15 +273,28 @@
 	encoded.Reset()
 	encoded.Grow(len(request.Body()) + longRequestBytes)
 	w := bufio.NewWriter(encoded)
-	if err := request.Write(w); err != nil {
-		return nil, fmt.Errorf("encode: %w", err)
+	err := request.Write(w)
+	if err == nil {
+		err = w.Flush()
 	}
-	if err := w.Flush(); err != nil {
+	if err != nil {
+		freeEncoded(encoded)
 		return nil, fmt.Errorf("encode: %w", err)
 	}
 	return encoded, nil
 }
 
+// maxEncodedBytes bounds the buffers that are kept: their memory counts towards no limit of the
+// process.
+const maxEncodedBytes = 256 << 10
+
+// freeEncoded returns a buffer to encodedBuffers.
+func freeEncoded(b *bytes.Buffer) {
+	if b.Cap() <= maxEncodedBytes {
+		encodedBuffers.Put(b)
+	}
+}
+
 // bytesSent returns the number of bytes of the request that were written.
 func (x *Exchange) bytesSent() int64 { return x.connection.written.Load() }
 
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -331,7 +331,8 @@
 	return b
 }
 
-// Get returns the counts and health of the backend server as of now.
+// Get returns the counts and health of the backend server as of now. While Watch is on, it also
+// decides whether requests in progress at a stalled one count as unanswered.
 func (t *Table) Get(now time.Time, server roster.Server) Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -157,7 +157,7 @@
 }
 
 // Lost returns the names of the services of which this process reaches no backend server,
-// sorted. Those are among them whose servers don't respond, whether or not a peer reaches
+// sorted. It includes services whose servers don't respond, whether or not a peer reaches
 // them: if all processes say so, none hands requests to another.
 func (b *Broker) Lost() []string {
 	return b.servicesWhere(func(name string) bool { return !b.Reaches(name) })
@@ -201,11 +201,16 @@
 	return !j.attempted || j.outcome == retry.NotRun || j.route.Repeatable()
 }
 
+// mayCarry reports whether the request may be handed to a peer, if there is one.
+func (j *job) mayCarry() bool {
+	return j.broker.Carrier != nil && j.hop == nil && j.attempts < j.route.Attempts
+}
+
 // carry hands the request to peers until one has served it. It returns false if none has
 // taken it, so that the request goes on here.
 func (j *job) carry() bool {
 	b := j.broker
-	if b.Carrier == nil || j.hop != nil || j.attempts >= j.route.Attempts {
+	if !j.mayCarry() {
 		return false
 	}
 	begun := j.headerSent
--- a/internal/node/broker/contact.go
+++ b/internal/node/broker/contact.go
@@ -64,7 +64,7 @@
 // leaves reports whether the request should go to a peer and not to the backend server of the
 // permit, as that has stopped responding while the request waited. It returns true once.
 func (j *job) leaves(p *permit) bool {
-	if j.left || j.hop != nil || p.server.ID == j.probed || !j.mayMove() || j.attempts >= j.route.Attempts || !j.cutOff() {
+	if j.left || !j.mayCarry() || p.server.ID == j.probed || !j.mayMove() || !j.cutOff() {
 		return false
 	}
 	j.left = true
@@ -78,14 +78,24 @@
 	if b.undialable.Load() == 0 && len(r.watched) == 0 {
 		return
 	}
-	for name := range b.Table().Services {
-		cut := b.reach(name, software{}).MayBeCut()
-		if !cut && !r.watched[name] {
-			continue
-		}
-		b.Usage.Watch(now, b.Roster.Service(name), cut)
-		if delete(r.watched, name); cut {
+	services := b.Table().Services
+	for name := range services {
+		if b.reach(name, software{}).MayBeCut() {
+			b.Usage.Watch(now, b.Roster.Service(name), true)
 			r.watched[name] = true
+		} else if r.watched[name] {
+			r.unwatch(now, name)
+		}
+	}
+	for name := range r.watched {
+		if _, configured := services[name]; !configured {
+			r.unwatch(now, name)
 		}
 	}
 }
+
+// unwatch ends the tracking of a service's backend servers.
+func (r *reconnector) unwatch(now time.Time, service string) {
+	r.broker.Usage.Watch(now, r.broker.Roster.Service(service), false)
+	delete(r.watched, service)
+}
--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -320,8 +320,7 @@
 		b.elected = map[string]string{}
 	}
 	for name, s := range t.Services {
-		if s.Engine == nil && !b.isScarce(name) {
-			delete(b.elected, name)
+		if s.Engine == nil && !b.staysCoordinated(name) {
 			continue
 		}
 		coordinator := ""
--- a/internal/node/broker/scarce.go
+++ b/internal/node/broker/scarce.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 )
 
@@ -20,6 +22,9 @@
 	// busyShare is the share of the slots in use from which on the coordinator is asked.
 	// Below it a permit is free nearly always, and its message would only take time.
 	busyShare = 0.5
+	// scarceMargin is how many permits for each process end the coordination of a service, so
+	// that it does not change with each process or server.
+	scarceMargin = 1.25
 	// releaseRepeat is when the release of a permit of a plain service is sent once more. A
 	// permit whose release is lost is in use until the deadline of its request, which is many
 	// times as long as the request, and a scarce service has few.
@@ -72,13 +77,30 @@
 	return known && s.Engine == nil
 }
 
-// isScarce reports whether a plain service has fewer permits than there are processes.
-func (b *Broker) isScarce(service string) bool {
+// staysCoordinated reports whether a plain service has a coordinator: it has fewer permits than
+// there are processes. One that has a coordinator keeps it until it has some more, and while this
+// process has granted permits, whose requests would count twice otherwise. b.mu must be held.
+func (b *Broker) staysCoordinated(service string) bool {
 	permits := 0
 	for _, s := range b.Roster.Service(service) {
 		permits += scaled(plainPerSlot*float64(s.Slots), 1)
 	}
-	return b.byCost() && permits > 0 && permits < b.Peers.Live()
+	most, granted := float64(b.Peers.Live()), 0
+	_, coordinated := b.elected[service]
+	if coordinated {
+		most *= scarceMargin
+		if q, ok := b.queues[plainNeed(service).key]; ok {
+			granted = q.granted
+		}
+	}
+	if b.byCost() && permits > 0 && float64(permits) < most || granted > 0 {
+		return true
+	}
+	if coordinated {
+		b.Log.Info("service has no coordinator any more", zap.String("Service", service), zap.Int("Permits", permits))
+		delete(b.elected, service)
+	}
+	return false
 }
 
 // isBusy reports whether the requests of all processes fill busyShare of the slots of a
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -378,7 +378,7 @@
 	if f.dialFailed {
 		j.attempts--
 	}
-	if (f.unreachable() || j.cutOff() && j.broker.tryRetry(j.service.Name)) && j.carry() {
+	if j.mayCarry() && (f.unreachable() || j.cutOff() && j.broker.tryRetry(j.service.Name)) && j.carry() {
 		return
 	}
 	j.logEnd(0, f.reason, f.err)
--- a/internal/plan/scale/decide.go
+++ b/internal/plan/scale/decide.go
@@ -230,8 +230,8 @@
 	carries := func(n int) func(roster.Role) float64 {
 		present, presentSpot := min(n, p.onDemand.ready.total()), min(spot, p.spot.ready.total())
 		return func(r roster.Role) float64 {
-			likely := likely(p.onDemand.share[r], n-present+spot-presentSpot)
-			return p.onDemand.expect(r, present) + p.spot.expect(r, presentSpot) + likely
+			coming := likely(p.onDemand.share[r], n-present+spot-presentSpot)
+			return p.onDemand.expect(r, present) + p.spot.expect(r, presentSpot) + coming
 		}
 	}
 	limit, target := p.needs.fallbackLimit, p.needs.fallback
