plan/report: a forward is complete only from a collector and within a round

Cause: a former collector said for ever that it forwards all counts of ended processes, though it lacks those sent since it stopped collecting, and a new collector accepted this from any sender. Its report could be fixed before the counts of the present collector arrived. Also, the numbers of messages of different rounds with an equal total were united, so that a part could be missing if the counts had changed in between.

Change: only a collector sends Number and Total; a former one still sends its counts. Observe takes the other collectors, and a wait ends by a forward from one of them only. WindowUsage has a Round, the time at which the round began, and the numbers of one round count. A round that was complete stays so while the next one arrives. Numbers without a round, from a previous build, do not end the wait, which takes 1.5 s at most. A comment says why forward adds this process to liveIncarnations.

TestInformed expected that a former collector claims to have all counts; it now expects its counts without the claim.

Conclusion: the wait for forwarded counts ends early only if all counts of another present collector have arrived; if both collectors are new, it takes the 1.5 s.

--- a/internal/node/core/duties_test.go
+++ b/internal/node/core/duties_test.go
@@ -294,9 +294,9 @@
 		{From: "b", WallMs: -1, Usage: []*wire.WindowUsage{{Window: -1 << 63, Final: true}, {Window: window + 1, Parts: 1 << 31, Final: true, Accounts: []*wire.AccountUsage{{}, {Requests: 1<<32 - 1}}}}},
 		{From: "c", WallMs: 1<<63 - 1},
 		{From: "c", Incarnation: 4, Usage: []*wire.WindowUsage{
-			{Window: window, Final: true, Parts: 1, Process: "b", Incarnation: 1 << 63, Closed: true, Number: 1, Total: 2, Accounts: []*wire.AccountUsage{{Account: "x", Requests: 3}}},
+			{Window: window, Final: true, Parts: 1, Process: "b", Incarnation: 1 << 63, Closed: true, Number: 1, Total: 2, Round: 1, Accounts: []*wire.AccountUsage{{Account: "x", Requests: 3}}},
 			{Window: window, Process: "a", Number: 1 << 31, Total: 1<<32 - 1},
-			{Number: 1, Total: 1},
+			{Number: 1, Total: 1, Round: -1 << 63},
 		}},
 		{From: "d", Incarnation: 2, EarlyReplaced: true, Early: []*wire.EarlyUsage{{Account: "x", AgeMs: 1<<32 - 1, Tick: 1<<32 - 1}, {}, {Account: "x", AgeMs: 3000, Requests: 1<<32 - 1}}},
 	} {
--- a/internal/node/core/usageforward.go
+++ b/internal/node/core/usageforward.go
@@ -17,7 +17,7 @@
 // observe records whether this process is a collector. True time must be known.
 func (a *accounting) observe(at time.Time) {
 	collectors := a.collectors()
-	a.collector.Observe(a.clock.Time(at), slices.Contains(collectors, a.node.Name), len(a.receivers(collectors)))
+	a.collector.Observe(a.clock.Time(at), slices.Contains(collectors, a.node.Name), a.receivers(collectors))
 }
 
 // receivers returns the collectors beside this process that handle forwarded counts, which
@@ -38,7 +38,9 @@
 	if !a.clock.Settled(at) {
 		return
 	}
-	members := a.node.peers.LiveMembers()
+	members := a.liveIncarnations()
+	// A report does not wait for this process once it is no member, but its counts are never those
+	// of an ended one: it sends them itself.
 	members[a.node.Name] = a.node.incarnation
 	live := func(p report.Process) bool {
 		latest, ok := members[p.Name]
--- a/internal/node/core/usagewire.go
+++ b/internal/node/core/usagewire.go
@@ -49,7 +49,7 @@
 func encodeForwarded(f report.Forwarded) *wire.WindowUsage {
 	u := encodeUsage(f.Part)
 	u.Process, u.Incarnation, u.Closed = f.Process.Name, f.Process.Incarnation, f.Closed
-	u.Number, u.Total = uint32(f.Number), uint32(f.Total)
+	u.Number, u.Total, u.Round = uint32(f.Number), uint32(f.Total), f.Round
 	return u
 }
 
@@ -57,6 +57,6 @@
 func decodeForwarded(u *wire.WindowUsage) report.Forwarded {
 	return report.Forwarded{
 		Process: report.Process{Name: u.Process, Incarnation: u.Incarnation}, Part: decodeUsage(u), Closed: u.Closed,
-		Number: int(u.Number), Total: int(u.Total),
+		Number: int(u.Number), Total: int(u.Total), Round: u.Round,
 	}
 }
--- a/internal/plan/report/forward.go
+++ b/internal/plan/report/forward.go
@@ -34,6 +34,9 @@
 	// Number is that of the message, from 1, among the Total ones with all such counts of the
 	// sender. Both are 0 if the sender may lack some itself.
 	Number, Total int
+	// Round tells the messages of one round from those of others, as the counts may change
+	// between them: the true time of the sender at its begin, in milliseconds.
+	Round int64
 }
 
 // ForwardMessage is a Forwarded for a process.
@@ -146,7 +149,7 @@
 		list = []Forwarded{{}}
 	}
 	for i := range list {
-		list[i].Number, list[i].Total = i+1, len(list)
+		list[i].Number, list[i].Total, list[i].Round = i+1, len(list), now.UnixMilli()
 	}
 	return list
 }
@@ -211,58 +214,61 @@
 
 // intake follows what other processes forward to this one.
 type intake struct {
-	// joined is when this process became a collector, zero if it is none, and former is set if
-	// it was one before. others is the number of live collectors beside it.
+	// joined is when this process became a collector, zero if it is none. others are the live
+	// collectors beside it.
 	joined time.Time
-	former bool
-	others int
+	others []Process
 	// forwards has what has arrived, by sender.
 	forwards map[string]*forward
 }
 
-// forward is what has arrived of a forward: the numbers of its messages.
+// forward is what has arrived of a forward: the numbers of the messages of the present round, and
+// when a round was last complete.
 type forward struct {
+	round    int64
 	total    int
 	numbers  map[int]bool
 	complete time.Time
 }
 
-// Observe records whether this process is a collector now, and the number of other live ones.
-func (c *Collector) Observe(now time.Time, collecting bool, others int) {
+// Observe records whether this process is a collector now, and the other live ones.
+func (c *Collector) Observe(now time.Time, collecting bool, others []Process) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := &c.intake
 	i.others = others
 	switch {
 	case !collecting:
-		i.former = i.former || !i.joined.IsZero()
 		i.joined = time.Time{}
 	case i.joined.IsZero():
 		i.joined = now
 	}
 }
 
-// informed reports whether the collector has got what others have, or the time for it.
+// informed reports whether this process is a collector that has got what others have, or the time
+// for it. A former collector may lack the counts sent since it stopped collecting, also those of
+// windows that were open then.
 func (i *intake) informed(now time.Time) bool {
-	if i.joined.IsZero() {
-		return i.former
-	}
-	return now.Sub(i.joined) >= collectTime
+	return !i.joined.IsZero() && now.Sub(i.joined) >= collectTime
 }
 
-// receive records that a message of a forward has arrived.
+// receive records that a message of a forward has arrived. Those without a round are from
+// processes of a previous build, of which the messages of different rounds can't be told apart.
 func (i *intake) receive(now time.Time, from string, f Forwarded) {
-	if f.Number <= 0 || f.Number > f.Total || f.Total > maxForwarded || len(from) > maxName {
+	if f.Round == 0 || f.Number <= 0 || f.Number > f.Total || f.Total > maxForwarded || len(from) > maxName {
 		return
 	}
 	known := i.forwards[from]
-	if known == nil || known.total != f.Total || !known.complete.IsZero() && now.Sub(known.complete) >= forwardInterval {
+	if known == nil {
 		if i.forwards == nil || len(i.forwards) >= maxForwarders {
 			i.forwards = map[string]*forward{}
 		}
-		known = &forward{total: f.Total, numbers: map[int]bool{}}
+		known = &forward{}
 		i.forwards[from] = known
 	}
+	if known.round != f.Round || known.total != f.Total {
+		known.round, known.total, known.numbers = f.Round, f.Total, map[int]bool{}
+	}
 	known.numbers[f.Number] = true
 	if len(known.numbers) == known.total {
 		known.complete = now
@@ -275,11 +281,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := &c.intake
-	if i.others == 0 || i.joined.IsZero() || i.informed(now) || !EndOf(window-1, c.Window).Before(i.joined) {
+	if len(i.others) == 0 || i.joined.IsZero() || i.informed(now) || !EndOf(window-1, c.Window).Before(i.joined) {
 		return false
 	}
-	for _, f := range i.forwards {
-		if !f.complete.IsZero() && now.Sub(f.complete) < forwardInterval {
+	for _, p := range i.others {
+		f := i.forwards[p.Name]
+		if f != nil && !f.complete.IsZero() && now.Sub(f.complete) < forwardInterval {
 			return false
 		}
 	}
--- a/internal/plan/report/forward_test.go
+++ b/internal/plan/report/forward_test.go
@@ -28,7 +28,7 @@
 // one that comes and goes.
 func TestForward(t *testing.T) {
 	c, f := Collector{Window: window}, Forwarder{}
-	c.Observe(at(-9), true, 0)
+	c.Observe(at(-9), true, nil)
 	for i := range 6 {
 		c.Add(at(5.6), fmt.Sprint("ended", i), 1, Part{Window: 1000, Final: true, Parts: 1, Counts: []Count{{"x", 1}}})
 	}
@@ -50,7 +50,7 @@
 	assert.Zero(t, due(16))
 	assert.Equal(t, 4, due(16.25, Process{"b", 4}), "started again")
 	assert.Zero(t, due(16.5))
-	assert.Equal(t, []ForwardMessage{{"b", Forwarded{Number: 1, Total: 1}}}, f.Due(at(30.5), &c, []Process{b}, 1000, onlyLive(b)), "the windows are too old by now")
+	assert.Equal(t, []ForwardMessage{{"b", Forwarded{Number: 1, Total: 1, Round: at(30.5).UnixMilli()}}}, f.Due(at(30.5), &c, []Process{b}, 1000, onlyLive(b)), "the windows are too old by now")
 }
 
 // TestForwardedCounts checks that what is forwarded, in messages of 1,200 bytes, lost, repeated
@@ -58,7 +58,7 @@
 func TestForwardedCounts(t *testing.T) {
 	const name = "a-process-with-a-rather-long-name"
 	from, to := Collector{Window: window}, Collector{Window: window}
-	from.Observe(at(-9), true, 1)
+	from.Observe(at(-9), true, []Process{{"h", 1}})
 	counter := Counter{Window: window}
 	for i := range 200 {
 		counter.Count(at(1), fmt.Sprintf("account-with-a-long-name-%d", i))
@@ -74,7 +74,7 @@
 	for i := range list {
 		// The last first, each twice.
 		f := list[len(list)-1-i]
-		u := &wire.WindowUsage{Window: f.Part.Window, Final: true, Parts: uint32(f.Part.Parts), Process: f.Process.Name, Incarnation: f.Process.Incarnation, Closed: true, Number: uint32(f.Number), Total: uint32(f.Total)}
+		u := &wire.WindowUsage{Window: f.Part.Window, Final: true, Parts: uint32(f.Part.Parts), Process: f.Process.Name, Incarnation: f.Process.Incarnation, Closed: true, Number: uint32(f.Number), Total: uint32(f.Total), Round: 1 << 41}
 		for _, n := range f.Part.Counts {
 			u.Accounts = append(u.Accounts, &wire.AccountUsage{Account: n.Account, Requests: n.Requests + 1<<30})
 		}
@@ -97,22 +97,33 @@
 // TestAwaitForwarded checks how long a report waits for counts that another collector may
 // forward: until all its messages are there, 1.5 s, or 2 s before the report is due.
 func TestAwaitForwarded(t *testing.T) {
+	others := []Process{{"b", 1}}
 	for name, test := range map[string]struct {
 		do   func(c *Collector)
 		from float64
 	}{
 		"1.5 s":              {func(*Collector) {}, 9.5},
-		"nobody else":        {func(c *Collector) { c.Observe(at(8), true, 0) }, 8},
-		"a collector before": {func(c *Collector) { c.Observe(at(8), false, 1); c.intake.joined = at(4) }, 8},
-		"incomplete":         {func(c *Collector) { c.AddForwarded(at(8), "b", Forwarded{Number: 2, Total: 2}) }, 9.5},
+		"nobody else":        {func(c *Collector) { c.Observe(at(8), true, nil) }, 8},
+		"a collector before": {func(c *Collector) { c.Observe(at(8), false, others); c.intake.joined = at(4) }, 8},
+		"incomplete":         {func(c *Collector) { c.AddForwarded(at(8), "b", Forwarded{Number: 2, Total: 2, Round: 1}) }, 9.5},
 		"complete": {func(c *Collector) {
-			c.AddForwarded(at(8), "b", Forwarded{Number: 2, Total: 2})
-			c.AddForwarded(at(8), "b", Forwarded{Number: 1, Total: 2})
+			c.AddForwarded(at(8), "b", Forwarded{Number: 2, Total: 2, Round: 1})
+			c.AddForwarded(at(8), "b", Forwarded{Number: 1, Total: 2, Round: 1})
 		}, 8},
+		"complete, and another round": {func(c *Collector) {
+			c.AddForwarded(at(8), "b", Forwarded{Number: 1, Total: 1, Round: 1})
+			c.AddForwarded(at(8), "b", Forwarded{Number: 2, Total: 2, Round: 2})
+		}, 8},
+		"rounds of different counts": {func(c *Collector) {
+			c.AddForwarded(at(8), "b", Forwarded{Number: 1, Total: 2, Round: 1})
+			c.AddForwarded(at(8), "b", Forwarded{Number: 2, Total: 2, Round: 2})
+		}, 9.5},
+		"of a previous build":      {func(c *Collector) { c.AddForwarded(at(8), "b", Forwarded{Number: 1, Total: 1}) }, 9.5},
+		"from no collector":        {func(c *Collector) { c.AddForwarded(at(8), "d", Forwarded{Number: 1, Total: 1, Round: 1}) }, 9.5},
 		"not all that others have": {func(c *Collector) { c.AddForwarded(at(8), "b", Forwarded{Process: Process{"x", 1}}) }, 9.5},
 	} {
 		c := &Collector{Window: window}
-		c.Observe(at(8), true, 1)
+		c.Observe(at(8), true, others)
 		test.do(c)
 		m := &Machine{Window: window, ReportWithin: reportWithin, First: 1000}
 		m.Begin(at(6))
@@ -131,18 +142,21 @@
 	}
 }
 
-// TestInformed checks that a process which has just become a collector does not say that it
-// forwards all counts, and that one which has none says so.
+// TestInformed guards against a process that says that it forwards all counts while it may lack
+// some: one that has just become a collector, or is none any more. A collector that has none says
+// so.
 func TestInformed(t *testing.T) {
 	c := Collector{Window: window}
 	forwarded := func(seconds float64) []Forwarded { return c.forwarded(at(seconds), 0, onlyLive()) }
 	assert.Empty(t, forwarded(0), "never a collector")
-	c.Observe(at(0), true, 1)
+	c.Observe(at(0), true, nil)
 	assert.Empty(t, forwarded(1.4))
-	assert.Equal(t, []Forwarded{{Number: 1, Total: 1}}, forwarded(1.5))
-	c.Observe(at(2), false, 1)
-	assert.Equal(t, []Forwarded{{Number: 1, Total: 1}}, forwarded(2), "one that was a collector")
+	assert.Equal(t, []Forwarded{{Number: 1, Total: 1, Round: at(1.5).UnixMilli()}}, forwarded(1.5))
+	c.Observe(at(2), false, nil)
+	assert.Empty(t, forwarded(2), "one that was a collector may lack what was sent since")
 	c.Add(at(2), "ended", 1, Part{Window: 1000, Counts: []Count{{"x", 1}}})
-	c.Observe(at(3), true, 1)
+	require.Len(t, forwarded(2), 1, "it forwards what it has")
+	assert.Zero(t, forwarded(2)[0].Total)
+	c.Observe(at(3), true, nil)
 	assert.Zero(t, forwarded(3)[0].Total)
 }
--- a/internal/plan/report/model_test.go
+++ b/internal/plan/report/model_test.go
@@ -91,7 +91,7 @@
 func (w *world) forward() {
 	for i, p := range w.processes {
 		other := w.processes[1-i]
-		p.collector.Observe(w.now, true, 1)
+		p.collector.Observe(w.now, true, []Process{{other.name, uint64(other.starts)}})
 		live := func(q Process) bool { return q.Name == "x" || q == Process{"u", w.u.incarnation} }
 		list := p.forwarder.Due(w.now, &p.collector, []Process{{other.name, uint64(other.starts)}}, p.machine.Reported(), live)
 		slices.Reverse(list)
