plan/report: name omitted windows, say why saved counts are read once more

Cause: the result "left" of Saved.Encode can be read as the windows that remain, and the package example did not use it, so that it could not compile. Nothing said why the object with saved counts is read once more after the last silent process is no longer waited for.

Change: the result is named omitted, also in the example, which uses it. RereadSaved and the field unread say that counts may have been saved between the last read and the end of the wait. The comment of split is wrapped, and that of liveIncarnations says that it includes this process.

No behavior changes. ./internal/plan/report passes (13.0 s), and the Usage and Forward tests of ./internal/node/core pass (1.3 s), without -race.

--- a/internal/node/core/usagereport.go
+++ b/internal/node/core/usagereport.go
@@ -64,7 +64,8 @@
 	return nil
 }
 
-// liveIncarnations returns the live members with their latest known incarnations.
+// liveIncarnations returns the live members, this process included if it is one, with their
+// latest known incarnations.
 func (a *accounting) liveIncarnations() map[string]uint64 {
 	live := a.node.peers.LiveMembers()
 	if _, member := live[a.node.Name]; member {
--- a/internal/node/core/usagesave.go
+++ b/internal/node/core/usagesave.go
@@ -49,10 +49,10 @@
 	if saved, err := report.ParseSaved(object.Value); err == nil && saved.Era == a.node.Duties.era() {
 		a.collector.Restore(now, saved)
 	}
-	value, left := a.collector.Save(a.node.Duties.era()).Encode()
+	value, omitted := a.collector.Save(a.node.Duties.era()).Encode()
 	_, err = a.node.Store.Put(ctx, store.Object{Key: savedKey, Value: value, Version: versionOf(object)})
-	if err == nil && len(left) > 0 {
-		a.node.Log.Warn("usage counts of the oldest windows are lost, they are too many to be saved", zap.Int64s("Windows", left))
+	if err == nil && len(omitted) > 0 {
+		a.node.Log.Warn("usage counts of the oldest windows are lost, they are too many to be saved", zap.Int64s("Windows", omitted))
 	}
 	return err
 }
--- a/internal/plan/report/counter.go
+++ b/internal/plan/report/counter.go
@@ -201,8 +201,9 @@
 	return split(number, final, w.counts, partBytes)
 }
 
-// split returns the counts of a window in parts of at most the given size in bytes. The accounts of each part
-// depend on the counted accounts only, so that final counts are always split in the same way.
+// split returns the counts of a window in parts of at most the given size in bytes. The accounts
+// of each part depend on the counted accounts only, so that final counts are always split in the
+// same way.
 func split(number int64, final bool, all map[string]uint32, most int) []Part {
 	counts := make([]Count, 0, len(all))
 	for account, n := range all {
--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -329,8 +329,8 @@
 	for i := range 4 {
 		s.Shares = append(s.Shares, SavedShare{Window: int64(i / 2), Process: strings.Repeat("x", store.MaxValue/4)})
 	}
-	value, left := s.Encode()
-	assert.Equal(t, []int64{0}, left)
+	value, omitted := s.Encode()
+	assert.Equal(t, []int64{0}, omitted)
 	assert.LessOrEqual(t, len(value), store.MaxValue)
 	saved, err := ParseSaved(value)
 	require.NoError(t, err)
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -110,8 +110,9 @@
 	savedKnown   bool
 	savedVersion uint64
 	savedLast    int64
-	// savedAt is when the object was read. lacks is set while saved counts may be missing, unread
-	// if they may have been saved since the object was read.
+	// savedAt is when the object was read. lacks is set while a process that may have saved
+	// counts is waited for. unread is set when the last of them no longer is, until the object
+	// is read once more: counts may have been saved since the read before.
 	savedAt       time.Time
 	lacks, unread bool
 }
--- a/internal/plan/report/report.go
+++ b/internal/plan/report/report.go
@@ -37,7 +37,7 @@
 //	collector.Add(now, "entry-2", incarnation, part)
 //
 //	forwarder := &report.Forwarder{}
-//	collector.Observe(now, collecting, others)
+//	collector.Observe(now, collecting, otherCollectors)
 //	for _, message := range forwarder.Due(now, collector, collectors, machine.Reported(), live) {
 //		send(message.To, message.Forwarded)
 //	}
@@ -65,8 +65,9 @@
 //	}
 //
 //	// At the end of a process:
-//	value, left := collector.Save(era).Encode()
-//	store.Put(ctx, object(value))
+//	value, omitted := collector.Save(era).Encode()
+//	_, err := store.Put(ctx, object(value))
+//	log(err, omitted) // the windows whose counts are lost
 package report
 
 import (
--- a/internal/plan/report/saved.go
+++ b/internal/plan/report/saved.go
@@ -44,16 +44,16 @@
 }
 
 // Encode returns the value of the store's object, without the oldest windows if they are too
-// many for it. These are returned as left.
-func (s Saved) Encode() (value []byte, left []int64) {
+// many for it. The numbers of these are returned as omitted.
+func (s Saved) Encode() (value []byte, omitted []int64) {
 	for {
 		// Marshal cannot fail for this type.
 		value, _ = json.Marshal(s)
 		if len(value) <= store.MaxValue || len(s.Shares) == 0 {
-			return value, left
+			return value, omitted
 		}
 		oldest := s.Shares[0].Window
-		left = append(left, oldest)
+		omitted = append(omitted, oldest)
 		s.Shares = slices.DeleteFunc(slices.Clone(s.Shares), func(h SavedShare) bool { return h.Window == oldest })
 	}
 }
@@ -127,6 +127,10 @@
 // counts since, and until it was read once after that. silent are the processes that are waited
 // for and do not live: one that was cut off may have stopped as planned. live has the latest
 // incarnations of those that live.
+//
+// The one more read is needed as a process can stop being waited for within savedInterval of a
+// read, as it has been silent for long or its planned end is known. The counts that it saved in
+// between would otherwise be missing in the report.
 func (m *Machine) RereadSaved(now time.Time, c *Collector, silent []Process, live map[string]uint64) {
 	lacks := c.lacks(now, m.next, silent, live)
 	m.lacks, m.unread = lacks, m.unread || m.lacks && !lacks
