crash: one of two owners keeps a trial, a full list refuses withdrawals

Cause: two owners that heard each other's claim before either had sent its request both adopted the other's. No request was sent, and the trial counted as used.

Change: an owner that has not sent its request leaves the trial only to a claim that precedes its own by name and incarnation. Its own vote moves only before it has sent, so that any two majorities still share a process. Withdraw returns false and changes nothing when the list is full.

TestOneOfTwoOwnersKeepsTheTrial and TestWithdrawalThatCannotBeRemembered failed with the code before.

Conclusion: the limit of two trials holds as before, and a tie costs no trial.

--- a/internal/fleet/crash/trial.go
+++ b/internal/fleet/crash/trial.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -39,6 +40,12 @@
 	At time.Time
 }
 
+// precedes reports whether the owner of a claim keeps the trial if that of another one has
+// claimed it too. The times of claims do not decide: processes see them differently.
+func (c Claim) precedes(other Claim) bool {
+	return cmp.Or(cmp.Compare(c.Process, other.Process), cmp.Compare(c.Incarnation, other.Incarnation)) < 0
+}
+
 // Trials has the trials of the parts in quarantine, as far as one process knows them, and
 // the parts whose quarantine was withdrawn after a trial.
 //
@@ -76,8 +83,8 @@
 	// other processes that vote for them.
 	sent  [maxTrials]bool
 	votes [maxTrials]map[string]bool
-	// current is the trial that this process has begun at the time begun, if running is
-	// set. told is when the peers were last told.
+	// current is the trial that this process began last, at the time begun. It is in progress
+	// if running is set. told is when the peers were last told.
 	current     int
 	running     bool
 	begun, told time.Time
@@ -232,8 +239,9 @@
 }
 
 // Hear handles the claims that a member knows, and for which it votes if vote is set. A
-// claim of a trial that has another owner here changes nothing, unless that is this process
-// and it has sent no request: it leaves the trial to the other one then.
+// claim of a trial that has another owner here changes nothing, unless that is this process,
+// it has sent no request, and the claim precedes its own: it leaves the trial to the other
+// one then. Of two owners that hear each other exactly one keeps the trial.
 func (t *Trials) Hear(from, part string, claims []Claim, vote bool) {
 	p, known := t.parts[part]
 	if !known {
@@ -247,7 +255,7 @@
 			if own && vote {
 				p.vote(i, from)
 			}
-		case p.claims[i].Process == "" || own && !p.sent[i]:
+		case p.claims[i].Process == "" || own && !p.sent[i] && c.precedes(p.claims[i]):
 			p.claims[i] = c
 		case p.claims[i].Process == c.Process && p.claims[i].Incarnation == c.Incarnation && c.At.After(p.claims[i].At):
 			p.claims[i].At = c.At
@@ -266,18 +274,22 @@
 }
 
 // Withdraw withdraws a part after a trial that began at a time. It returns false, and
-// changes nothing, if the part was found again since. The withdrawal is remembered as long
+// changes nothing, if the part was found again since or too many are withdrawn. The withdrawal is remembered as long
 // as a quarantine from before the trial may last.
 func (t *Trials) Withdraw(part string, began time.Time) bool {
 	if p, known := t.parts[part]; isRequest(part) || known && p.latest.After(began) {
 		return false
 	}
+	_, before := t.withdrawn[part]
+	if !before && len(t.withdrawn) >= maxSubjects {
+		return false
+	}
 	delete(t.parts, part)
 	if t.withdrawn == nil {
 		t.withdrawn = map[string]time.Time{}
 	}
-	// Of several messages the first is the least late.
-	if _, before := t.withdrawn[part]; !before && len(t.withdrawn) < maxSubjects {
+	// Network delay makes later copies seem to have begun later.
+	if !before {
 		t.withdrawn[part] = began
 	}
 	return true
--- a/internal/fleet/crash/trial_test.go
+++ b/internal/fleet/crash/trial_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -231,3 +232,39 @@
 	assert.False(t, b.Withdraw("a", at(20_000)))
 	assert.False(t, b.Withdraw(RequestSubject(7), at(20_000)), "requests are not tried")
 }
+
+// TestOneOfTwoOwnersKeepsTheTrial guards against a trial that both owners leave to each other,
+// so that no request is sent and the trial counts as used.
+func TestOneOfTwoOwnersKeepsTheTrial(t *testing.T) {
+	now := at(20_000)
+	list := []*Trials{{Self: "a", Incarnation: 2, Started: at(-1000)}, {Self: "b", Incarnation: 1, Started: at(-1000)}}
+	for _, p := range list {
+		p.Found("a", at(0).Add(QuarantineTime))
+		p.Observe(now.Add(-trialSettle), 2, 2)
+		for ms := 15_000; ms <= 20_000; ms += 500 {
+			p.Observe(at(ms), 2, 2)
+		}
+		assert.True(t, p.Begin(now, "a", func() bool { return true }))
+	}
+	claims, _ := list[0].Claims("a")
+	others, _ := list[1].Claims("a")
+	list[0].Hear("b", "a", others, true)
+	list[1].Hear("a", "a", claims, true)
+	answer, vote := list[1].Claims("a")
+	list[0].Hear("b", "a", answer, vote)
+	assert.True(t, list[0].Send(now.Add(trialNotice), "a", now))
+	assert.False(t, list[1].Send(now.Add(trialNotice), "a", now))
+}
+
+// TestWithdrawalThatCannotBeRemembered guards against a part whose quarantine is withdrawn
+// here and comes back with the next finding from before the trial.
+func TestWithdrawalThatCannotBeRemembered(t *testing.T) {
+	var w Trials
+	for i := range maxSubjects {
+		assert.True(t, w.Withdraw(fmt.Sprint("p", i), at(20_000)))
+	}
+	assert.True(t, w.Found("a", at(0).Add(QuarantineTime)))
+	assert.False(t, w.Withdraw("a", at(20_000)))
+	assert.Equal(t, 1, w.Len())
+	assert.True(t, w.Withdraw("p0", at(20_000)), "it is remembered already")
+}
