broker: a trial is neither handed to a peer nor retried

Cause: a trial waits 100 to 500 ms for votes. If the links were cut meanwhile, or by its own failure, carry handed it to a peer, and one that lacked the finding served it uncounted. A failed trial was retried or resumed here if the quarantine had ended meanwhile. One whose server stopped responding counted as sent and was then rejected.

Change: carry and leaves return false for a request that is or was a trial, and prepareRetry and handleBroken do not repeat it. The gate of the quarantine stays before leaves, as a quarantined request that is no trial would otherwise reach a peer without it; for a trial the order makes no difference any more.

Tested: the tests of ./internal/node/broker with Quarantin, Trial, Respond, Carr or Cut in their names pass. TestTrialIsNotHandedToPeer, TestTrialDoesNotLeave and TestFailedTrialIsNotRetried failed with the code before.

Conclusion: a trial is one request to one server, or none.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -177,8 +177,8 @@
 	Succeeded(content uint64, parts []string)
 }
 
-// Trials has requests with a part in quarantine tried, to find out whether the part still
-// crashes backend servers. It must be safe for concurrent use, and Try must neither block
+// Trials decides which requests with a part in quarantine are sent as trials, to find out
+// whether the part still crashes backend servers. It must be safe for concurrent use, and Try must neither block
 // nor call the Broker.
 type Trials interface {
 	// Try begins a trial with a request that Quarantine rejects; false if it must not be
@@ -239,7 +239,7 @@
 	Announce func(server roster.Server)
 	// Quarantine, if set, has what crashes backend servers.
 	Quarantine Quarantine
-	// Trials, if set, has parts in quarantine tried.
+	// Trials, if set, decides which requests are trials of parts in quarantine.
 	Trials Trials
 	// Origins, if set, has the origins of the streams of all processes.
 	Origins Origins
--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -202,10 +202,11 @@
 }
 
 // carry hands the request to peers until one has served it. It returns false if none has
-// taken it, so that the request goes on here.
+// taken it, so that the request goes on here. A trial is never handed over: a peer that lacks
+// the finding would serve it uncounted.
 func (j *job) carry() bool {
 	b := j.broker
-	if b.Carrier == nil || j.hop != nil || j.attempts >= j.route.Attempts {
+	if b.Carrier == nil || j.hop != nil || j.isTrial() || j.attempts >= j.route.Attempts {
 		return false
 	}
 	begun := j.headerSent
--- a/internal/node/broker/contact.go
+++ b/internal/node/broker/contact.go
@@ -64,7 +64,7 @@
 // leaves reports whether the request should go to a peer and not to the backend server of the
 // permit, as that has stopped responding while the request waited. It returns true once.
 func (j *job) leaves(p *permit) bool {
-	if j.left || j.hop != nil || p.server.ID == j.probed || !j.mayMove() || j.attempts >= j.route.Attempts || !j.cutOff() {
+	if j.left || j.isTrial() || j.hop != nil || p.server.ID == j.probed || !j.mayMove() || j.attempts >= j.route.Attempts || !j.cutOff() {
 		return false
 	}
 	j.left = true
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -320,6 +320,8 @@
 	case j.ctx.Err() != nil:
 		j.giveUp(context.Cause(j.ctx))
 		return false
+	case j.trialSent:
+		notRetried = retry.TriesUsedUp.String()
 	case f.outcome != retry.NotRun && !j.route.Repeatable():
 		notRetried = retry.MayHaveRun.String()
 	case f.dialFailed && j.dialFailures <= maxDialFailures:
--- a/internal/node/broker/quarantine.go
+++ b/internal/node/broker/quarantine.go
@@ -55,6 +55,10 @@
 	return true
 }
 
+// isTrial reports whether the request is a trial, or was one that was sent. That must not be
+// sent a second time, here or by a peer.
+func (j *job) isTrial() bool { return j.trial != nil || j.trialSent }
+
 // endTrial ends the trial that the request is, if it is one.
 func (j *job) endTrial(served bool) {
 	if j.trial == nil {
--- a/internal/node/broker/stream.go
+++ b/internal/node/broker/stream.go
@@ -329,7 +329,7 @@
 		return f
 	}
 	cause := j.cause()
-	if cause == nil && j.route.Repeatable() && j.attempts < j.route.Attempts && j.broker.tryRetry(j.service.Name) {
+	if cause == nil && !j.trialSent && j.route.Repeatable() && j.attempts < j.route.Attempts && j.broker.tryRetry(j.service.Name) {
 		j.broker.Log.Info("stream broke, resuming on another engine", zap.String("Request", j.request.ID), zap.String("Server", p.server.ID),
 			zap.String("Software", p.server.Version), zap.Uint64("After", r.LastID), zap.Error(err))
 		if r.HasLastID {
