core: entries of the quarantine are removed when their time is over

Cause: the entry of a withdrawn part was removed only while the withdrawal was remembered, ten minutes. If the store failed until then, nobody removed it: its subject is in no quarantine, and only those subjects were looked at.

TestEntryOfWithdrawnPartIsRemovedAtItsEnd failed with the code before: no removal was written after 10 minutes and 2 s.

Conclusion: no entry outlives its quarantine while the store can be written.

--- a/internal/node/core/quarantine.go
+++ b/internal/node/core/quarantine.go
@@ -56,12 +56,18 @@
 	questions map[string]question
 	// found has the causes that this process has found and tells the peers.
 	found map[string]finding
-	// stored has the versions of the entries in the store, by subject. written is when
-	// an entry was last given to the writer.
-	stored  map[string]uint64
+	// stored has the entries in the store, by subject. written is when an entry was last
+	// given to the writer.
+	stored  map[string]storedEntry
 	written map[string]time.Time
 }
 
+// storedEntry is an entry in the store: its version, and when it says that the quarantine ends.
+type storedEntry struct {
+	version uint64
+	until   time.Time
+}
+
 // ownReport is a report of this process, which is sent several times as datagrams may
 // be lost.
 type ownReport struct {
@@ -111,7 +117,7 @@
 func newQuarantine(n *Node) *quarantine {
 	return &quarantine{
 		node: n, writes: ring.New[store.Object]("Quarantine", maxQuarantineWrites), wake: make(chan struct{}, 1), asked: map[string]time.Time{},
-		questions: map[string]question{}, found: map[string]finding{}, stored: map[string]uint64{}, written: map[string]time.Time{},
+		questions: map[string]question{}, found: map[string]finding{}, stored: map[string]storedEntry{}, written: map[string]time.Time{},
 		trials: crash.Trials{Self: n.Name, Incarnation: n.incarnation, Started: time.Now()}, withdrawals: map[string]*withdrawal{},
 	}
 }
@@ -329,7 +335,7 @@
 			delete(q.questions, subject)
 		}
 	}
-	if len(q.subjects.Subjects()) == 0 {
+	if len(q.subjects.Subjects())+len(q.stored) == 0 {
 		return
 	}
 	q.forgetEnded(now)
--- a/internal/node/core/quarantined.go
+++ b/internal/node/core/quarantined.go
@@ -18,12 +18,13 @@
 // keepStored gives the writer the entries that the store lacks, and those to be
 // removed as their quarantine has ended. q.mu must be held.
 func (q *quarantine) keepStored(now time.Time) {
-	for subject, until := range q.subjects.Subjects() {
-		version, stored := q.stored[subject]
+	subjects := q.subjects.Subjects()
+	for subject, until := range subjects {
+		entry, stored := q.stored[subject]
 		if until.After(now) == stored || now.Sub(q.written[subject]) < quarantineWriteRetry {
 			continue
 		}
-		object := store.Object{Key: q.key(subject), Version: version}
+		object := store.Object{Key: q.key(subject), Version: entry.version}
 		if !stored {
 			object.Value = encodeQuarantined(now, subject, until)
 		}
@@ -31,6 +32,22 @@
 			q.written[subject] = now
 		}
 	}
+	q.removeEnded(now, subjects)
+}
+
+// removeEnded removes the entries whose time is over and whose subjects are in no quarantine
+// here, as those of a withdrawn part that outlive the memory of its withdrawal. q.mu must be
+// held.
+func (q *quarantine) removeEnded(now time.Time, subjects map[string]time.Time) {
+	for subject, entry := range q.stored {
+		_, known := subjects[subject]
+		if known || entry.until.After(now) || now.Sub(q.written[subject]) < quarantineWriteRetry {
+			continue
+		}
+		if q.writes.Push(store.Object{Key: q.key(subject), Version: entry.version}) {
+			q.written[subject] = now
+		}
+	}
 }
 
 // forgetEnded forgets the subjects whose quarantine has ended and that are not in the
@@ -129,7 +146,7 @@
 	left := min(time.Until(time.UnixMilli(entry.UntilMs)), crash.QuarantineTime)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.stored[entry.Part] = version
+	v.stored[entry.Part] = storedEntry{version, now.Add(left)}
 	// The entry of a part that was withdrawn is removed again.
 	v.add(now, entry.Part, left, "store")
 }
@@ -143,6 +160,7 @@
 			continue
 		}
 		delete(v.stored, subject)
+		delete(v.written, subject)
 		delete(v.found, subject)
 		v.evidence.Forget(subject)
 		v.trials.Forget(subject)
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -252,7 +252,7 @@
 	n.hearGaps(now, message.Gaps)
 	if n.peers.Live() > live {
 		n.Log.Info("process is live", zap.String("Peer", message.From), zap.Uint64("Incarnation", message.Incarnation), zap.Uint64("Version", message.TableVersion))
-		n.quarantine.greet(now, message.From)
+		n.quarantine.tellAllWithdrawnTo(now, message.From)
 	}
 	for _, l := range message.Limits {
 		if l.PerSecond < 0 {
--- a/internal/node/core/trials.go
+++ b/internal/node/core/trials.go
@@ -49,15 +49,15 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if part == "" || !q.trials.Begin(now, part, func() bool { return q.tries(part) }) {
+	if part == "" || !q.trials.Begin(now, part, func() bool { return q.isChosenFor(part) }) {
 		return nil, false
 	}
 	q.active(now)
 	return &trial{q, part, now}, true
 }
 
-// tries reports whether this process is the one that tries a part.
-func (q *quarantine) tries(part string) bool {
+// isChosenFor reports whether this process is the one that tries a part.
+func (q *quarantine) isChosenFor(part string) bool {
 	return q.node.peers.Chosen(xxhash.Sum64String(part), q.node.stopping.Load()) == q.node.Name
 }
 
@@ -196,9 +196,9 @@
 // maxWithdrawnPerMessage bounds the parts in one message, so that it fits one packet.
 const maxWithdrawnPerMessage = 16
 
-// greet tells a peer that has become live which parts were withdrawn: it may have been cut
+// tellAllWithdrawnTo tells a peer that has become live which parts were withdrawn: it may have been cut
 // off meanwhile.
-func (q *quarantine) greet(now time.Time, peer string) {
+func (q *quarantine) tellAllWithdrawnTo(now time.Time, peer string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var parts []string
@@ -213,7 +213,7 @@
 // process whose trial it was does so, and the one that writes the entries. q.mu must be held.
 func (q *quarantine) removeWithdrawn(now time.Time) {
 	for part := range q.trials.Withdrawn() {
-		version, stored := q.stored[part]
+		entry, stored := q.stored[part]
 		if !stored {
 			delete(q.written, part)
 		}
@@ -221,7 +221,7 @@
 		if !stored || now.Sub(q.written[part]) < quarantineWriteRetry || !own && !q.writesToStore() {
 			continue
 		}
-		if q.writes.Push(store.Object{Key: q.key(part), Version: version}) {
+		if q.writes.Push(store.Object{Key: q.key(part), Version: entry.version}) {
 			q.written[part] = now
 		}
 	}
--- a/internal/node/core/trials_test.go
+++ b/internal/node/core/trials_test.go
@@ -169,3 +169,41 @@
 		assert.False(t, c[3].has("a"))
 	})
 }
+
+// TestEntryOfWithdrawnPartIsRemovedAtItsEnd guards against entries that stay in the store for
+// ever: the store fails until the withdrawal is forgotten, or has the entry of a withdrawn
+// part when that is over.
+func TestEntryOfWithdrawnPartIsRemovedAtItsEnd(t *testing.T) {
+	for _, left := range []time.Duration{9 * time.Minute, -time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 2)
+			c.play(time.Second, nil)
+			for _, n := range c {
+				q := n.quarantine
+				q.mu.Lock()
+				q.withdraw(time.Now(), "a", time.Now(), "test")
+				q.mu.Unlock()
+				value := encodeQuarantined(time.Now(), "a", time.Now().Add(left))
+				quarantineView{q}.Change(page(store.Object{Key: q.key("a"), Value: value, Version: 7}))
+				assert.False(t, n.has("a"))
+			}
+			c.play(crash.QuarantineTime+2*time.Second, nil)
+			removal := store.Object{Key: c[0].quarantine.key("a"), Version: 7}
+			writes := 0
+			for _, n := range c {
+				assert.Empty(t, n.quarantine.trials.Withdrawn())
+				for len(n.quarantine.writes.Values()) > 0 {
+					n.entry(t)
+				}
+			}
+			c.play(2*quarantineWriteRetry, nil)
+			for _, n := range c {
+				for len(n.quarantine.writes.Values()) > 0 {
+					assert.Equal(t, removal, n.entry(t))
+					writes++
+				}
+			}
+			assert.Positive(t, writes, "the entry stays in the store: %v", left)
+		})
+	}
+}
