--- a/internal/node/broker/carry.go
+++ b/internal/node/broker/carry.go
@@ -201,9 +201,10 @@
 	return !j.attempted || j.outcome == retry.NotRun || j.route.Repeatable()
 }
 
-// mayCarry reports whether the request may be handed to a peer, if there is one.
+// mayCarry reports whether the request may be handed to a peer, if there is one. A trial is
+// never handed over: a peer that lacks the finding would serve it uncounted.
 func (j *job) mayCarry() bool {
-	return j.broker.Carrier != nil && j.hop == nil && j.attempts < j.route.Attempts
+	return j.broker.Carrier != nil && j.hop == nil && !j.isTrial() && j.attempts < j.route.Attempts
 }
 
 // carry hands the request to peers until one has served it. It returns false if none has
