plan/report: a report does not wait for saved counts beyond its time

Cause: the object with saved counts is read again while a process is silent. Until such a read succeeded nothing was fixed, also when the report was due: with a slow store or one that rejects, reports would be late.

Change: from 2 s before the report is due it is fixed without another read. Only the first read of a new holder is needed.

Tested: TestReportsDoNotWaitForSavedCounts (the machine wanted to read for ever before), the package with its model.

--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -371,6 +371,22 @@
 	assert.Equal(t, []float64{11}, reads(11, 15, nil, map[string]uint64{"b": 2}), "its former counts are final")
 }
 
+// TestReportsDoNotWaitForSavedCounts guards against reports that are late while the object with
+// saved counts cannot be read again.
+func TestReportsDoNotWaitForSavedCounts(t *testing.T) {
+	c, m := &Collector{Window: 5 * time.Second}, &Machine{Window: 5 * time.Second, ReportWithin: 10 * time.Second, First: 1000}
+	m.Begin(at(0))
+	require.NoError(t, m.Read(at(0), 0, nil, c))
+	require.NoError(t, m.ReadSaved(at(0), 0, nil, c))
+	silent := expect("a")
+	for second := 2.0; second < 13; second++ {
+		m.RereadSaved(at(second), c, silent, nil)
+		require.Equal(t, ReadSaved, m.Decide(at(second), 0, c, silent).Kind, "which fails")
+	}
+	m.RereadSaved(at(13), c, silent, nil)
+	assert.Equal(t, Fix, m.Decide(at(13), 0, c, silent).Kind)
+}
+
 // TestSavedCountsOfReportedWindows guards against a second report of a window whose counts were
 // saved, if the object of the last report is removed by hand, and against the loss of saved
 // counts if there was no report yet.
--- a/internal/plan/report/machine.go
+++ b/internal/plan/report/machine.go
@@ -107,7 +107,10 @@
 	skipped int64
 	// savedKnown is set once the object with saved counts was read. savedVersion is its
 	// version, 0 if there is none, savedLast the last window in it.
-	savedKnown   bool
+	savedKnown bool
+	// savedRead is set once it was read since Begin. A later read must not delay a report
+	// beyond its time: the store may be slow.
+	savedRead    bool
 	savedVersion uint64
 	savedLast    int64
 	// savedAt is when the object was read. lacks is set while a process that may have saved
@@ -119,7 +122,9 @@
 
 // Begin records that this process has become the holder. What other holders have done
 // meanwhile has to be read first.
-func (m *Machine) Begin(now time.Time) { m.known, m.savedKnown, m.begun = false, false, now }
+func (m *Machine) Begin(now time.Time) {
+	m.known, m.savedKnown, m.savedRead, m.begun = false, false, false, now
+}
 
 // Skipped returns how many windows have been skipped in total.
 func (m *Machine) Skipped() int64 { return m.skipped }
@@ -142,7 +147,7 @@
 	if m.pending() {
 		return Action{Kind: Send, Report: m.record.Report}
 	}
-	if !m.savedKnown {
+	if !m.savedKnown && (!m.savedRead || now.Before(m.latestFix())) {
 		return Action{Kind: ReadSaved}
 	}
 	if m.savedVersion != 0 && m.next > m.savedLast {
@@ -156,17 +161,23 @@
 	if now.Before(end.Add(earliestFix)) {
 		return Action{}
 	}
-	latest := end.Add(m.ReportWithin - latestFix)
-	if collected := m.begun.Add(collectTime); latest.Before(collected) {
-		latest = collected
-	}
-	if now.Before(latest) && (!c.Complete(m.next, processes) || c.awaitsForwarded(now, m.next) || m.unread) {
+	if now.Before(m.latestFix()) && (!c.Complete(m.next, processes) || c.awaitsForwarded(now, m.next) || m.unread) {
 		return Action{}
 	}
 	record := Record{Era: era, Next: m.next + 1, Report: New(m.next, c.Totals(m.next))}
 	return Action{Kind: Fix, Record: record, Version: m.version}
 }
 
+// latestFix returns when the next window is fixed whatever is missing: 2 s before it is due, but
+// not right after this process has become the holder.
+func (m *Machine) latestFix() time.Time {
+	latest := EndOf(m.next, m.Window).Add(m.ReportWithin - latestFix)
+	if collected := m.begun.Add(collectTime); latest.Before(collected) {
+		return collected
+	}
+	return latest
+}
+
 // latest returns the last window that the next one of a record may be.
 func (m *Machine) latest(now time.Time) int64 {
 	return WindowAt(now.Add(skipMargin), m.Window) + max(int64(maxWrong/m.Window), maxAhead)
--- a/internal/plan/report/saved.go
+++ b/internal/plan/report/saved.go
@@ -170,7 +170,7 @@
 // collector. version is that of the object, or consists of the store's era and revision 0 if
 // there is none. The error says that the value has no counts; the object is then removed.
 func (m *Machine) ReadSaved(now time.Time, version uint64, value []byte, c *Collector) error {
-	m.savedKnown, m.savedVersion, m.savedLast, m.savedAt, m.unread = true, 0, 0, now, false
+	m.savedKnown, m.savedRead, m.savedVersion, m.savedLast, m.savedAt, m.unread = true, true, 0, 0, now, false
 	if store.Revision(version) == 0 || len(value) == 0 {
 		return nil
 	}
