plan/report: the last read of saved counts is made at once

Cause: when a killed process is not waited for any more, the saved counts are read once more before a report is fixed, up to 1 s after the read before.

Change: the last read is not delayed. TestSavedCountsAreReadAgain expected it half a second later and expects it at once now.

--- a/internal/plan/report/counter_test.go
+++ b/internal/plan/report/counter_test.go
@@ -338,8 +338,8 @@
 }
 
 // TestSavedCountsAreReadAgain checks when the holder reads saved counts again: at most once a second
-// while a process is silent that has sent no final counts, and once after that, before a report
-// is fixed.
+// while a process is silent that has sent no final counts, and once at the end of that, at once,
+// before a report is fixed.
 func TestSavedCountsAreReadAgain(t *testing.T) {
 	c, m := &Collector{Window: window}, &Machine{Window: window, ReportWithin: reportWithin, First: 1000}
 	m.Begin(at(0))
@@ -363,7 +363,7 @@
 	assert.Equal(t, []float64{0}, reads(0, 4.75, nil, nil), "nobody ended")
 	assert.Equal(t, []float64{5, 6, 7}, reads(5, 7.25, expect("b"), nil))
 	assert.EqualValues(t, 1000, m.next, "a silent process is waited for")
-	assert.Equal(t, []float64{8}, reads(7.5, 9.75, nil, map[string]uint64{"b": 2}), "it has started again")
+	assert.Equal(t, []float64{7.5}, reads(7.5, 9.75, nil, map[string]uint64{"b": 2}), "it has started again: at once, as the report waits")
 	assert.EqualValues(t, 1001, m.next)
 	c.Add(at(10), "b", 1, Part{Window: 1001})
 	assert.Equal(t, []float64{10}, reads(10, 10.75, nil, map[string]uint64{"b": 2}))
--- a/internal/plan/report/saved.go
+++ b/internal/plan/report/saved.go
@@ -130,11 +130,12 @@
 //
 // The one more read is needed as a process can stop being waited for within savedInterval of a
 // read, as it has been silent for long or its planned end is known. The counts that it saved in
-// between would otherwise be missing in the report.
+// between would otherwise be missing in the report. It is not delayed by savedInterval, as
+// reports wait for it, and the store may soon be away.
 func (m *Machine) RereadSaved(now time.Time, c *Collector, silent []Process, live map[string]uint64) {
 	lacks := c.lacks(now, m.next, silent, live)
 	m.lacks, m.unread = lacks, m.unread || m.lacks && !lacks
-	if (m.lacks || m.unread) && now.Sub(m.savedAt) >= savedInterval {
+	if m.unread || m.lacks && now.Sub(m.savedAt) >= savedInterval {
 		m.savedKnown = false
 	}
 }
