broker: a test of when the coordination of a plain service ends

Cause: design/scarce-servers.md says that a service stays scarce until it has a quarter more permits than processes, and that a granted permit keeps its coordinator; no test held either, and the function that reported it also removed the entry.

Change: isScarce only reports, endCoordination removes and logs. TestCoordinationOfPlainServiceEnds plays 18, 30, 42 and 54 permits for 40 processes with one permit granted. No decision changes.

--- a/internal/node/broker/coordinate.go
+++ b/internal/node/broker/coordinate.go
@@ -320,7 +320,8 @@
 		b.elected = map[string]string{}
 	}
 	for name, s := range t.Services {
-		if s.Engine == nil && !b.staysCoordinated(name) {
+		if s.Engine == nil && !b.isScarce(name) {
+			b.endCoordination(name)
 			continue
 		}
 		coordinator := ""
--- a/internal/node/broker/scarce.go
+++ b/internal/node/broker/scarce.go
@@ -77,30 +77,31 @@
 	return known && s.Engine == nil
 }
 
-// staysCoordinated reports whether a plain service has a coordinator: it has fewer permits than
-// there are processes. One that has a coordinator keeps it until it has some more, and while this
-// process has granted permits, whose requests would count twice otherwise. b.mu must be held.
-func (b *Broker) staysCoordinated(service string) bool {
+// isScarce reports whether a plain service has fewer permits than there are processes. One that
+// has a coordinator counts as scarce until it has some more, and while this process has granted
+// permits, whose requests would count twice otherwise. b.mu must be held.
+func (b *Broker) isScarce(service string) bool {
 	permits := 0
 	for _, s := range b.Roster.Service(service) {
 		permits += scaled(plainPerSlot*float64(s.Slots), 1)
 	}
-	most, granted := float64(b.Peers.Live()), 0
-	_, coordinated := b.elected[service]
-	if coordinated {
-		most *= scarceMargin
-		if q, ok := b.queues[plainNeed(service).key]; ok {
-			granted = q.granted
+	most := float64(b.Peers.Live())
+	if _, coordinated := b.elected[service]; coordinated {
+		if q, ok := b.queues[plainNeed(service).key]; ok && q.granted > 0 {
+			return true
 		}
+		most *= scarceMargin
 	}
-	if b.byCost() && permits > 0 && float64(permits) < most || granted > 0 {
-		return true
-	}
-	if coordinated {
-		b.Log.Info("service has no coordinator any more", zap.String("Service", service), zap.Int("Permits", permits))
+	return b.byCost() && permits > 0 && float64(permits) < most
+}
+
+// endCoordination forgets the coordinator of a plain service that is not scarce any more, if it
+// has one. b.mu must be held.
+func (b *Broker) endCoordination(service string) {
+	if _, coordinated := b.elected[service]; coordinated {
+		b.Log.Info("service has no coordinator any more", zap.String("Service", service))
 		delete(b.elected, service)
 	}
-	return false
 }
 
 // isBusy reports whether the requests of all processes fill busyShare of the slots of a
--- a/internal/node/broker/scarce_test.go
+++ b/internal/node/broker/scarce_test.go
@@ -224,7 +224,7 @@
 }
 
 // TestIdleScarceServersAreNotCoordinated guards against messages for each request of a service
-// with permits for all, and against a coordinator of a service with more permits than processes.
+// with permits for all.
 func TestIdleScarceServersAreNotCoordinated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newScarcity(t)
@@ -235,11 +235,35 @@
 			requested += f.Meters.Value("PlacesRequested")
 		}
 		assert.Less(t, requested, int64(w.all/10))
-		f := w.nodes["p1"]
-		for i := range 10 {
+	})
+}
+
+// TestCoordinationOfPlainServiceEnds guards against a coordinator of a service with permits for
+// all processes, against one that changes with each server, and against granted permits that
+// count twice after its end.
+func TestCoordinationOfPlainServiceEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newScarcity(t)
+		f, own := w.nodes["p1"], w.nodes["p0"]
+		isCoordinated := func(f *fixture) bool {
+			f.Tick(time.Now())
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			_, coordinated := f.elected["plain"]
+			return coordinated
+		}
+		own.HandleRequest("p1", PermitRequest{Number: 1, Service: "plain", Target: time.Second, MaxWait: time.Second, TimeLeft: time.Hour})
+		assert.True(t, isCoordinated(f), "18 permits for 40 processes")
+		for i, c := range []struct {
+			permits          int
+			coordinated, own bool
+		}{{30, true, true}, {42, true, true}, {54, false, true}} {
 			f.addServer(fmt.Sprint("more", i), "plain", "")
+			own.addServer(fmt.Sprint("more", i), "plain", "")
+			assert.Equal(t, c.coordinated, isCoordinated(f), "%d permits", c.permits)
+			assert.Equal(t, c.own, isCoordinated(own), "%d permits, one is granted", c.permits)
 		}
-		f.Tick(time.Now())
-		assert.Empty(t, f.coordinatorOf("plain"))
+		own.HandleRelease("p1", PermitRelease{Number: 1, Verdict: usage.OK})
+		assert.False(t, isCoordinated(own))
 	})
 }
