--- a/review/stand2/drained.go
+++ b/review/stand2/drained.go
@@ -8,7 +8,7 @@
 
 const (
 	// outageLength is how long the store is down.
-	outageLength = 8 * time.Second
+	outageLength = 4600 * time.Millisecond
 	// drainBound is the time after which a runner that is gone must get no request.
 	drainBound = 2 * time.Second
 	// stable is how long after an outage of the store a runner leaves: the core has been stable
@@ -17,7 +17,7 @@
 	// linger is how long after drainBound a runner that leaves still serves.
 	linger = 150 * time.Millisecond
 	// drainRounds is how many runners leave.
-	drainRounds = 7
+	drainRounds = 9
 )
 
 // departure is a runner whose entry was removed.
@@ -40,7 +40,7 @@
 			return nil, err
 		}
 	}
-	if err := w.startProcesses(6); err != nil {
+	if err := w.startProcesses(3); err != nil {
 		return nil, err
 	}
 	time.Sleep(contact + time.Second)
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -53,6 +53,10 @@
 	work time.Duration
 	// spoils decides whether the answer to a stream has wrong bytes.
 	spoils func() bool
+	// crashes decides whether the runner crashes as it begins to answer a prompt with the
+	// parts, crash is called then; nil if it never does.
+	crashes func(prefix string) bool
+	crash   func()
 
 	mu       sync.Mutex
 	id       string
@@ -208,6 +212,12 @@
 // serveStream answers with a stream of events. It returns false if its caller has gone.
 func (s *runner) serveStream(w http.ResponseWriter, r *http.Request, x *execution) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if s.crashes != nil && s.crashes(r.Header.Get(prefixField)) {
+		time.Sleep(s.stream.gap)
+		go s.crash()
+		<-r.Context().Done()
+		return false
+	}
 	spoiledAt := 0
 	if s.spoils != nil && s.spoils() {
 		spoiledAt = x.after + 5
