--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]playCase{
 	"spoiled": playSpoiled,
 	"drained": playDrained,
+	"deadly":  playDeadly,
 }
 
 func main() {
