Review case 8: streams join two versions after a restart in an outage of the store

Runners that crash and come back under their IDs with the next version of their software, while the store is down, are used under their old entries: streams of v1 go on there with events of v2.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Plays the case against the programs of the deploy file; see claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/stand2 drained review/7
+exec target/stand2 deadly review/7
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -33,9 +33,10 @@
 
 // cases are the cases by name.
 var cases = map[string]playCase{
-	"spoiled": playSpoiled,
-	"drained": playDrained,
-	"deadly":  playDeadly,
+	"spoiled":  playSpoiled,
+	"drained":  playDrained,
+	"deadly":   playDeadly,
+	"upgraded": playUpgraded,
 }
 
 func main() {
