Review case 10: a process full of idle connections takes no new one for 6 s

With 5 of 6 processes killed, 328 clients a second that keep their connections fill the one that is left (3,100) in 9 s; it closes new connections unread until the first have been idle for 16 s, and says that it is ready.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -37,6 +37,7 @@
 	"drained":  playDrained,
 	"deadly":   playDeadly,
 	"upgraded": playUpgraded,
+	"crowded":  playCrowded,
 }
 
 func main() {
