call: a status outside 100 to 599 is no response

What callers saw: a backend server in trouble sent an answer with the status 000; the client got a 200 with its body, for a plain request, a stream, and one that another server could have served. Statuses from 600 to 999 were passed on as they were.

Cause: the HTTP library parses any three digits, keeps 000 as 0, and reports 0 as 200, the default of a response that is being written. Package call believed it.

Why it works: the status line is checked on the connection's own bytes, before the library reads them (RFC 9110, section 15: values outside 100..599 are invalid). Every reader of HTTP answers goes through it: requests, prefills, streams, the store, duties, engines. The attempt fails as one that may have run, so it is repeated only where that is allowed. A head is now also read line by line, so a reset within it is an error of its own and not an end.

--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -316,8 +316,8 @@
 	reader := x.connection.reader
 	x.extendDeadline()
 	for range maxMismatched {
-		if err := x.Header.Read(reader); err != nil {
-			return fmt.Errorf("read header: %w", err)
+		if err := readHead(reader, &x.Header); err != nil {
+			return err
 		}
 		if status := x.Header.StatusCode(); status >= 100 && status < 200 {
 			continue
--- a/internal/fleet/call/call_test.go
+++ b/internal/fleet/call/call_test.go
@@ -303,7 +303,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		reader := bufio.NewReader(bytes.NewReader(data))
 		var header fasthttp.ResponseHeader
-		if header.Read(reader) != nil {
+		if readHead(reader, &header) != nil {
 			return
 		}
 		b := newBody(reader, &header, false)
--- /dev/null
+++ b/internal/fleet/call/head.go
@@ -0,0 +1,95 @@
+package call
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ErrHead means that the head of a response violates the syntax of HTTP/1.1 (RFC 9112).
+var ErrHead = errors.New("the head of the response is not valid")
+
+// The bounds of a status (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// readHead reads the head of a response. It checks the syntax before the HTTP library reads
+// the head, as that accepts more than the syntax allows and takes it for something else: a
+// status 000 becomes 200.
+func readHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	size, err := checkHead(reader)
+	if err != nil {
+		return err
+	}
+	before := reader.Buffered()
+	if err := header.Read(reader); err != nil {
+		return fmt.Errorf("read head: %w", err)
+	}
+	if n := before - reader.Buffered(); n != size {
+		return fmt.Errorf("%w: the library reads %d of its %d bytes", ErrHead, n, size)
+	}
+	return nil
+}
+
+// checkHead waits for a whole head, without consuming it, and returns its size in bytes. Each
+// line is checked as it arrives, so that a server which then falls silent is not waited for.
+func checkHead(reader *bufio.Reader) (size int, err error) {
+	var check headCheck
+	for wanted := 1; ; wanted = reader.Buffered() + 1 {
+		_, readErr := reader.Peek(wanted)
+		// What is buffered can be peeked at without an error.
+		text, _ := reader.Peek(reader.Buffered())
+		for {
+			end := bytes.IndexByte(text[size:], '\n')
+			if end < 0 {
+				break
+			}
+			line := text[size : size+end+1]
+			size += len(line)
+			if complete, err := check.add(line); complete || err != nil {
+				return size, err
+			}
+		}
+		if readErr == io.EOF && len(text) > 0 {
+			readErr = io.ErrUnexpectedEOF
+		}
+		if readErr != nil {
+			return 0, fmt.Errorf("read head: %w", readErr)
+		}
+	}
+}
+
+// headCheck checks the lines of a head.
+type headCheck struct {
+	// started is set once the status line was checked.
+	started bool
+}
+
+// add checks the next line with its end. complete is set after the blank line that ends the
+// head.
+func (c *headCheck) add(line []byte) (complete bool, err error) {
+	text := bytes.TrimSuffix(line, []byte("\r\n"))
+	if !c.started {
+		c.started = true
+		return false, c.checkStatus(text)
+	}
+	return len(text) == 0, nil
+}
+
+// checkStatus checks the status line: the version, the status and a reason. Some servers leave
+// out the space before an empty reason.
+func (c *headCheck) checkStatus(line []byte) error {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	status, err := fasthttp.ParseUint(code)
+	if err != nil || len(code) != 3 || status < minStatus || status > maxStatus {
+		return fmt.Errorf("%w: status %q", ErrHead, code)
+	}
+	return nil
+}
