call: a part of an answer before a reset during the upload is not complete

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the request was still being written. The client got the part as a complete answer; a stream ended as complete after the events so far.

Cause: the kernel reports a reset to one system call only. A long request is written beside the reading of its answer. If the write gets ECONNRESET, the next read returns 0 bytes, as if the server had closed, and that completes an answer without a length.

TestPartBeforeAResetDuringAnUploadIsNoAnswer on the code before: 24 failed checks, clients got "200 id: 1 data: a" for requests of all kinds; none fails now.

Why it works: the end of a connection completes a body only if the request was written, or if sending nothing more succeeds at that moment: the send of no bytes has the error of a connection that was reset, whoever was told, and needs no wait for the writer. An orderly close before the upload ends is delivered at once as before, whether the server reads on or not (TestAnswerBeforeTheEndOfAnUploadIsDelivered, green before and after).

--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -386,6 +386,9 @@
 		x.extendDeadline()
 	}
 	n, err := x.body.Read(p)
+	if err == io.EOF && x.body.untilClose {
+		err = x.closeError()
+	}
 	if err == io.EOF {
 		x.complete = true
 		return n, io.EOF
@@ -396,6 +399,26 @@
 	return n, nil
 }
 
+// closeError returns io.EOF if the server has closed the connection, and an error if it was
+// reset. The kernel reports a reset to one call only. If that is the write of the request,
+// reads end as if the server had closed.
+func (x *Exchange) closeError() error {
+	select {
+	case err := <-x.written:
+		x.written <- err
+		if err != nil {
+			return fmt.Errorf("%w: %w", errReset, err)
+		}
+		return io.EOF
+	default:
+	}
+	// The request is still being written, or its error is on the way.
+	if err := x.connection.sendError(); err != nil {
+		return fmt.Errorf("%w: %w", errReset, err)
+	}
+	return io.EOF
+}
+
 // Body reads the rest of the body. If that is longer than limit bytes, it fails
 // with an error that wraps ErrTooLarge.
 func (x *Exchange) Body(limit int64) ([]byte, error) {
--- a/internal/fleet/call/pool.go
+++ b/internal/fleet/call/pool.go
@@ -41,6 +41,9 @@
 // ErrBusy means that the limit of connections to the address is reached.
 var ErrBusy = errors.New("connections to the address are used up")
 
+// errReset means that the connection was reset while the request was being written.
+var errReset = errors.New("connection reset during the request")
+
 // errPartitioned is the cause of failures that Client.Cut simulates.
 var errPartitioned = errors.New("connection is cut")
 
@@ -95,14 +98,13 @@
 	if now.Sub(c.idleSince) >= c.idleTimeout || c.reader.Buffered() > 0 {
 		return true
 	}
-	raw, ok := c.Conn.(countingConn).Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
+	control, err := c.socket()
 	if err != nil {
 		return true
 	}
+	if control == nil {
+		return false
+	}
 	stale := true
 	// The connection is usable if it is open and has no data to read.
 	readErr := control.Read(func(fd uintptr) bool {
@@ -114,6 +116,38 @@
 	return stale || readErr != nil
 }
 
+// sendError returns the error of sending no bytes: that of a connection that was reset, nil if
+// the server could read on. It does not wait.
+func (c *connection) sendError() error {
+	control, err := c.socket()
+	if control == nil || err != nil {
+		return err
+	}
+	var sendErr error
+	if err := control.Control(func(fd uintptr) {
+		sendErr = unix.Send(int(fd), nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	}); err != nil {
+		return err
+	}
+	if errors.Is(sendErr, unix.EAGAIN) {
+		return nil
+	}
+	return sendErr
+}
+
+// socket gives access to the socket, nil if the connection has none.
+func (c *connection) socket() (syscall.RawConn, error) {
+	raw, ok := c.Conn.(countingConn).Conn.(syscall.Conn)
+	if !ok {
+		return nil, nil
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	return control, nil
+}
+
 // countingConn adds the bytes read and written to a counter.
 type countingConn struct {
 	net.Conn
