call, field: a head with a line that is no field is no response

What callers saw: a backend server in trouble sent an answer in whose head the name of a field held a blank or a control byte. The client got it as an answer, with that line passed on, with a line joined to the value of the field before it, or with a body that was not the server's.

Cause: the HTTP library accepts blanks in and behind a name ("Content-Length : 4" sets the length, "Content Length: 4" is passed on and the body ends with the connection), joins a line that begins with a blank to the field before, and takes a lone LF for the end of a line and of the head.

Why it works: each line of a head is checked by the syntax of RFC 9110 and 9112 before the library reads it: CRLF at its end, a token directly before the colon, no control character but tabs in the value, no line folding. What passes is read the same way by everyone. The check of tokens that package httpd had for requests is now in package field and serves both.

--- a/internal/fleet/call/head.go
+++ b/internal/fleet/call/head.go
@@ -8,6 +8,8 @@
 	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"ebonyscale.example/ebonyscale/internal/base/field"
 )
 
 // ErrHead means that the head of a response violates the syntax of HTTP/1.1 (RFC 9112).
@@ -21,7 +23,7 @@
 
 // readHead reads the head of a response. It checks the syntax before the HTTP library reads
 // the head, as that accepts more than the syntax allows and takes it for something else: a
-// status 000 becomes 200.
+// status 000 becomes 200, and a line that begins with a blank a part of the field before it.
 func readHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	size, err := checkHead(reader)
 	if err != nil {
@@ -74,12 +76,22 @@
 // add checks the next line with its end. complete is set after the blank line that ends the
 // head.
 func (c *headCheck) add(line []byte) (complete bool, err error) {
-	text := bytes.TrimSuffix(line, []byte("\r\n"))
+	text, found := bytes.CutSuffix(line, []byte("\r\n"))
+	if !found {
+		// The library ends a head at a blank line of a lone LF, but waits for another end.
+		return false, fmt.Errorf("%w: a line ends without CR", ErrHead)
+	}
 	if !c.started {
 		c.started = true
 		return false, c.checkStatus(text)
 	}
-	return len(text) == 0, nil
+	if len(text) == 0 {
+		return true, nil
+	}
+	if _, _, err := field.Parse(text); err != nil {
+		return false, fmt.Errorf("%w: %w", ErrHead, err)
+	}
+	return false, nil
 }
 
 // checkStatus checks the status line: the version, the status and a reason. Some servers leave
--- a/internal/node/httpd/read.go
+++ b/internal/node/httpd/read.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ebonyscale.example/ebonyscale/internal/base/chunk"
+	"ebonyscale.example/ebonyscale/internal/base/field"
 )
 
 // Errors of requests that do not reach the handler.
@@ -176,7 +177,7 @@
 			continue
 		}
 		name, value, found := bytes.Cut(line, []byte(":"))
-		if !found || !isToken(name) {
+		if !found || !field.IsToken(name) {
 			return fmt.Errorf("%w: invalid name of a header field", errMalformed)
 		}
 		if bytes.ContainsAny(value, "\r\x00") {
@@ -200,21 +201,6 @@
 	return nil
 }
 
-// isToken reports whether name is a valid name of a header field, a token of RFC
-// 9110.
-func isToken(name []byte) bool {
-	if len(name) == 0 {
-		return false
-	}
-	for _, b := range name {
-		letter := b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
-		if !letter && !bytes.ContainsRune([]byte("!#$%&'*+-.^_`|~"), rune(b)) {
-			return false
-		}
-	}
-	return true
-}
-
 // rejectionStatus returns the status of the response to a request that could not be
 // read.
 func rejectionStatus(err error) int {
