call: a head that two readers take differently is no response

Found while looking for the cause of the status 000 and of the odd names elsewhere: what else the HTTP library accepts and turns into something else.

What callers would see: the chunks of an answer in HTTP/1.0 or 1.2 as its body; one of two lengths, or the chunks beside a length; a body that a 204 must not have, as the next answer; the answer that follows 101 Switching Protocols; one of HTTP/2.0 or 0.9; one behind empty lines, with more blanks or control bytes in its status line.

Evidence: TestHeadThatIsNotValidIsNoResponse. The server keeps the connection open, so that a broken head also has to be found without its end.

Why it works: the status line and the framing are checked by RFC 9112, sections 4 and 6, where the other syntax is: version HTTP/1.x, one space before the status, one length or chunks and not both, chunks only in HTTP/1.1, no body with 1xx and 204.

--- a/internal/fleet/call/head.go
+++ b/internal/fleet/call/head.go
@@ -69,39 +69,76 @@
 
 // headCheck checks the lines of a head.
 type headCheck struct {
-	// started is set once the status line was checked.
+	// started is set once the status line was checked, which has the version, HTTP/1.minor, and
+	// the status.
 	started bool
+	minor   byte
+	status  int
+	// lengths and codings count the fields Content-Length and Transfer-Encoding. empty is set
+	// if the length is 0.
+	lengths, codings int
+	empty            bool
 }
 
 // add checks the next line with its end. complete is set after the blank line that ends the
 // head.
 func (c *headCheck) add(line []byte) (complete bool, err error) {
 	text, found := bytes.CutSuffix(line, []byte("\r\n"))
-	if !found {
+	switch {
+	case !found:
 		// The library ends a head at a blank line of a lone LF, but waits for another end.
 		return false, fmt.Errorf("%w: a line ends without CR", ErrHead)
-	}
-	if !c.started {
+	case !c.started:
 		c.started = true
-		return false, c.checkStatus(text)
-	}
-	if len(text) == 0 {
-		return true, nil
+		return false, c.addStatus(text)
+	case len(text) == 0:
+		return true, c.checkFraming()
 	}
-	if _, _, err := field.Parse(text); err != nil {
+	name, value, err := field.Parse(text)
+	if err != nil {
 		return false, fmt.Errorf("%w: %w", ErrHead, err)
 	}
+	switch {
+	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
+		c.lengths++
+		c.empty = len(bytes.Trim(value, "0")) == 0
+	case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+		c.codings++
+	}
 	return false, nil
 }
 
-// checkStatus checks the status line: the version, the status and a reason. Some servers leave
-// out the space before an empty reason.
-func (c *headCheck) checkStatus(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	code, _, _ := bytes.Cut(rest, []byte(" "))
+// addStatus checks the status line: the version, the status and a reason. Some servers leave out
+// the space before an empty reason.
+func (c *headCheck) addStatus(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	code, reason, _ := bytes.Cut(rest, []byte(" "))
+	minor, found := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !found || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' || !field.IsText(reason) {
+		return fmt.Errorf("%w: status line", ErrHead)
+	}
 	status, err := fasthttp.ParseUint(code)
 	if err != nil || len(code) != 3 || status < minStatus || status > maxStatus {
 		return fmt.Errorf("%w: status %q", ErrHead, code)
 	}
+	if status == fasthttp.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: no request asks for another protocol", ErrHead)
+	}
+	c.minor, c.status = minor[0], status
+	return nil
+}
+
+// checkFraming checks that there is one way to tell where the body ends. The library ignores a
+// length beside chunks, and chunks in versions other than HTTP/1.1.
+func (c *headCheck) checkFraming() error {
+	none := c.status < fasthttp.StatusOK || c.status == fasthttp.StatusNoContent
+	switch {
+	case c.lengths > 1 || c.codings > 1 || c.lengths+c.codings > 1:
+		return fmt.Errorf("%w: more than one length of the body", ErrHead)
+	case c.codings > 0 && c.minor != '1':
+		return fmt.Errorf("%w: chunks in another version than HTTP/1.1", ErrHead)
+	case none && (c.codings > 0 || c.lengths > 0 && !c.empty):
+		return fmt.Errorf("%w: a body with the status %d", ErrHead, c.status)
+	}
 	return nil
 }
--- a/internal/fleet/call/head_test.go
+++ b/internal/fleet/call/head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -95,3 +96,74 @@
 		}
 	}
 }
+
+// TestHeadThatIsNotValidIsNoResponse guards against a head that breaks the syntax of HTTP/1.1
+// and is taken for something else. The server keeps the connection open: the call must not wait
+// for more.
+func TestHeadThatIsNotValidIsNoResponse(t *testing.T) {
+	const end = "Content-Length: 4\r\n\r\nbody"
+	for _, text := range []string{
+		// The status line.
+		"HTTP/1.1 000 OK\r\n" + end, "HTTP/1.1 099 OK\r\n" + end, "HTTP/1.1 600 OK\r\n" + end, "HTTP/1.1 20 OK\r\n" + end, "HTTP/1.1 2000 OK\r\n" + end,
+		"HTTP/1.1 +20 OK\r\n" + end, "HTTP/1.1 2x0 OK\r\n" + end, "HTTP/1.1  200 OK\r\n" + end, "HTTP/1.1\t200 OK\r\n" + end, " HTTP/1.1 200 OK\r\n" + end,
+		"HTTP/1.1 200\tOK\r\n" + end, "HTTP/1.1 200 O\x00K\r\n" + end, "HTTP/1.1 200 O\rK\r\n" + end, "HTTP/1.1 200 OK\n" + end, "\r\nHTTP/1.1 200 OK\r\n" + end, "\nHTTP/1.1 200 OK\r\n" + end,
+		"HTTP/2.0 200 OK\r\n" + end, "HTTP/0.9 200 OK\r\n" + end, "HTTP/1.10 200 OK\r\n" + end, "http/1.1 200 OK\r\n" + end, "HTTP/1 200 OK\r\n" + end, "HTTPS/1.1 200 OK\r\n" + end,
+		"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + end,
+		// Lines that are no fields, and no lines.
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n" + end, "HTTP/1.1 200 OK\r\nX-A: 1\r\n X-Odd: 1\r\n" + end, "HTTP/1.1 200 OK\r\nX-A: 1\n" + end, "HTTP/1.1 200 OK\r\nX-A: 1\r\n\n" + end,
+		"HTTP/1.1 200 OK\r\nX-A: \x01\r\n" + end, "HTTP/1.1 200 OK\r\nX-A: a\rb\r\n" + end, "HTTP/1.1 200 OK\r\nX-A: a\x7f\r\n" + end, "HTTP/1.1 200 OK\r\nX-A\r\n" + end,
+		// The length of the body.
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + end, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + end, "HTTP/1.1 200 OK\r\nContent-Length: 4, 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody", "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody", "HTTP/1.1 200 OK\r\nContent-Length: 0x4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4 4\r\n\r\nbody", "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nbody", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + end, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nbody", "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\nbody",
+		"HTTP/1.1 204 No Content\r\n" + end, "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n" + end,
+	} {
+		address := startServer(t, func(_ int, conn *net.TCPConn) {
+			defer conn.Close()
+			r := bufio.NewReader(conn)
+			if _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(conn, text)
+				_, _ = io.Copy(io.Discard, r)
+			}
+		})
+		x, body, err := sendTo(t, address)
+		if !assert.Error(t, err, "%q", text) {
+			t.Logf("status %d, body %q", x.Status(), body)
+			continue
+		}
+		assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%q: it has arrived", text)
+		assert.Equal(t, StageReading, StageOf(err), "%q: it may have run", text)
+	}
+}
+
+// TestSoundHeadsAreRead checks that what is unusual and valid is read as it was.
+func TestSoundHeadsAreRead(t *testing.T) {
+	for _, c := range []struct {
+		text   string
+		status int
+		body   string
+	}{
+		{"HTTP/1.1 200 \r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody", 200, "body"},
+		{"HTTP/1.1 200\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody", 200, "body"},
+		{"HTTP/1.1 299 \xc3\xa4\tb  c\r\nX-Id:r1\t \r\ncontent-length:\t4 \r\n\r\nbody", 299, "body"},
+		{"HTTP/1.1 599 X\r\nX-ID: r1\r\nContent-Length: 0004\r\n\r\nbody", 599, "body"},
+		{"HTTP/1.0 200 OK\r\nX-Id: r1\r\n\r\nbody", 200, "body"},
+		{"HTTP/1.0 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody", 200, "body"},
+		{"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTRANSFER-ENCODING: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200, "body"},
+		{"HTTP/1.1 200 OK\r\nX-!#$%&'*+.^_`|~9: (a) \"b\t\\c\" \xff\r\nX-Empty:\r\nX-Id: r1\r\nX-Id2: r1\r\n\r\nbody", 200, "body"},
+		{"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 204 No Content\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n", 204, ""},
+		{"HTTP/1.1 304 Not Modified\r\nX-Id: r1\r\nContent-Length: 1234\r\n\r\n", 304, ""},
+		{"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("y", 7000) + "\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody", 200, "body"},
+	} {
+		for cut := range 2 {
+			x, body, err := sendTo(t, respondTo(t, c.text[:cut*len(c.text)/2], c.text[cut*len(c.text)/2:]))
+			if assert.NoError(t, err, "%q", c.text) {
+				assert.Equal(t, []any{c.status, "r1", c.body}, []any{x.Status(), string(x.Header.Peek("X-Id")), string(body)}, "%q", c.text)
+			}
+		}
+	}
+}
