entry: a part of a response over the limit is not a complete one

Found while looking for answers that end early and look complete, in 'ebonyscale serve'.

What callers would see: the first 16 MiB of a longer response of a plain service as the complete answer, with its status 200 and the outcome Run; the same with 64 MiB of an engine's response that is not streamed, and with 1 MiB of an engine's rejection. Bytes without end were such responses too.

Cause: io.LimitReader ends a body at its limit with io.EOF, which the readers took for the end.

Evidence: TestServePartOfALongResponseIsNoAnswer: for one byte more than 16 MiB the code before replied 200 with 16 MiB of the body, outcome Run; now 502, outcome Unknown. A response of just 16 MiB passes.

Why it works: the reader of requests' bodies, which reads one byte more to see that there are too many, now reads responses too, and that is an error: the attempt may have run, and is repeated only where that is allowed. A rejection that is too long is replaced by this process's own.

--- a/internal/node/entry/body.go
+++ b/internal/node/entry/body.go
@@ -47,27 +47,33 @@
 	if stream == nil || length == 0 {
 		return r, nil
 	}
+	return r, r.fill(stream, length, maximum)
+}
+
+// fill reads length bytes, or up to io.EOF if length is negative. More than maximum bytes are
+// the error fasthttp.ErrBodyTooLarge.
+func (b *body) fill(stream io.Reader, length, maximum int) error {
 	most := maximum + 1 // One byte more than allowed shows that there are too many.
 	if length > 0 {
 		most = length
 	}
 	for {
-		if len(r.text) == cap(r.text) {
-			if err := r.grow(most); err != nil {
-				return r, err
+		if len(b.text) == cap(b.text) {
+			if err := b.grow(most); err != nil {
+				return err
 			}
 		}
-		n, err := stream.Read(r.text[len(r.text):cap(r.text)])
-		r.text = r.text[:len(r.text)+n]
+		n, err := stream.Read(b.text[len(b.text):cap(b.text)])
+		b.text = b.text[:len(b.text)+n]
 		switch {
-		case len(r.text) > maximum:
-			return r, fasthttp.ErrBodyTooLarge
-		case err == io.EOF && length > len(r.text):
-			return r, io.ErrUnexpectedEOF
-		case err == io.EOF || length == len(r.text):
-			return r, nil
+		case len(b.text) > maximum:
+			return fasthttp.ErrBodyTooLarge
+		case err == io.EOF && length > len(b.text):
+			return io.ErrUnexpectedEOF
+		case err == io.EOF || length == len(b.text):
+			return nil
 		case err != nil:
-			return r, err
+			return err
 		}
 	}
 }
--- a/internal/node/entry/model.go
+++ b/internal/node/entry/model.go
@@ -18,9 +18,13 @@
 	"ebonyscale.example/ebonyscale/internal/route/retry"
 )
 
-// maxResponse is the largest engine response that is not streamed, in bytes. A
-// longer one is truncated.
-const maxResponse = 64 << 20
+const (
+	// maxResponse is the largest engine response that is not streamed, in bytes. An attempt
+	// with a longer one fails.
+	maxResponse = 64 << 20
+	// maxRejection is the largest rejection of an engine that is forwarded, in bytes.
+	maxRejection = 1 << 20
+)
 
 // errNoEngine means that no engine is left to try.
 var errNoEngine = errors.New("no engine is left to try")
@@ -229,7 +233,7 @@
 // the client, and closes the engine's response.
 func (j *job) forwardRejection(t *terminalError) *Reply {
 	defer t.response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(t.response.Body, 1<<20))
+	body, err := readResponse(t.response.Body, maxRejection)
 	if err != nil {
 		body = errorJSON(t.outcome, "EngineRefused", "the engine refused the request")
 	}
@@ -247,7 +251,7 @@
 		if err != nil {
 			return j.failureReply(err)
 		}
-		body, err := io.ReadAll(io.LimitReader(source, maxResponse))
+		body, err := readResponse(source, maxResponse)
 		source.Close()
 		if err == nil && !bytes.Contains(body, []byte(`"id":"`+j.id+`"`)) {
 			j.core.Meters.Add("Crossed", 1)
--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"strings"
 	"time"
 
@@ -21,8 +20,8 @@
 	"ebonyscale.example/ebonyscale/internal/state/claim"
 )
 
-// maxPlainResponse is the largest response body of a plain service, in bytes. A
-// longer one is truncated.
+// maxPlainResponse is the largest response body of a plain service, in bytes. A call with a
+// longer one fails.
 const maxPlainResponse = 16 << 20
 
 // Timeouts of the store calls for claims.
@@ -258,7 +257,7 @@
 		p.excluded = append(p.excluded, server.Name)
 		return nil, errRejected
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainResponse))
+	body, err := readResponse(response.Body, maxPlainResponse)
 	if err != nil {
 		c.Estimates.RecordFailure(time.Now(), server.Name)
 		c.checkBroken(ctx, begun, server, p.id, p.request.content, err)
