store: a version that is no number is no answer

Found while looking for what each reader of answers trusts.

What would be seen in 'ebonyscale serve': an object whose version can't be read counts as one that does not exist yet (version 0), and a write with such an answer as one that has left none.

Cause: the error of parsing the header was dropped.

Why it works: a header that is there and no version makes the call one without an answer: what a read says is unknown, and a write may have been executed. Without the header all is as before.

--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -142,8 +142,18 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	version, _ := strconv.ParseUint(string(x.Header.Peek(VersionHeader)), 10, 64)
-	return body, version, statusError(x.Status())
+	if err := statusError(x.Status()); err != nil {
+		return nil, 0, err
+	}
+	text := x.Header.Peek(VersionHeader)
+	if len(text) == 0 {
+		return body, 0, nil
+	}
+	version, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
+		return nil, 0, fmt.Errorf("version of the object: %w", err)
+	}
+	return body, version, nil
 }
 
 // statusError returns the error for the status of a response, nil for 200.
