core: what a peer hands back and is no answer fails the hop

Cause: the reader of a hop passed on the status, fields and order of messages as they came.

Why it works: a header needs a final status and valid fields, there is one, and nothing comes before it. The request counts as one that may have run, as after any hop that breaks.

--- a/internal/fleet/call/head.go
+++ b/internal/fleet/call/head.go
@@ -15,10 +15,10 @@
 // ErrHead means that the head of a response violates the syntax of HTTP/1.1 (RFC 9112).
 var ErrHead = errors.New("the head of the response is not valid")
 
-// The bounds of a status (RFC 9110, section 15).
+// MinStatus and MaxStatus are the bounds of a status (RFC 9110, section 15).
 const (
-	minStatus = 100
-	maxStatus = 599
+	MinStatus = 100
+	MaxStatus = 599
 )
 
 // readHead reads the head of a response. It checks the syntax before the HTTP library reads
@@ -118,7 +118,7 @@
 		return fmt.Errorf("%w: status line", ErrHead)
 	}
 	status, err := fasthttp.ParseUint(code)
-	if err != nil || len(code) != 3 || status < minStatus || status > maxStatus {
+	if err != nil || len(code) != 3 || status < MinStatus || status > MaxStatus {
 		return fmt.Errorf("%w: status %q", ErrHead, code)
 	}
 	if status == fasthttp.StatusSwitchingProtocols {
--- a/internal/node/core/carry.go
+++ b/internal/node/core/carry.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
 
+	"ebonyscale.example/ebonyscale/internal/base/field"
 	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/peers"
 	"ebonyscale.example/ebonyscale/internal/node/broker"
@@ -302,8 +304,10 @@
 	return body, nil
 }
 
-// relay relays the response to out.
+// relay relays the response to out. What a peer hands back is checked as its backend server's
+// response was, since the peer may be of another build.
 func relay(stream wire.DRPCEntry_CarryClient, out broker.Relay) error {
+	begun := false
 	for {
 		m, err := stream.Recv()
 		switch {
@@ -311,9 +315,12 @@
 			return fmt.Errorf("read response: %w", err)
 		case m.Refused != nil:
 			return decodeRefusal(m.Refused)
+		case begun == (m.Header != nil) || m.Header != nil && !isHeader(m.Header):
+			return errProtocol
 		case m.Header != nil && !m.Header.Stream:
 			return relayWhole(stream, m.Header, out)
 		case m.Header != nil:
+			begun = true
 			out.Bind(m.Header.Software, int(m.Header.Attempts))
 			if err := out.Begin(int(m.Header.Status), decodeFields(m.Header.Fields)); err != nil {
 				return fmt.Errorf("begin: %w", err)
@@ -330,6 +337,16 @@
 	}
 }
 
+// isHeader reports whether a header is that of a final response of HTTP.
+func isHeader(h *wire.ReplyHeader) bool {
+	for _, f := range h.Fields {
+		if !field.IsToken(f.Name) || !field.IsText(f.Value) {
+			return false
+		}
+	}
+	return h.Status >= fasthttp.StatusOK && h.Status <= call.MaxStatus
+}
+
 // maxReplyBytes is the largest response that is not a stream.
 const maxReplyBytes = 16 << 20
 
