entry: responses without end are bounded together

A report of another operator: a server sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of other clients there ended with it. It can happen in 'ebonyscale serve'.

What callers would see: each response that is read whole is bounded, to 16 MiB of a plain service and 64 MiB of an engine, but not all together. 4,096 requests are served at a time, so that a few dozen at a server in trouble take more memory than a small VM has, and the process ends with all other requests.

Cause: only the bodies of requests were reserved from a common bound.

Evidence: TestServeEndlessResponsesAreBoundedTogether, 30 requests at a time.

Why it works: a response reserves its bytes before it is read, as a request's body does, and frees them when its reply is closed. The setting MaxBodies is the bound of both. An attempt beyond it fails.

--- a/internal/config/setup/setup.go
+++ b/internal/config/setup/setup.go
@@ -92,7 +92,8 @@
 	// MaxBody is the largest body of a request, in bytes.
 	MaxBody int64 `validate:"gte=1024"`
 	// MaxBodies bounds the bodies of all requests in progress together, in
-	// bytes. A request beyond it is rejected with status 503.
+	// bytes. A request beyond it is rejected with status 503. Their responses that
+	// are not streamed have the same bound, beyond which an attempt fails.
 	MaxBodies int64 `validate:"gte=1024"`
 	// MaxHeader is the largest header of a request, in bytes.
 	MaxHeader int64 `validate:"gte=1024"`
--- a/internal/node/entry/body.go
+++ b/internal/node/entry/body.go
@@ -15,9 +15,9 @@
 // bodies counts the bytes of the bodies of all requests. The zero value has no limit.
 type bodies struct{ budget.Budget }
 
-// body is the body of a request, whose bytes are reserved.
+// body is the body of a request or a response, whose bytes are reserved.
 type body struct {
-	all      *bodies
+	all      *budget.Budget
 	reserved atomic.Int64
 	text     []byte
 }
@@ -39,7 +39,7 @@
 // read reads the body of a request of at most maximum bytes. Its bytes are reserved before they
 // are read, those of a body in chunks as well. The body must be released also after an error.
 func (b *bodies) read(c *fasthttp.RequestCtx, maximum int) (*body, error) {
-	r := &body{all: b}
+	r := &body{all: &b.Budget}
 	stream, length := c.RequestBodyStream(), c.Request.Header.ContentLength()
 	if length > maximum {
 		return r, fasthttp.ErrBodyTooLarge
@@ -101,15 +101,15 @@
 	handleReadError(c, err)
 }
 
-// releasing is the body of a streamed reply. The request's body may be needed until its end,
-// since another engine may have to resume the reply.
+// releasing is the body of a reply that needs another body until its end: a streamed reply that
+// of the request, since another engine may have to resume it, others that of the response.
 type releasing struct {
 	io.ReadCloser
-	request *body
+	needed *body
 }
 
 // Close implements io.Closer.
 func (r releasing) Close() error {
-	defer r.request.release()
+	defer r.needed.release()
 	return r.ReadCloser.Close()
 }
--- a/internal/node/entry/core.go
+++ b/internal/node/entry/core.go
@@ -33,6 +33,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonyscale.example/ebonyscale/internal/base/budget"
 	"ebonyscale.example/ebonyscale/internal/config/apply"
 	"ebonyscale.example/ebonyscale/internal/config/spec"
 	"ebonyscale.example/ebonyscale/internal/fleet/engine"
@@ -110,6 +111,9 @@
 	MaxDeadline time.Duration
 	// StallTimeout is how long an engine may take for each part of a response.
 	StallTimeout time.Duration
+	// Responses bounds the bytes of the responses that are read whole, of all requests
+	// together.
+	Responses budget.Budget
 	// Defer enqueues an update of a claim that is retried until the platform
 	// responds. It returns false if the queue is full; nil drops the updates.
 	Defer func(work func(ctx context.Context) error) bool
--- a/internal/node/entry/model.go
+++ b/internal/node/entry/model.go
@@ -233,11 +233,10 @@
 // the client, and closes the engine's response.
 func (j *job) forwardRejection(t *terminalError) *Reply {
 	defer t.response.Body.Close()
-	body, err := readResponse(t.response.Body, maxRejection)
-	if err != nil {
-		body = errorJSON(t.outcome, "EngineRefused", "the engine refused the request")
+	reply := jsonReply(t.response.Status, errorJSON(t.outcome, "EngineRefused", "the engine refused the request"))
+	if kept, err := j.core.readResponse(t.response.Body, maxRejection); err == nil {
+		reply = keptReply(t.response.Status, kept)
 	}
-	reply := jsonReply(t.response.Status, body)
 	reply.Outcome, reply.Reason = t.outcome, "EngineRefused"
 	return reply
 }
@@ -251,10 +250,11 @@
 		if err != nil {
 			return j.failureReply(err)
 		}
-		body, err := readResponse(source, maxResponse)
+		kept, err := j.core.readResponse(source, maxResponse)
 		source.Close()
-		if err == nil && !bytes.Contains(body, []byte(`"id":"`+j.id+`"`)) {
+		if err == nil && !bytes.Contains(kept.text, []byte(`"id":"`+j.id+`"`)) {
 			j.core.Meters.Add("Crossed", 1)
+			kept.release()
 			err = relay.ErrMismatched
 		}
 		if err != nil {
@@ -263,7 +263,7 @@
 		}
 		j.ticket.FirstToken(time.Now())
 		j.done(nil)
-		return jsonReply(200, body)
+		return keptReply(200, kept)
 	}
 }
 
--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -56,6 +56,8 @@
 	repeatable bool
 	// excluded are the names of the servers that failed or rejected this call.
 	excluded []string
+	// kept is the body of the response, nil until there is one.
+	kept *body
 }
 
 // runClaimed claims the call's idempotency key, runs the call and records its
@@ -162,7 +164,7 @@
 		response, err := p.attempt(ctx, attempts > 1)
 		if err == nil {
 			p.core.quarantine.succeeded(time.Now(), p.request.content)
-			reply := jsonReply(response.Status, response.Body)
+			reply := keptReply(response.Status, p.kept)
 			reply.Fields = response.Fields
 			p.core.Meters.Add("PlainAnswered", 1)
 			p.core.Trace.Add(trace.Event{Kind: trace.Answered, Request: p.id})
@@ -257,12 +259,12 @@
 		p.excluded = append(p.excluded, server.Name)
 		return nil, errRejected
 	}
-	body, err := readResponse(response.Body, maxPlainResponse)
+	p.kept, err = c.readResponse(response.Body, maxPlainResponse)
 	if err != nil {
 		c.Estimates.RecordFailure(time.Now(), server.Name)
 		c.checkBroken(ctx, begun, server, p.id, p.request.content, err)
 		return nil, fmt.Errorf("answer of %s: %w", p.service.Name, err)
 	}
 	c.Estimates.RecordSuccess(server.Name)
-	return &claim.Response{Status: response.Status, Fields: response.Fields, Body: body}, nil
+	return &claim.Response{Status: response.Status, Fields: response.Fields, Body: p.kept.text}, nil
 }
--- a/internal/node/tree/node.go
+++ b/internal/node/tree/node.go
@@ -37,6 +37,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonyscale.example/ebonyscale/internal/base/budget"
 	"ebonyscale.example/ebonyscale/internal/base/task"
 	"ebonyscale.example/ebonyscale/internal/base/timer"
 	"ebonyscale.example/ebonyscale/internal/config/apply"
@@ -182,7 +183,7 @@
 		Trace: n.Trace, Meters: n.Meters, Log: n.Log, Demand: n.Tally, Policy: n.Policy,
 		MaxRequests: int(n.Limits.MaxRequests), MaxDeadline: n.Limits.MaxDeadline,
 		StallTimeout: n.Limits.StallTimeout, Seed: n.Seed, Defer: n.deferredQueue.Push,
-		Push: n.pushToAllZones,
+		Push: n.pushToAllZones, Responses: budget.Budget{Limit: n.Limits.MaxBodies},
 	}
 	n.planner.prepare(n)
 	n.registerGauges()
