core, httpd, broker: requests at the end of a planned stop get an answer

A report of another operator: in a planned stop, in calm, requests were taken and passed on, and cut with no answer at the end of the grace, among them requests that may not be repeated.

What callers saw here: late in the grace, requests whose time ends after it are rejected, which holds. But a request that is accepted before or early in the stop, with more time than the grace, was passed on; if its server took longer, the process exited and the client's connection ended with nothing.

Cause: Stop waits for such requests until the end and then returned as if they had ended. Nothing told them.

Evidence: TestRequestsOfAPlannedStopAreAnswered runs the program with a server that takes longer than the stop.

Why it works: 100 ms before Stop gives up, after all waits for responses that are ready in time, the server cancels what is in progress. A stream that has begun is cut, so that it does not look complete. The waits together are as long as before.

--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -46,6 +46,10 @@
 // errTimeout is the cancellation cause of a request whose deadline has passed.
 var errTimeout = errors.New("the time limit of the request has passed")
 
+// ErrStopped is the cancellation cause of a request that is in progress at the end of a planned
+// stop. Its client gets an error that says what is known of it.
+var ErrStopped = errors.New("the process has stopped")
+
 // job is a request in progress.
 type job struct {
 	broker  *Broker
@@ -358,6 +362,8 @@
 		j.reject(quarantined)
 	case errors.Is(cause, errTimeout) && notRun:
 		j.reject(timedOut)
+	case errors.Is(cause, ErrStopped):
+		j.reject(stopping)
 	case errors.Is(cause, errTimeout):
 		j.endUnanswered(Reply{Status: 504}, timedOut, cause)
 	default:
@@ -367,7 +373,7 @@
 
 // clientConnected reports whether the client still waits for the response.
 func (j *job) clientConnected(cause error) bool {
-	return j.ctx.Err() == nil || errors.Is(cause, errTimeout)
+	return j.ctx.Err() == nil || errors.Is(cause, errTimeout) || errors.Is(cause, ErrStopped)
 }
 
 // reject responds with 503, which guarantees to the client that the request has
--- a/internal/node/broker/slow.go
+++ b/internal/node/broker/slow.go
@@ -144,6 +144,8 @@
 		return streamBroken
 	case errors.Is(cause, errTimeout):
 		return timedOut
+	case errors.Is(cause, ErrStopped):
+		return stopping
 	case errors.Is(cause, errUnwritten):
 		return notDelivered
 	case isTooSlow(cause):
--- a/internal/node/core/stop.go
+++ b/internal/node/core/stop.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"ebonyscale.example/ebonyscale/internal/base/timer"
+	"ebonyscale.example/ebonyscale/internal/node/broker"
 	"ebonyscale.example/ebonyscale/internal/node/httpd"
 )
 
@@ -18,8 +19,11 @@
 	// stopMargin is how long before the forced end of the process Stop gives up
 	// waiting, and refuses connections. lastWait is how long it then waits for those that
 	// were accepted; it is longer than a new one may take to send its request.
-	stopMargin       = 500 * time.Millisecond
-	lastWait         = 300 * time.Millisecond
+	stopMargin = 500 * time.Millisecond
+	lastWait   = 300 * time.Millisecond
+	// replyWait is the part of lastWait in which requests that are still in progress are
+	// answered with an error.
+	replyWait        = 100 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
 )
 
@@ -28,7 +32,8 @@
 // ended. If too few processes are ready, the load balancer keeps sending to all
 // of them; therefore, after balancerWait or half of grace, only requests are
 // accepted whose deadline is before the end of the stop. New connections are refused
-// only at its end, and those that were accepted before are served.
+// only at its end, and those that were accepted before are served. What is in progress after
+// that was accepted early, or before, and gets an error.
 func (n *Node) Stop(ctx context.Context, server *httpd.Server, grace time.Duration) {
 	began := time.Now()
 	end := began.Add(grace - stopMargin)
@@ -42,7 +47,9 @@
 	timer.Wait(ctx, min(balancerWait, grace/2))
 	n.awaitEnd(ctx, server, end)
 	server.Refuse(ctx)
-	n.awaitEnd(ctx, server, time.Now().Add(lastWait))
+	n.awaitEnd(ctx, server, time.Now().Add(lastWait-replyWait))
+	server.CancelRequests(broker.ErrStopped)
+	n.awaitEnd(ctx, server, time.Now().Add(replyWait))
 	if n.accounting != nil {
 		flushCtx, cancel := context.WithDeadline(ctx, began.Add(grace))
 		n.accounting.Flush(flushCtx, time.Now())
--- a/internal/node/httpd/conn.go
+++ b/internal/node/httpd/conn.go
@@ -46,11 +46,13 @@
 	// accepted is when the connection was accepted.
 	accepted time.Time
 
-	// mu guards the fields below. used is set once a request has come.
+	// mu guards the fields below. used is set once a request has come, cancel ends the context
+	// of the one that is being served.
 	mu     sync.Mutex
 	idle   bool
 	closed bool
 	used   bool
+	cancel context.CancelCauseFunc
 }
 
 // newFor is how long the first request of a connection may be on its way. Until then
@@ -114,6 +116,23 @@
 	return !c.closed
 }
 
+// setCancel sets what ends the context of the current request, nil if there is none.
+func (c *conn) setCancel(cancel context.CancelCauseFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+}
+
+// cancelRequest ends the context of the request that is being served, if there is one.
+func (c *conn) cancelRequest(cause error) {
+	c.mu.Lock()
+	cancel := c.cancel
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel(cause)
+	}
+}
+
 // closeIdle closes the connection if it is between two requests, or has had none for
 // newFor.
 func (c *conn) closeIdle() {
@@ -153,6 +172,8 @@
 	defer c.server.active.Add(-1)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
+	c.setCancel(cancel)
+	defer c.setCancel(nil)
 	watch := c.watch(cancel)
 	c.handle(ctx, x)
 	if !watch.stop() {
--- a/internal/node/httpd/httpd.go
+++ b/internal/node/httpd/httpd.go
@@ -50,7 +50,7 @@
 // Handler serves requests. It must be safe for concurrent use.
 type Handler interface {
 	// Serve responds to the exchange. ctx ends when the client has disconnected,
-	// with the cause ErrClientGone.
+	// with the cause ErrClientGone, or with that of CancelRequests.
 	Serve(ctx context.Context, x *Exchange)
 }
 
@@ -166,6 +166,14 @@
 	}
 }
 
+// CancelRequests ends the contexts of the requests that are being served, with a cause. Their
+// handlers may still respond.
+func (s *Server) CancelRequests(cause error) {
+	for _, c := range s.connections() {
+		c.cancelRequest(cause)
+	}
+}
+
 // Close closes every connection and waits for the handlers to return. Later
 // connections are rejected.
 func (s *Server) Close() {
