load: a part of a response over the limit is not complete

Found while looking for the same cause in our own programs.

What would be seen: the load generator counts the first 64 MiB of a longer response as complete, and keeps an event that never ends until it is out of memory.

Cause: io.LimitReader ends a body at its limit with io.EOF, as in package entry, and events had no limit.

Evidence: TestResponsesOverTheLimitAreNotComplete; on the code before, 64 MiB and one byte were complete. Its part with the event was run on this code only.

Why it works: one byte more than allowed is read and is an error, and an event has at most 1 MiB.

--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -176,13 +176,22 @@
 	return o
 }
 
-// maxBody bounds what is read of a response that isn't streamed, in bytes.
-const maxBody = 64 << 20
+// maxBody bounds a response that isn't streamed, maxEvent an event, in bytes.
+const (
+	maxBody  = 64 << 20
+	maxEvent = 1 << 20
+)
+
+// errTooLong means that a response has more than maxBody bytes, or an event more than maxEvent.
+var errTooLong = errors.New("response or event over the limit")
 
 // readBody reads a response that isn't streamed: that of a plain service, or an
 // error.
 func (o *Outcome) readBody(r io.Reader) {
-	body, err := io.ReadAll(io.LimitReader(r, maxBody))
+	body, err := io.ReadAll(io.LimitReader(r, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errTooLong
+	}
 	o.Total = time.Since(o.Began)
 	o.First = o.Total
 	if err != nil {
@@ -233,6 +242,9 @@
 			}
 			last = now
 		}
+		if err == nil && len(pending) > maxEvent {
+			err = errTooLong
+		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
 				o.Err = err
