call: the error of a status has no more of the line than its length

A line that is no status line can be as long as the buffer of a connection, and the error of the attempt is logged. No change in what is accepted.

--- a/internal/fleet/call/head.go
+++ b/internal/fleet/call/head.go
@@ -117,8 +117,11 @@
 	if !found || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' || !field.IsText(reason) {
 		return fmt.Errorf("%w: status line", ErrHead)
 	}
+	if len(code) != 3 {
+		return fmt.Errorf("%w: a status of %d bytes", ErrHead, len(code))
+	}
 	status, err := fasthttp.ParseUint(code)
-	if err != nil || len(code) != 3 || status < MinStatus || status > MaxStatus {
+	if err != nil || status < MinStatus || status > MaxStatus {
 		return fmt.Errorf("%w: status %q", ErrHead, code)
 	}
 	if status == fasthttp.StatusSwitchingProtocols {
