core, follow, feed: the time for missing entries counts from the end of an outage

What callers saw: a backend server that left three seconds after an outage of the store got requests for 2.2 s instead of 2.0 s, and those in progress as it ended broke off.

Cause: an entry that is missing after an outage may only have expired. It was kept for 2.2 s from when a process found it missing, up to 2 s after that process had seen the end of the outage, which it sees up to 1.6 s late, or up to 3 s later if a relay tells of it. The promise counts from when the store accepted the removal.

Change: Health keeps two bounds of the end of an outage: the last call that failed had begun, and a call succeeded. Entries are kept until 2.2 s after the second, and at most until a server that left when the store had settled must get nothing. Relays tell both. Polls of processes without relays end in time for that.

--- a/cmd/ebonyscale/entry.go
+++ b/cmd/ebonyscale/entry.go
@@ -131,7 +131,7 @@
 		Name: s.Node.Name, Zone: s.Node.AvailabilityZone, Keys: platform.Keys, Feed: store, Store: store, Servers: servers, CloseExpired: servers.Client.CloseExpired,
 		Peers: p.peers, Hops: p.peers, Relays: int(s.Store.Relays), RelayCalls: p.peers, Address: s.Addresses.Peers, Cores: s.Machine.Cores,
 		RetryLimit: quota.Limit{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack},
-		WatchFor:   s.Store.WatchFor, StoreWrites: s.Store.WritesPerSecond, LeaveWithin: s.Bounds.LeaveWithin, Admission: shed.Policy(s.Admission.Policy),
+		WatchFor:   s.Store.WatchFor, StoreWrites: s.Store.WritesPerSecond, LeaveWithin: s.Bounds.LeaveWithin, SettledAfter: s.Bounds.SettledAfter, Admission: shed.Policy(s.Admission.Policy),
 		StrictRevoke: s.Bounds.StrictRevoke, RevokeWithin: s.Bounds.RevokeWithin, Log: p.log, Seed: uint64(os.Getpid()),
 	}
 	p.node.Duties = p.duties(store)
--- a/internal/config/setup/entry.go
+++ b/internal/config/setup/entry.go
@@ -81,6 +81,10 @@
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration `validate:"gt=0"`
+	// SettledAfter is the time after an outage of the store from which on that holds for
+	// backend servers whose entries are removed. Entries that expired in the outage have been
+	// written again by then.
+	SettledAfter time.Duration `validate:"gt=0"`
 	// RevokeWithin is the time within which a key that was removed from the
 	// configuration must no longer be accepted.
 	RevokeWithin time.Duration `validate:"gt=0"`
@@ -125,7 +129,7 @@
 	return Entry{
 		Store:     EntryStore{Timeout: time.Second, WatchFor: 2 * time.Second, WritesPerSecond: 200},
 		Machine:   Machine{MemoryMB: 256, Descriptors: 4096, Cores: 1},
-		Bounds:    Bounds{StopGrace: 8 * time.Second, RetryShare: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10, LeaveWithin: 2 * time.Second, RevokeWithin: 5 * time.Second},
+		Bounds:    Bounds{StopGrace: 8 * time.Second, RetryShare: 0.1, RetryWindow: 10 * time.Second, RetrySlack: 10, LeaveWithin: 2 * time.Second, SettledAfter: 3 * time.Second, RevokeWithin: 5 * time.Second},
 		Admission: Admission{Policy: PolicyArrival},
 		Duties:    Duties{PerSecond: 10, Lease: 3 * time.Second, Window: 5 * time.Second, ReportWithin: 10 * time.Second},
 		Log:       Log{Level: "Info"},
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -4,9 +4,10 @@
 // If an entry is removed while the store is available, its backend server has
 // left and is dropped at once. During a store outage, however, entries expire
 // that their backend servers could not renew, and reappear soon after it. The
-// caller reports an outage with Grace.StoreOutage. An entry that is found to be
-// removed within OutageGrace after the last such report is kept until the end of
-// that time, and dropped then if it has not reappeared. The removal of at least
+// caller says until when with Grace.Outage. An entry that is found to be removed
+// before that is kept until then, and dropped if it has not reappeared: it may also be
+// that of a backend server that has left since, so that the time is counted from the
+// end of the outage and not from when the removal is found. The removal of at least
 // half of all entries at once, and of at least three, also counts as an outage.
 // These entries are kept for Grace.MassRemoval, which should be shorter, as
 // backend servers that have really left get requests until then. An entry that is
@@ -19,7 +20,7 @@
 // # Usage
 //
 //	var servers roster.Roster
-//	changes := servers.Replace(now, revision, list, roster.Grace{StoreOutage: true})
+//	changes := servers.Replace(now, revision, list, roster.Grace{Outage: ended.Add(roster.OutageGrace)})
 //	changes = servers.Update(now, revision, []roster.Event{{Server: server}}, roster.Grace{MassRemoval: time.Second})
 //	for _, server := range servers.Service("jobs") { ... }
 //
@@ -36,8 +37,8 @@
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
-// OutageGrace is how long after a store outage removed entries are kept, for
-// their backend servers to write them again.
+// OutageGrace is how long after the end of a store outage removed entries are kept,
+// for their backend servers to write them again.
 const OutageGrace = 2200 * time.Millisecond
 
 // Change is a change of a backend server's state.
@@ -123,9 +124,9 @@
 // Grace states whether entries that are found to be removed may have expired in
 // a store outage, and how long they are kept.
 type Grace struct {
-	// StoreOutage is set if there was an outage: removed entries are kept for
-	// OutageGrace.
-	StoreOutage bool
+	// Outage is until when removed entries are kept because of an outage; zero if there
+	// was none of late. If it is over, they are not kept.
+	Outage time.Time
 	// MassRemoval is how long removed entries are kept if there was no known
 	// outage, but many were removed at once.
 	MassRemoval time.Duration
@@ -187,8 +188,8 @@
 func (r *Roster) extendGrace(now time.Time, grace Grace, removed int) {
 	until := time.Time{}
 	switch {
-	case grace.StoreOutage:
-		until = now.Add(OutageGrace)
+	case !grace.Outage.IsZero():
+		until = grace.Outage
 	case removed >= minMassRemoval && 2*removed >= len(r.entries):
 		until = now.Add(grace.MassRemoval)
 	}
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -125,23 +125,23 @@
 		{"listed", func(*Roster) {}, []string{"a", "b"}},
 		{"removed while the store is available", func(r *Roster) { remove(r, now, 9) }, []string{"b"}},
 		{"not listed while the store is available", func(r *Roster) { r.Replace(now, 9, []Server{b}, Grace{}) }, []string{"b"}},
-		{"expired in a store outage", func(r *Roster) { r.Replace(now, 9, []Server{b}, Grace{StoreOutage: true}) }, []string{"a", "b"}},
+		{"expired in a store outage", func(r *Roster) { r.Replace(now, 9, []Server{b}, Grace{Outage: now.Add(OutageGrace)}) }, []string{"a", "b"}},
 		{"expired and not written again in time", func(r *Roster) {
-			r.Replace(now, 9, []Server{b}, Grace{StoreOutage: true})
+			r.Replace(now, 9, []Server{b}, Grace{Outage: now.Add(OutageGrace)})
 			r.Expire(now.Add(OutageGrace))
 		}, []string{"b"}},
 		{"expired, end of the grace period not reached", func(r *Roster) {
-			r.Replace(now, 9, []Server{b}, Grace{StoreOutage: true})
+			r.Replace(now, 9, []Server{b}, Grace{Outage: now.Add(OutageGrace)})
 			r.Expire(now.Add(OutageGrace - 1))
 		}, []string{"a", "b"}},
 		{"expired and written again", func(r *Roster) {
-			r.Replace(now, 9, []Server{b}, Grace{StoreOutage: true})
+			r.Replace(now, 9, []Server{b}, Grace{Outage: now.Add(OutageGrace)})
 			change(r, server("a", 1, 2, Ready))
 			r.Expire(now.Add(OutageGrace))
 		}, []string{"a", "b"}},
 		{"not listed twice: the grace period counts from the first time", func(r *Roster) {
-			r.Replace(now, 9, []Server{b}, Grace{StoreOutage: true})
-			r.Replace(now.Add(OutageGrace/2), 9, []Server{b}, Grace{StoreOutage: true})
+			r.Replace(now, 9, []Server{b}, Grace{Outage: now.Add(OutageGrace)})
+			r.Replace(now.Add(OutageGrace/2), 9, []Server{b}, Grace{Outage: now.Add(OutageGrace)})
 			r.Expire(now.Add(OutageGrace))
 		}, []string{"b"}},
 		{"leaving", func(r *Roster) { change(r, server("a", 1, 2, Leaving)) }, []string{"b"}},
@@ -240,27 +240,27 @@
 		want []string
 	}{
 		{"removed in a wait for changes during the outage", func(r *Roster) {
-			r.Update(now, 9, []Event{removed("a"), removed("b")}, Grace{StoreOutage: true})
+			r.Update(now, 9, []Event{removed("a"), removed("b")}, Grace{Outage: now.Add(OutageGrace)})
 		}, []string{"a", "b"}},
 		{"removed in a wait for changes during the outage and not written again in time", func(r *Roster) {
-			r.Update(now, 9, []Event{removed("a")}, Grace{StoreOutage: true})
+			r.Update(now, 9, []Event{removed("a")}, Grace{Outage: now.Add(OutageGrace)})
 			r.Expire(now.Add(OutageGrace))
 		}, []string{"b"}},
 		{"removed shortly after the outage", func(r *Roster) {
-			r.Update(now, 9, []Event{removed("b")}, Grace{StoreOutage: true})
+			r.Update(now, 9, []Event{removed("b")}, Grace{Outage: now.Add(OutageGrace)})
 			r.Update(now.Add(time.Second), 11, []Event{removed("a"), {Server: at(10, server("b", 1, 2, Ready))}}, Grace{})
 		}, []string{"a", "b"}},
 		{"removed shortly after the outage: the grace period counts from its end", func(r *Roster) {
-			r.Update(now, 9, []Event{removed("b")}, Grace{StoreOutage: true})
+			r.Update(now, 9, []Event{removed("b")}, Grace{Outage: now.Add(OutageGrace)})
 			r.Update(now.Add(time.Second), 11, []Event{removed("a"), {Server: at(10, server("b", 1, 2, Ready))}}, Grace{})
 			r.Expire(now.Add(OutageGrace))
 		}, []string{"b"}},
 		{"removed long after the outage", func(r *Roster) {
-			r.Update(now, 9, nil, Grace{StoreOutage: true})
+			r.Update(now, 9, nil, Grace{Outage: now.Add(OutageGrace)})
 			r.Update(now.Add(OutageGrace), 11, []Event{removed("a")}, Grace{})
 		}, []string{"b"}},
 		{"removed and written again in one response", func(r *Roster) {
-			r.Update(now, 9, []Event{removed("a"), {Server: at(8, server("a", 1, 2, Ready))}}, Grace{StoreOutage: true})
+			r.Update(now, 9, []Event{removed("a"), {Server: at(8, server("a", 1, 2, Ready))}}, Grace{Outage: now.Add(OutageGrace)})
 			r.Expire(now.Add(OutageGrace))
 		}, []string{"a", "b"}},
 		{"another process reports the removal", func(r *Roster) { r.MarkLeaving("a", 1, 7, 0) }, []string{"b"}},
@@ -281,11 +281,11 @@
 			change(r, at(8, server("a", 1, 2, Ready)))
 		}, []string{"b"}},
 		{"missing, then another process reports the removal", func(r *Roster) {
-			r.Update(now, 9, []Event{removed("a")}, Grace{StoreOutage: true})
+			r.Update(now, 9, []Event{removed("a")}, Grace{Outage: now.Add(OutageGrace)})
 			r.MarkLeaving("a", 1, 9, 0)
 		}, []string{"b"}},
 		{"missing, then another process reports the removal, then written again", func(r *Roster) {
-			r.Update(now, 9, []Event{removed("a")}, Grace{StoreOutage: true})
+			r.Update(now, 9, []Event{removed("a")}, Grace{Outage: now.Add(OutageGrace)})
 			r.MarkLeaving("a", 1, 9, 0)
 			change(r, at(10, server("a", 1, 2, Ready)))
 			r.Expire(now.Add(OutageGrace))
--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -222,7 +222,7 @@
 				}
 			}
 			v.Replace(store.Page{Revision: 5, Objects: listed}, false)
-			n.health.RecordFailure(time.Now(), "other")
+			n.health.RecordFailure(time.Now(), time.Now(), "other")
 			time.Sleep(c.outage)
 			n.health.RecordSuccess(time.Now(), "other")
 			v.Change(store.Page{Revision: 7, Objects: removals})
--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -87,10 +87,11 @@
 // announce is the task that keeps this process's entry in the store.
 func (n *Node) announce(ctx context.Context) error {
 	for ctx.Err() == nil {
+		called := time.Now()
 		err := n.announceOnce(ctx)
 		wait := announceInterval
 		if err != nil {
-			n.health.RecordFailure(time.Now(), "Announce")
+			n.health.RecordFailure(called, time.Now(), "Announce")
 			n.Log.Info("process could not be announced", zap.Error(err))
 			wait = announceRetry
 		} else {
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -119,6 +119,9 @@
 	// LeaveWithin is the time within which a leaving backend server must stop
 	// getting new requests.
 	LeaveWithin time.Duration
+	// SettledAfter is how long after the end of an outage of the store LeaveWithin holds
+	// again for entries that are removed; 0 means 3 s.
+	SettledAfter time.Duration
 	// StrictRevoke is set if no key must be accepted while the configuration has not been
 	// confirmed at the store within RevokeWithin, by this process or a peer.
 	StrictRevoke bool
@@ -323,8 +326,20 @@
 )
 
 // pollTimeout returns the timeout of a long poll of the store. A process without
-// live peers polls as in a small system.
-func (n *Node) pollTimeout() time.Duration { return min(n.scaledPollTimeout(), maxPollTimeout) }
+// live peers polls as in a small system. A poll that was open in a short outage may get
+// no response: unless there are relays, which confirm theirs more often, it ends in time
+// for a change that was made settledAfter the outage.
+func (n *Node) pollTimeout() time.Duration {
+	longest := maxPollTimeout
+	if n.LeaveWithin > 0 && n.peers.Live() < feed.MinProcesses {
+		longest = max(n.settledAfter()+n.LeaveWithin-storeLag, n.WatchFor)
+	}
+	return min(n.scaledPollTimeout(), longest)
+}
+
+// storeLag is how long after the end of a poll that got no response the objects are listed
+// again: the timeout of calls, a pause, the list, and leaveMargin.
+const storeLag = 1500 * time.Millisecond
 
 // scaledPollTimeout returns WatchFor scaled with the number of live processes.
 func (n *Node) scaledPollTimeout() time.Duration {
--- /dev/null
+++ b/internal/node/core/outage_test.go
@@ -0,0 +1,415 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonyscale.example/ebonyscale/internal/fleet/peers"
+	"ebonyscale.example/ebonyscale/internal/state/store"
+)
+
+// outageMode is what the store does during an outage.
+type outageMode string
+
+// The modes.
+const (
+	// silent leaves calls without a response, also those that are open as it begins.
+	silent outageMode = "silent"
+	// busy refuses calls, open watches go on; refusing cuts these off.
+	busy     outageMode = "busy"
+	refusing outageMode = "refusing"
+)
+
+// troubledStore is a store with outages. It bounds calls as platform.Store does.
+type troubledStore struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]store.Object
+	history  []store.Object
+	mode     outageMode
+	// broken counts the outages that open calls don't survive, cut those in which they end
+	// with an error at once.
+	broken, cut int
+	changed     chan struct{}
+}
+
+const (
+	// callTimeout bounds a call to the store, callTime is how long one takes.
+	callTimeout = time.Second
+	callTime    = 4 * time.Millisecond
+)
+
+var errReset = errors.New("connection reset")
+
+func newTroubledStore() *troubledStore {
+	return &troubledStore{revision: 100, objects: map[string]store.Object{}, changed: make(chan struct{})}
+}
+
+// wake wakes the watches. s.mu must be held.
+func (s *troubledStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// begin begins an outage, end ends it.
+func (s *troubledStore) begin(mode outageMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = mode
+	switch mode {
+	case silent:
+		s.broken++
+	case refusing:
+		s.cut++
+	}
+	s.wake()
+}
+
+func (s *troubledStore) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = ""
+	s.wake()
+}
+
+// write writes an object, also during an outage, or removes it if it has no value.
+func (s *troubledStore) write(o store.Object) store.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o.Version, o.Removed = s.revision, len(o.Value) == 0
+	if s.objects[o.Key] = o; o.Removed {
+		delete(s.objects, o.Key)
+	}
+	s.history = append(s.history, o)
+	s.wake()
+	return o
+}
+
+// enter begins a call.
+func (s *troubledStore) enter(ctx context.Context) error {
+	time.Sleep(callTime)
+	s.mu.Lock()
+	mode := s.mode
+	s.mu.Unlock()
+	switch mode {
+	case silent:
+		<-ctx.Done()
+		return ctx.Err()
+	case busy, refusing:
+		return store.ErrRefused
+	}
+	return nil
+}
+
+func (s *troubledStore) List(ctx context.Context, kind, _ string) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := s.enter(ctx); err != nil {
+		return store.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := store.Page{Revision: s.revision}
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, kind+"/") {
+			p.Objects = append(p.Objects, o)
+		}
+	}
+	return p, nil
+}
+
+func (s *troubledStore) Changes(ctx context.Context, kind string, after uint64, wait time.Duration) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
+	if err := s.enter(ctx); err != nil {
+		return store.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	broken, cut, end := s.broken, s.cut, time.NewTimer(wait)
+	defer end.Stop()
+	for ended := false; ; {
+		p := store.Page{Revision: s.revision}
+		for _, o := range s.history {
+			if strings.HasPrefix(o.Key, kind+"/") && o.Version > after {
+				p.Objects = append(p.Objects, o)
+			}
+		}
+		// During an outage nobody gets a response.
+		if s.mode == "" && (ended || len(p.Objects) > 0) {
+			return p, nil
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-end.C:
+			ended = true
+			end.Reset(callTimeout)
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		switch {
+		case ctx.Err() != nil:
+			return store.Page{}, ctx.Err()
+		case s.cut != cut:
+			return store.Page{}, errReset
+		case s.broken != broken:
+			s.mu.Unlock()
+			<-ctx.Done()
+			s.mu.Lock()
+			return store.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (s *troubledStore) Get(ctx context.Context, key string) (store.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := s.enter(ctx); err != nil {
+		return store.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	if !ok {
+		return store.Object{}, store.ErrAbsent
+	}
+	return o, nil
+}
+
+func (s *troubledStore) Put(ctx context.Context, o store.Object) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := s.enter(ctx); err != nil {
+		return 0, err
+	}
+	return s.write(o).Version, nil
+}
+
+// fleet is a system of processes with a store, which exchange status messages.
+type fleet struct {
+	store *troubledStore
+	nodes []*Node
+	tasks sync.WaitGroup
+	end   context.CancelFunc
+	// bound is the promise on leaving servers.
+	bound time.Duration
+}
+
+// settled is how long after an outage the promises hold again.
+const settled = 3 * time.Second
+
+// startFleet starts so many processes, with an entry of each of so many backend servers.
+func startFleet(t *testing.T, processes, servers int) *fleet {
+	f := &fleet{store: newTroubledStore(), bound: 2 * time.Second}
+	f.store.write(configObject(3))
+	for i := range servers {
+		f.store.write(entryOf(i, 1))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	f.end = cancel
+	for i := range processes {
+		n := newNode(t)
+		n.Name = fmt.Sprint("p", i)
+		n.peers.Self = n.Name
+		n.Feed, n.Store, n.WatchFor, n.LeaveWithin = f.store, f.store, 2*time.Second, f.bound
+		n.tableFollower.Feed = f.store
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		for _, other := range f.nodes {
+			n.peers.Set(peers.Member{Name: other.Name, Address: n.Address})
+		}
+		f.run(ctx, n)
+	}
+	return f
+}
+
+// run runs the tasks of a process that keep its view of the store.
+func (f *fleet) run(ctx context.Context, n *Node) {
+	for _, do := range []func(context.Context) error{
+		n.tableFollower.Run,
+		n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce)).Run,
+		n.follower(n.Keys.QuarantineKind, quarantineView{n.quarantine}, n.membersPollTimeout, nil).Run,
+		n.follower(n.Keys.OriginsKind, n.origins.defaults, n.membersPollTimeout, nil).Run,
+		n.announce,
+	} {
+		f.tasks.Go(func() {
+			time.Sleep(rand.N(time.Second))
+			_ = do(ctx)
+		})
+	}
+	f.tasks.Go(func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			time.Sleep(tickInterval)
+			n.handleChanges(n.roster.Expire(time.Now()))
+			if i%10 != 0 {
+				continue
+			}
+			for _, other := range f.nodes {
+				if other != n {
+					message, _ := n.composeStatus()
+					other.handleStatus(message)
+				}
+			}
+		}
+	})
+}
+
+// close ends the tasks.
+func (f *fleet) close() {
+	f.end()
+	f.tasks.Wait()
+}
+
+// uses returns the processes that use a backend server.
+func (f *fleet) uses(server string) []string {
+	var names []string
+	for _, n := range f.nodes {
+		for _, s := range n.roster.Service("s") {
+			if s.ID == server {
+				names = append(names, n.Name)
+			}
+		}
+	}
+	return names
+}
+
+// entryOf returns the entry of a backend server as it writes it for the nth time.
+func entryOf(server, sequence int) store.Object {
+	o := serverEntry(fmt.Sprint("i-", server), fmt.Sprintf(`,"Sequence":%d`, sequence))
+	o.Value = []byte(strings.Replace(string(o.Value), "10.0.0.1", fmt.Sprint("10.0.1.", server), 1))
+	return o
+}
+
+// expiry is the time without a heartbeat after which an entry expires: in no shorter outage
+// do any.
+const expiry = 3600 * time.Millisecond
+
+// outages are their lengths, in the mode, and the pause between two.
+type outages struct {
+	mode    outageMode
+	lengths []time.Duration
+	pause   time.Duration
+}
+
+// play plays the outages and returns the end of the last one. In the last one it has
+// entries expire if that is long enough.
+func (o outages) play(f *fleet, expire func()) time.Time {
+	for i, length := range o.lengths {
+		if i > 0 {
+			time.Sleep(o.pause)
+		}
+		f.store.begin(o.mode)
+		began := time.Now()
+		if length >= expiry && i == len(o.lengths)-1 {
+			time.Sleep(length/2 + rand.N(length/2))
+			expire()
+		}
+		time.Sleep(time.Until(began.Add(length)))
+		f.store.end()
+	}
+	return time.Now()
+}
+
+// outageCases returns outages of many lengths, alone and in twos.
+func outageCases() []outages {
+	var list []outages
+	for _, mode := range []outageMode{silent, busy, refusing} {
+		for _, length := range []time.Duration{0, 50, 300, 700, 1000, 1500, 2100, 2900, 3300, 4600, 4900, 8000, 15000} {
+			list = append(list, outages{mode, []time.Duration{length * time.Millisecond}, 0})
+		}
+		list = append(list, outages{mode, []time.Duration{4600 * time.Millisecond, 3 * time.Second}, 700 * time.Millisecond},
+			outages{mode, []time.Duration{500 * time.Millisecond, 500 * time.Millisecond}, 300 * time.Millisecond},
+			outages{mode, []time.Duration{3 * time.Second, 4600 * time.Millisecond}, 2500 * time.Millisecond})
+	}
+	return list
+}
+
+// rounds is how often the tests play each case, with other moments.
+var rounds = flag.Int("outage-rounds", 1, "how often each outage is played")
+
+// eachOutage plays all outages with so many processes, beside others in bubbles of their own.
+func eachOutage(t *testing.T, sizes []int, servers int, do func(f *fleet, o outages, round int)) {
+	round := 0
+	for range *rounds {
+		for _, processes := range sizes {
+			for _, o := range outageCases() {
+				round++
+				synctest.Test(t, func(t *testing.T) {
+					f := startFleet(t, processes, servers)
+					defer f.close()
+					time.Sleep(5*time.Second + rand.N(3*time.Second))
+					do(f, o, round)
+				})
+			}
+		}
+	}
+}
+
+// TestServerThatLeftAfterAnOutageIsDroppedInTime guards against a backend server that left when
+// the store was stable again, and that gets requests for longer than LeaveWithin, as its entry
+// might have expired in the outage before.
+func TestServerThatLeftAfterAnOutageIsDroppedInTime(t *testing.T) {
+	afters := []time.Duration{0, 100 * time.Millisecond, time.Second, 0, 2500 * time.Millisecond}
+	var late []string
+	eachOutage(t, []int{1, 3, 6, 13, 23}, 4, func(f *fleet, o outages, round int) {
+		after, leaving := settled+afters[round%len(afters)], 1+2*(round%2)
+		ended := o.play(f, func() {})
+		time.Sleep(time.Until(ended.Add(after)))
+		for i := range leaving {
+			f.store.write(store.Object{Key: fmt.Sprint("servers/i-", i)})
+		}
+		time.Sleep(f.bound)
+		for i := range 4 {
+			users := f.uses(fmt.Sprint("i-", i))
+			if i < leaving && len(users) > 0 || i >= leaving && len(users) < len(f.nodes) {
+				late = append(late, fmt.Sprintf("%v, %d processes, %d servers leave %v after it: i-%d is used by %v", o, len(f.nodes), leaving, after, i, users))
+			}
+		}
+	})
+	assert.Empty(t, late)
+}
+
+// TestServersWhoseEntriesExpiredInAnOutageAreUsed guards against backend servers that get no
+// requests after an outage of the store in which their entries expired, though they have
+// written them again within two seconds.
+func TestServersWhoseEntriesExpiredInAnOutageAreUsed(t *testing.T) {
+	const servers = 4
+	var missing []string
+	eachOutage(t, []int{1, 3, 6}, servers, func(f *fleet, o outages, round int) {
+		expired := 1 + 3*(round%2)
+		ended := o.play(f, func() {
+			for i := range expired {
+				f.store.write(store.Object{Key: fmt.Sprint("servers/i-", i)})
+			}
+		})
+		unused := map[string]bool{}
+		for d := time.Duration(0); d < 5*time.Second; d += 20 * time.Millisecond {
+			time.Sleep(time.Until(ended.Add(d)))
+			for i := range servers {
+				if d == time.Duration(i+1)*500*time.Millisecond {
+					f.store.write(entryOf(i, 9))
+				}
+				name := fmt.Sprint("i-", i)
+				if users := f.uses(name); len(users) < len(f.nodes) && !unused[name] {
+					unused[name] = true
+					missing = append(missing, fmt.Sprintf("%v, %d processes, %d entries: %s is used by %v only %v after the end", o, len(f.nodes), expired, name, users, d))
+				}
+			}
+		}
+	})
+	assert.Empty(t, missing)
+}
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -9,6 +9,7 @@
 
 	"ebonyscale.example/ebonyscale/internal/config/table"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
+	"ebonyscale.example/ebonyscale/internal/state/follow"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
@@ -102,7 +103,42 @@
 // in mass are kept for LeaveWithin less the longest pause after changes, 5/4 of the
 // mean, and less leaveMargin, but at most for roster.OutageGrace.
 func (n *Node) grace(now time.Time, outage bool) roster.Grace {
-	return roster.Grace{StoreOutage: outage || n.health.Outage(now), MassRemoval: max(min(n.LeaveWithin-n.serversDebounce()*5/4-leaveMargin, roster.OutageGrace), 0)}
+	g := roster.Grace{MassRemoval: max(min(n.LeaveWithin-n.serversDebounce()*5/4-leaveMargin, roster.OutageGrace), 0)}
+	last, known := n.health.Last(now)
+	switch {
+	case known && now.Before(last.Seen.Add(roster.OutageGrace)):
+		g.Outage = n.keepUntil(last)
+	case !known && outage:
+		g.Outage = now.Add(roster.OutageGrace)
+	}
+	return g
+}
+
+// keepUntil returns until when servers are kept whose entries may have expired in an
+// outage. A server that leaves from settledAfter after the outage on has LeaveWithin, so
+// that the time is also bounded by the earliest end that the outage can have had.
+func (n *Node) keepUntil(o follow.Outage) time.Time {
+	written := o.Seen.Add(roster.OutageGrace)
+	if n.LeaveWithin <= 0 {
+		return written
+	}
+	left := o.NotBefore.Add(n.settledAfter() + n.LeaveWithin - leaveMargin)
+	if left.Before(written) {
+		return left
+	}
+	return written
+}
+
+// defaultSettled is settledAfter if SettledAfter is not set.
+const defaultSettled = 3 * time.Second
+
+// settledAfter returns how long after an outage of the store removals count as those of a
+// store without outage.
+func (n *Node) settledAfter() time.Duration {
+	if n.SettledAfter <= 0 {
+		return defaultSettled
+	}
+	return n.SettledAfter
 }
 
 // leaveMargin is how long before the end of LeaveWithin a removed backend server
--- a/internal/peer/feed/answer.go
+++ b/internal/peer/feed/answer.go
@@ -117,10 +117,9 @@
 	default:
 		page.Revision = v.revision
 	}
-	return &wire.FeedPart{
-		Kind: p.Kind, Listed: listed, Revision: page.Revision, Objects: encodeObjects(page.Objects),
-		Outage: !v.outage.IsZero() && now.Sub(v.outage) < outageReportTime,
-	}
+	a := &wire.FeedPart{Kind: p.Kind, Listed: listed, Revision: page.Revision, Objects: encodeObjects(page.Objects)}
+	encodeOutage(a, v.outage, now)
+	return a
 }
 
 // outageReportTime is for how long a relay reports an outage of the store after its end. It is
--- a/internal/peer/feed/failure_test.go
+++ b/internal/peer/feed/failure_test.go
@@ -214,3 +214,43 @@
 		})
 	}
 }
+
+// TestOutageIsKnownToHaveEnded guards against an outage of the store that counts for too long: a
+// process that sees its end late, or hears of it from a relay, must know the earliest time at
+// which it may have ended. An entry that is removed when the store is stable again would
+// otherwise be taken for one that expired.
+func TestOutageIsKnownToHaveEnded(t *testing.T) {
+	const (
+		// written is how long after the end that a process has seen entries are expected
+		// back, settled how long after the earliest one they may still be missing.
+		written = 2200 * time.Millisecond
+		settled = 5 * time.Second
+	)
+	for _, length := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second} {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			play(t, 2, func(t *testing.T, w *world) {
+				for _, p := range w.list {
+					p.link.set(true, time.Time{})
+				}
+				time.Sleep(length)
+				for _, p := range w.list {
+					p.link.set(false, time.Time{})
+				}
+				ended := time.Now()
+				late := map[string]time.Duration{}
+				for range 600 {
+					time.Sleep(50 * time.Millisecond)
+					now := time.Now()
+					for _, p := range w.list {
+						last, known := p.health.Last(now)
+						until := earlier(last.Seen.Add(written), last.NotBefore.Add(settled))
+						if known && now.Before(until) && now.Sub(ended) > settled {
+							late[p.Name] = max(late[p.Name], now.Sub(ended))
+						}
+					}
+				}
+				assert.Empty(t, late, "processes that still expect entries back, and when after the end")
+			})
+		})
+	}
+}
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -106,8 +106,8 @@
 	// servedUntil until when it may be given to others: this process's own watch has confirmed
 	// it. confirmed is a time at which it was current.
 	validUntil, servedUntil, confirmed time.Time
-	// outage is when the source of the history last ended an outage of the store.
-	outage time.Time
+	// outage is the last outage of the store that this process's own watch has seen.
+	outage follow.Outage
 	// steady is set while this process's own watch of the kind does not fail, restart ends the
 	// call in progress.
 	steady  bool
--- a/internal/peer/feed/outage.go
+++ b/internal/peer/feed/outage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/state/follow"
 )
 
 // A follower that reads from a relay does not call the store and sees no outage. If a short
@@ -35,7 +36,7 @@
 func (f *Feed) confirmOutage(now time.Time, v *view) {
 	for _, r := range f.failing {
 		if now.Sub(r.at) < reportFor {
-			f.Health.RecordFailure(r.since, v.Name)
+			f.Health.RecordFailure(time.Time{}, r.since, v.Name)
 		}
 	}
 }
@@ -43,13 +44,43 @@
 // allFail records an outage if there are several relays and the calls of all fail. The caller
 // must hold mu.
 func (f *Feed) allFail(now time.Time, relays []Process) {
+	oldest := now
 	for _, p := range relays {
 		r, ok := f.failing[p.Name]
 		if !ok || now.Sub(r.at) > reportFor || r.at.Sub(r.since) < outageAfter {
 			return
 		}
+		oldest = earlier(oldest, r.at)
 	}
 	if len(relays) > 1 {
-		f.Health.RecordOutage(now)
+		f.Health.RecordOutage(follow.Outage{NotBefore: oldest.Add(-noticeWithin), Seen: now})
 	}
 }
+
+// noticeWithin is how late a relay may see the end of an outage: a call times out, and a pause
+// follows.
+const noticeWithin = 2 * time.Second
+
+// encodeOutage adds an outage to an answer if it ended a short time ago.
+func encodeOutage(a *wire.FeedPart, o follow.Outage, now time.Time) {
+	if o.Seen.IsZero() || now.Sub(o.Seen) >= outageReportTime {
+		return
+	}
+	a.Outage = true
+	a.OutageSeenMs = uint32(now.Sub(o.Seen).Milliseconds()) + 1
+	a.OutageSpanMs = uint32(min(o.Seen.Sub(o.NotBefore), maxOutageSpan).Milliseconds())
+}
+
+// maxOutageSpan bounds the time in which an outage may have ended, for a process that does
+// not know when.
+const maxOutageSpan = time.Hour
+
+// decodeOutage returns the outage of an answer, at the latest time that it can have ended. A
+// relay of an older build doesn't say when that was.
+func decodeOutage(a *wire.FeedPart, now time.Time) follow.Outage {
+	if a.OutageSeenMs == 0 {
+		return follow.Outage{NotBefore: now.Add(-outageReportTime), Seen: now}
+	}
+	seen := now.Add(-time.Duration(a.OutageSeenMs-1) * time.Millisecond)
+	return follow.Outage{NotBefore: seen.Add(-time.Duration(a.OutageSpanMs) * time.Millisecond), Seen: seen}
+}
--- a/internal/peer/feed/poll.go
+++ b/internal/peer/feed/poll.go
@@ -286,7 +286,7 @@
 func (f *Feed) applyPart(now time.Time, v *view, part *wire.FeedPart) (bool, error) {
 	page := store.Page{Revision: part.Revision, Objects: decodeObjects(part.Objects)}
 	if part.Outage {
-		f.Health.RecordOutage(now)
+		f.Health.RecordOutage(decodeOutage(part, now))
 	}
 	if part.Listed {
 		return v.replace(now, page)
--- a/internal/peer/feed/watch.go
+++ b/internal/peer/feed/watch.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"ebonyscale.example/ebonyscale/internal/base/timer"
+	"ebonyscale.example/ebonyscale/internal/state/follow"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
@@ -36,6 +37,9 @@
 	// one of them had no response in time.
 	failingSince time.Time
 	timedOut     bool
+	// called is when the last call was made, lost when the last one was that failed or
+	// found the history of changes gone.
+	called, lost time.Time
 	retry        time.Duration
 }
 
@@ -66,6 +70,7 @@
 	for ctx.Err() == nil {
 		var err error
 		changed, watched := false, listed
+		w.called = time.Now()
 		if listed {
 			changed, err = w.watch(ctx, wait)
 		} else {
@@ -77,7 +82,7 @@
 		case errors.Is(err, errRestarted):
 			wait = 0
 		case err != nil:
-			listed = false
+			listed, w.lost = false, w.called
 			if !errors.Is(err, store.ErrForgotten) || !watched || fresh {
 				w.failed(time.Now(), caller, err)
 				w.pause(ctx)
@@ -148,8 +153,8 @@
 	defer f.mu.Unlock()
 	restored := v.listed && store.Era(page.Revision) > store.Era(v.revision)
 	if restored || w.timedOut || !w.failingSince.IsZero() && now.Sub(w.failingSince) > outageAfter {
-		v.outage = now
-		f.Health.RecordOutage(now)
+		v.outage = follow.Outage{NotBefore: w.lost, Seen: now}
+		f.Health.RecordOutage(v.outage)
 	}
 	changed, err := v.replace(now, page)
 	if err != nil {
@@ -208,7 +213,7 @@
 
 // failed records that a call failed.
 func (w *watcher) failed(now time.Time, caller string, err error) {
-	w.feed.Health.RecordFailure(now, caller)
+	w.feed.Health.RecordFailure(w.called, now, caller)
 	w.timedOut = w.timedOut || errors.Is(err, context.DeadlineExceeded)
 	if w.failingSince.IsZero() {
 		w.failingSince = now
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -66,6 +66,9 @@
 	// within its deadline.
 	failingSince time.Time
 	timedOut     bool
+	// called is when the last call was made, lost when the last one was that failed or
+	// found the history of changes gone.
+	called, lost time.Time
 	// listed is set after the first complete list, era is that of the last one.
 	listed bool
 	era    uint64
@@ -146,11 +149,12 @@
 	relisted := false
 	for {
 		waitCtx, done := f.waitContext(ctx)
+		f.called = time.Now()
 		page, err := f.Feed.Changes(waitCtx, f.Kind, after, f.PollTimeout())
 		relist := errors.Is(context.Cause(waitCtx), errRelist)
 		done()
 		if errors.Is(err, store.ErrForgotten) && !relisted || err != nil && relist {
-			relisted = !relist
+			relisted, f.lost = !relist, f.called
 			f.Log.Info("listing objects again", zap.String("Kind", f.Kind), zap.Uint64("After", store.Revision(after)), zap.Error(err))
 			if after, err = f.list(ctx); err != nil {
 				return err
@@ -178,7 +182,8 @@
 
 // recordFailure records a failed call.
 func (f *Follower) recordFailure(err error) {
-	f.Health.RecordFailure(time.Now(), f.Kind)
+	f.lost = f.called
+	f.Health.RecordFailure(f.called, time.Now(), f.Kind)
 	if f.failingSince.IsZero() {
 		f.failingSince = time.Now()
 		f.Log.Warn("store calls are failing", zap.String("Kind", f.Kind), zap.Error(err))
@@ -186,6 +191,14 @@
 	f.timedOut = f.timedOut || errors.Is(err, context.DeadlineExceeded)
 }
 
+// recordOutage records the end of the outage before a list, also if there were too few
+// failures for Health to see it.
+func (f *Follower) recordOutage(page store.Page) {
+	if f.outage(page.Revision) {
+		f.Health.RecordOutage(Outage{NotBefore: f.lost, Seen: time.Now()})
+	}
+}
+
 // recordSuccess records a complete list.
 func (f *Follower) recordSuccess(page store.Page) {
 	f.Health.RecordSuccess(time.Now(), f.Kind)
--- a/internal/state/follow/health.go
+++ b/internal/state/follow/health.go
@@ -14,30 +14,64 @@
 // outage. All methods are safe for concurrent use.
 type Health struct {
 	mu sync.Mutex
-	// failingSince is when the first of the caller's last consecutive failures
-	// happened, by caller. Callers without failures have no entry.
-	failingSince map[string]time.Time
-	// outageEnded is when the last outage ended.
-	outageEnded time.Time
+	// failing has the last consecutive failures, by caller. Callers without
+	// failures have no entry.
+	failing map[string]failures
+	// last is the end of the last outage.
+	last Outage
+}
+
+// failures are the consecutive failures of a caller.
+type failures struct {
+	// since is when the first happened, called when the last failed call began.
+	since, called time.Time
+}
+
+// Outage is what is known of the end of an outage of the store. A process may see
+// the end late: a call that was open as the outage ended gets no response, and the
+// next one follows after a pause.
+type Outage struct {
+	// NotBefore is when the outage had not ended yet: the last call that failed
+	// began then.
+	NotBefore time.Time
+	// Seen is when it had ended: a call succeeded, or the outage still lasts.
+	Seen time.Time
+}
+
+// later returns the later of both times of two outages.
+func (o Outage) later(other Outage) Outage {
+	if other.NotBefore.After(o.NotBefore) {
+		o.NotBefore = other.NotBefore
+	}
+	if other.Seen.After(o.Seen) {
+		o.Seen = other.Seen
+	}
+	return o
 }
 
 // recentOutage is how long after its end an outage is still reported. By then,
 // owners have written expired entries again.
 const recentOutage = 2 * time.Second
 
-// RecordFailure records that a call of the caller failed at now.
-func (h *Health) RecordFailure(now time.Time, caller string) {
+// RecordFailure records that a call of the caller, which was made at called, failed
+// at now.
+func (h *Health) RecordFailure(called, now time.Time, caller string) {
 	if h == nil {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.failingSince == nil {
-		h.failingSince = map[string]time.Time{}
+	if h.failing == nil {
+		h.failing = map[string]failures{}
+	}
+	f, ok := h.failing[caller]
+	if !ok {
+		f.since = now
 	}
-	if _, ok := h.failingSince[caller]; !ok {
-		h.failingSince[caller] = now
+	if called.After(f.called) {
+		f.called = called
 	}
+	h.failing[caller] = f
 }
 
 // RecordSuccess records that a call of the caller succeeded at now.
@@ -47,36 +81,44 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if first, ok := h.failingSince[caller]; ok {
-		delete(h.failingSince, caller)
-		if now.Sub(first) > outageAfter {
-			h.outageEnded = now
+	if f, ok := h.failing[caller]; ok {
+		delete(h.failing, caller)
+		if now.Sub(f.since) > outageAfter {
+			h.last = h.last.later(Outage{NotBefore: f.called, Seen: now})
 		}
 	}
 }
 
-// RecordOutage records that an outage ended at now that another caller has seen, such as
-// a process from which this one reads the store's objects.
-func (h *Health) RecordOutage(now time.Time) {
+// RecordOutage records the end of an outage that can't be seen from failures alone, or
+// that another process has seen, from which this one reads the store's objects.
+func (h *Health) RecordOutage(o Outage) {
 	if h == nil {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.outageEnded = now
+	h.last = h.last.later(o)
 }
 
 // Outage reports whether the store has an outage at now or had one until recently.
 func (h *Health) Outage(now time.Time) bool {
+	last, ok := h.Last(now)
+	return ok && now.Sub(last.Seen) < recentOutage
+}
+
+// Last returns the end of the last outage, false if there was none. The outage may last:
+// Seen is now then.
+func (h *Health) Last(now time.Time) (Outage, bool) {
 	if h == nil {
-		return false
+		return Outage{}, false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, first := range h.failingSince {
-		if now.Sub(first) > outageAfter {
-			return true
+	last := h.last
+	for _, f := range h.failing {
+		if now.Sub(f.since) > outageAfter {
+			last = last.later(Outage{NotBefore: f.called, Seen: now})
 		}
 	}
-	return !h.outageEnded.IsZero() && now.Sub(h.outageEnded) < recentOutage
+	return last, !last.Seen.IsZero()
 }
--- a/internal/state/follow/list.go
+++ b/internal/state/follow/list.go
@@ -17,11 +17,13 @@
 // processes that list at once each started over, none would finish.
 func (f *Follower) list(ctx context.Context) (uint64, error) {
 	began, pause := time.Now(), backoff{}
+	f.called = began
 	all, err := f.Feed.List(ctx, f.Kind, "")
 	if err != nil {
 		return 0, err
 	}
 	for all.Next != "" {
+		f.called = time.Now()
 		page, err := f.Feed.List(ctx, f.Kind, all.Next)
 		if err != nil {
 			if ctx.Err() != nil || time.Since(began) > listTimeout {
@@ -38,6 +40,7 @@
 	if all.Nameless > 0 {
 		f.Log.Warn("objects of the store are left out, their names cannot be read", zap.String("Kind", f.Kind), zap.Int("Objects", all.Nameless))
 	}
+	f.recordOutage(all)
 	f.View.Replace(all, f.outage(all.Revision))
 	f.recordSuccess(all)
 	return all.Revision, nil
