core, roster: servers are kept while a second outage of the store has begun

What callers saw: after two outages in a row in which entries of backend servers expired, the servers got nothing until they had written them again, up to 2 s after the second one.

Cause: missing entries were dropped 2.2 s after the first outage, though the store was away again and they could not be written. A process doesn't know of a silent outage for up to 3 s, as its poll is open.

Change: the servers are listed once more 0.3 s before missing ones are dropped. Without a response they are kept until the outage is known, and until that has ended. Only entries that were removed before the store can have settled.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -82,6 +82,9 @@
 	server Server
 	// expires is when a missing entry is dropped; zero if it is not missing.
 	expires time.Time
+	// outage is set if it was surely removed before the store had settled after an outage:
+	// it is no proof that the backend server leaves.
+	outage bool
 	// removed is the revision at which the entry was found to be removed; 0 if
 	// it was not. dropped is when a backend server was dropped.
 	removed uint64
@@ -98,6 +101,11 @@
 	// graceUntil is the end of the last grace period, in which removed entries
 	// are kept; zero if there was none.
 	graceUntil time.Time
+	// settled is when the store has settled after the last outage.
+	settled time.Time
+	// heldUntil is until when entries that were removed before that are kept in any case,
+	// unless there is a complete list before.
+	heldUntil time.Time
 	// announced has the incarnations that have said themselves that they leave, by
 	// ID, also those whose entry is gone.
 	announced map[string]announcement
@@ -125,8 +133,10 @@
 // a store outage, and how long they are kept.
 type Grace struct {
 	// Outage is until when removed entries are kept because of an outage; zero if there
-	// was none of late. If it is over, they are not kept.
-	Outage time.Time
+	// was none of late. If it is over, they are not kept. Settled is when the store has
+	// surely not settled before: entries that are found to be removed earlier may be kept
+	// for longer if the outage lasts, or another one begins.
+	Outage, Settled time.Time
 	// MassRemoval is how long removed entries are kept if there was no known
 	// outage, but many were removed at once.
 	MassRemoval time.Duration
@@ -148,6 +158,7 @@
 		}
 	}
 	r.extendGrace(now, grace, len(missing))
+	r.heldUntil = time.Time{}
 	var changes []Change
 	for _, s := range servers {
 		changes = r.set(changes, s)
@@ -189,7 +200,8 @@
 	until := time.Time{}
 	switch {
 	case !grace.Outage.IsZero():
-		until = grace.Outage
+		until, r.settled = grace.Outage, grace.Settled
+		r.prolong(until)
 	case removed >= minMassRemoval && 2*removed >= len(r.entries):
 		until = now.Add(grace.MassRemoval)
 	}
@@ -247,13 +259,54 @@
 	defer r.mu.Unlock()
 	var changes []Change
 	for id, e := range r.entries {
-		if !e.expires.IsZero() && !now.Before(e.expires) {
+		held := e.outage && now.Before(r.heldUntil)
+		if !e.expires.IsZero() && !now.Before(e.expires) && !held {
 			changes = r.drop(changes, now, id, Gone, e.removed)
 		}
 	}
 	return changes
 }
 
+// Prolong keeps the servers whose entries were removed before the store had settled until a
+// time, as the outage lasts.
+func (r *Roster) Prolong(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prolong(until)
+}
+
+// prolong is Prolong with r.mu held.
+func (r *Roster) prolong(until time.Time) {
+	for id, e := range r.entries {
+		if e.outage && until.After(e.expires) {
+			e.expires = until
+			r.entries[id] = e
+		}
+	}
+}
+
+// NextGone returns when the first of the servers is dropped whose entries were removed before
+// the store had settled; zero if there are none.
+func (r *Roster) NextGone() time.Time {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var next time.Time
+	for _, e := range r.entries {
+		if e.outage && (next.IsZero() || e.expires.Before(next)) {
+			next = e.expires
+		}
+	}
+	return next
+}
+
+// Hold keeps the servers whose entries were removed before the store had settled until the
+// next complete list, but at most until a time.
+func (r *Roster) Hold(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heldUntil = until
+}
+
 // remove drops an entry that is no longer in the store, or marks it as missing if
 // removed entries are kept at this time.
 func (r *Roster) remove(changes []Change, now time.Time, id string, revision uint64) []Change {
@@ -266,7 +319,7 @@
 	case !e.expires.IsZero():
 		return changes
 	}
-	e.expires, e.removed = r.graceUntil, revision
+	e.expires, e.removed, e.outage = r.graceUntil, revision, now.Before(r.settled)
 	r.entries[id] = e
 	return append(changes, Change{e.server, Missing, revision})
 }
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -140,7 +140,11 @@
 	incarnation   uint64
 	peers         peers.Table
 	tableFollower *follow.Follower
-	health        follow.Health
+	// serversFollower is that of the backend servers, confirmed for which time it was last
+	// made to list them; that is of the task Tick.
+	serversFollower *follow.Follower
+	confirmed       time.Time
+	health          follow.Health
 	// relayed is nil without Relays.
 	relayed      *feed.Feed
 	roster       roster.Roster
@@ -227,6 +231,7 @@
 	n.prepareRelays()
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.tablePollTimeout, n.debounce)
 	n.tableFollower.Feed = n.tableFeed()
+	n.serversFollower = n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce))
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
 	n.Meters.Gauge("BackendServers", func() int64 { return int64(n.roster.Len()) })
 }
@@ -280,7 +285,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	tasks := []task.Task{
 		{Name: "Table", Do: n.tableFollower.Run},
-		{Name: "Servers", Do: n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce)).Run},
+		{Name: "Servers", Do: n.serversFollower.Run},
 		{Name: "Members", Do: n.follower(n.Keys.MembersKind, &membersView{n}, n.membersPollTimeout, n.membersDebounce).Run},
 		{Name: "Announce", Do: n.announce},
 		{Name: "Gone", Do: n.removeGone},
@@ -410,7 +415,7 @@
 func (n *Node) tick(ctx context.Context) error {
 	for i := 1; timer.Wait(ctx, tickInterval); i++ {
 		now := time.Now()
-		n.handleChanges(n.roster.Expire(now))
+		n.expireServers(now)
 		for _, name := range n.peers.Expire(now) {
 			n.Log.Info("process is silent", zap.String("Peer", name))
 			n.Broker.Revoke(name)
--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -225,7 +225,7 @@
 		n.Name = fmt.Sprint("p", i)
 		n.peers.Self = n.Name
 		n.Feed, n.Store, n.WatchFor, n.LeaveWithin = f.store, f.store, 2*time.Second, f.bound
-		n.tableFollower.Feed = f.store
+		n.tableFollower.Feed, n.serversFollower.Feed = f.store, f.store
 		f.nodes = append(f.nodes, n)
 	}
 	for _, n := range f.nodes {
@@ -241,7 +241,7 @@
 func (f *fleet) run(ctx context.Context, n *Node) {
 	for _, do := range []func(context.Context) error{
 		n.tableFollower.Run,
-		n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce)).Run,
+		n.serversFollower.Run,
 		n.follower(n.Keys.QuarantineKind, quarantineView{n.quarantine}, n.membersPollTimeout, nil).Run,
 		n.follower(n.Keys.OriginsKind, n.origins.defaults, n.membersPollTimeout, nil).Run,
 		n.announce,
@@ -254,7 +254,7 @@
 	f.tasks.Go(func() {
 		for i := 0; ctx.Err() == nil; i++ {
 			time.Sleep(tickInterval)
-			n.handleChanges(n.roster.Expire(time.Now()))
+			n.expireServers(time.Now())
 			if i%10 != 0 {
 				continue
 			}
@@ -305,18 +305,20 @@
 	pause   time.Duration
 }
 
-// play plays the outages and returns the end of the last one. In the last one it has
-// entries expire if that is long enough.
+// play plays the outages and returns the end of the last one. In the first that is long
+// enough it has entries expire.
 func (o outages) play(f *fleet, expire func()) time.Time {
+	expired := false
 	for i, length := range o.lengths {
 		if i > 0 {
 			time.Sleep(o.pause)
 		}
 		f.store.begin(o.mode)
 		began := time.Now()
-		if length >= expiry && i == len(o.lengths)-1 {
+		if length >= expiry && !expired {
 			time.Sleep(length/2 + rand.N(length/2))
 			expire()
+			expired = true
 		}
 		time.Sleep(time.Until(began.Add(length)))
 		f.store.end()
@@ -333,7 +335,8 @@
 		}
 		list = append(list, outages{mode, []time.Duration{4600 * time.Millisecond, 3 * time.Second}, 700 * time.Millisecond},
 			outages{mode, []time.Duration{500 * time.Millisecond, 500 * time.Millisecond}, 300 * time.Millisecond},
-			outages{mode, []time.Duration{3 * time.Second, 4600 * time.Millisecond}, 2500 * time.Millisecond})
+			outages{mode, []time.Duration{3 * time.Second, 4600 * time.Millisecond}, 2500 * time.Millisecond},
+			outages{mode, []time.Duration{4600 * time.Millisecond, 8 * time.Second}, time.Second})
 	}
 	return list
 }
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -107,9 +107,9 @@
 	last, known := n.health.Last(now)
 	switch {
 	case known && now.Before(last.Seen.Add(roster.OutageGrace)):
-		g.Outage = n.keepUntil(last)
+		g.Outage, g.Settled = n.keepUntil(last), last.NotBefore.Add(n.settledAfter())
 	case !known && outage:
-		g.Outage = now.Add(roster.OutageGrace)
+		g.Outage, g.Settled = now.Add(roster.OutageGrace), now.Add(n.settledAfter())
 	}
 	return g
 }
@@ -141,6 +141,29 @@
 	return n.SettledAfter
 }
 
+const (
+	// confirmBefore is how long before servers are dropped whose entries are missing since
+	// an outage the store is asked for them once more, confirmWithin how long after that
+	// they are kept if it doesn't respond: a call has failed by then, and another one for
+	// long enough to count as an outage.
+	confirmBefore = 300 * time.Millisecond
+	confirmWithin = 2 * time.Second
+)
+
+// expireServers drops the servers whose entries were not written again in time. Those that
+// are missing because of an outage are kept while it lasts, or another one has begun.
+func (n *Node) expireServers(now time.Time) {
+	if last, known := n.health.Last(now); known && last.Seen.Equal(now) {
+		n.roster.Prolong(n.keepUntil(last))
+	}
+	next := n.roster.NextGone()
+	if !next.IsZero() && !next.Equal(n.confirmed) && now.After(next.Add(-confirmBefore)) && n.serversFollower.Relist() {
+		n.confirmed = next
+		n.roster.Hold(next.Add(confirmWithin))
+	}
+	n.handleChanges(n.roster.Expire(now))
+}
+
 // leaveMargin is how long before the end of LeaveWithin a removed backend server
 // is dropped, since a request may already be on its way to it.
 const leaveMargin = 150 * time.Millisecond
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -82,14 +82,16 @@
 
 // Relist interrupts a wait for changes and lists the objects again. It is meant
 // for cases where the wait apparently misses changes, such as when a peer has a
-// newer version. It does nothing if no wait is in progress, and is safe for
-// concurrent use.
-func (f *Follower) Relist() {
+// newer version. It does nothing and returns false if no wait is in progress, and is
+// safe for concurrent use.
+func (f *Follower) Relist() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancelWait != nil {
-		f.cancelWait(errRelist)
+	if f.cancelWait == nil {
+		return false
 	}
+	f.cancelWait(errRelist)
+	return true
 }
 
 // waitContext returns a context that Relist cancels, and a function that
@@ -99,7 +101,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancelWait = cancel
-	return ctx, func() { cancel(nil) }
+	return ctx, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cancelWait = nil
+		cancel(nil)
+	}
 }
 
 const (
@@ -151,9 +158,12 @@
 		waitCtx, done := f.waitContext(ctx)
 		f.called = time.Now()
 		page, err := f.Feed.Changes(waitCtx, f.Kind, after, f.PollTimeout())
-		relist := errors.Is(context.Cause(waitCtx), errRelist)
 		done()
-		if errors.Is(err, store.ErrForgotten) && !relisted || err != nil && relist {
+		relist := errors.Is(context.Cause(waitCtx), errRelist)
+		if relist && err == nil {
+			f.View.Change(page)
+		}
+		if errors.Is(err, store.ErrForgotten) && !relisted || relist {
 			relisted, f.lost = !relist, f.called
 			f.Log.Info("listing objects again", zap.String("Kind", f.Kind), zap.Uint64("After", store.Revision(after)), zap.Error(err))
 			if after, err = f.list(ctx); err != nil {
