follow: an outage ends when the first caller has seen it

A backend server that left 1.6 s after a store came back was kept for 2.2 s more, as the watch of another kind of objects was the last to find the history gone.

Cause: each caller's own view of the end counted, and the latest one moved the end for all.

Change: a report of an outage whose last failed call began before another call succeeded is about the same outage, and doesn't move its end. A store that came back from a copy did so after the last call that succeeded before.

--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -153,7 +153,7 @@
 // expireServers drops the servers whose entries were not written again in time. Those that
 // are missing because of an outage are kept while it lasts, or another one has begun.
 func (n *Node) expireServers(now time.Time) {
-	if last, known := n.health.Last(now); known && last.Seen.Equal(now) {
+	if last, known := n.health.Last(now); known && last.Lasting && last.Seen.Equal(now) {
 		n.roster.Prolong(n.keepUntil(last))
 	}
 	next := n.roster.NextGone()
--- a/internal/peer/feed/outage.go
+++ b/internal/peer/feed/outage.go
@@ -53,7 +53,7 @@
 		oldest = earlier(oldest, r.at)
 	}
 	if len(relays) > 1 {
-		f.Health.RecordOutage(follow.Outage{NotBefore: oldest.Add(-noticeWithin), Seen: now})
+		f.Health.RecordOutage(follow.Outage{NotBefore: oldest.Add(-noticeWithin), Seen: now, Lasting: true})
 	}
 }
 
--- a/internal/peer/feed/watch.go
+++ b/internal/peer/feed/watch.go
@@ -37,9 +37,9 @@
 	// one of them had no response in time.
 	failingSince time.Time
 	timedOut     bool
-	// called is when the last call was made, lost when the last one was that failed or
-	// found the history of changes gone.
-	called, lost time.Time
+	// called is when the last call was made, notBefore when the last one was that failed or
+	// had a response of the store.
+	called, notBefore time.Time
 	retry        time.Duration
 }
 
@@ -82,7 +82,7 @@
 		case errors.Is(err, errRestarted):
 			wait = 0
 		case err != nil:
-			listed, w.lost = false, w.called
+			listed = false
 			if !errors.Is(err, store.ErrForgotten) || !watched || fresh {
 				w.failed(time.Now(), caller, err)
 				w.pause(ctx)
@@ -153,7 +153,7 @@
 	defer f.mu.Unlock()
 	restored := v.listed && store.Era(page.Revision) > store.Era(v.revision)
 	if restored || w.timedOut || !w.failingSince.IsZero() && now.Sub(w.failingSince) > outageAfter {
-		v.outage = follow.Outage{NotBefore: w.lost, Seen: now}
+		v.outage = follow.Outage{NotBefore: w.notBefore, Seen: now}
 		f.Health.RecordOutage(v.outage)
 	}
 	changed, err := v.replace(now, page)
@@ -213,6 +213,7 @@
 
 // failed records that a call failed.
 func (w *watcher) failed(now time.Time, caller string, err error) {
+	w.notBefore = w.called
 	w.feed.Health.RecordFailure(w.called, now, caller)
 	w.timedOut = w.timedOut || errors.Is(err, context.DeadlineExceeded)
 	if w.failingSince.IsZero() {
@@ -228,7 +229,7 @@
 // succeeded: lists may succeed while no watch does.
 func (w *watcher) succeeded(watched bool) {
 	w.feed.Health.RecordSuccess(time.Now(), "Relay."+w.view.Name)
-	w.failingSince, w.timedOut = time.Time{}, false
+	w.failingSince, w.timedOut, w.notBefore = time.Time{}, false, w.called
 	w.feed.mu.Lock()
 	w.view.failingSince = time.Time{}
 	w.feed.mu.Unlock()
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -66,9 +66,9 @@
 	// within its deadline.
 	failingSince time.Time
 	timedOut     bool
-	// called is when the last call was made, lost when the last one was that failed or
-	// found the history of changes gone.
-	called, lost time.Time
+	// called is when the last call was made, notBefore when the last one was that failed or
+	// had a response of the store.
+	called, notBefore time.Time
 	// listed is set after the first complete list, era is that of the last one.
 	listed bool
 	era    uint64
@@ -164,7 +164,7 @@
 			f.View.Change(page)
 		}
 		if errors.Is(err, store.ErrForgotten) && !relisted || relist {
-			relisted, f.lost = !relist, f.called
+			relisted = !relist
 			f.Log.Info("listing objects again", zap.String("Kind", f.Kind), zap.Uint64("After", store.Revision(after)), zap.Error(err))
 			if after, err = f.list(ctx); err != nil {
 				return err
@@ -174,7 +174,7 @@
 		if err != nil {
 			return err
 		}
-		relisted, *pause = false, backoff{}
+		relisted, *pause, f.notBefore = false, backoff{}, f.called
 		f.View.Change(page)
 		after = max(after, page.Revision)
 		if f.Debounce != nil && len(page.Objects) > 0 && !timer.Wait(ctx, f.Debounce()) {
@@ -192,7 +192,7 @@
 
 // recordFailure records a failed call.
 func (f *Follower) recordFailure(err error) {
-	f.lost = f.called
+	f.notBefore = f.called
 	f.Health.RecordFailure(f.called, time.Now(), f.Kind)
 	if f.failingSince.IsZero() {
 		f.failingSince = time.Now()
@@ -205,7 +205,7 @@
 // failures for Health to see it.
 func (f *Follower) recordOutage(page store.Page) {
 	if f.outage(page.Revision) {
-		f.Health.RecordOutage(Outage{NotBefore: f.lost, Seen: time.Now()})
+		f.Health.RecordOutage(Outage{NotBefore: f.notBefore, Seen: time.Now()})
 	}
 }
 
@@ -222,6 +222,6 @@
 		}
 		f.era = era
 	}
-	f.listed = true
+	f.listed, f.notBefore = true, f.called
 	f.failingSince, f.timedOut = time.Time{}, false
 }
--- a/internal/state/follow/health.go
+++ b/internal/state/follow/health.go
@@ -32,20 +32,25 @@
 // next one follows after a pause.
 type Outage struct {
 	// NotBefore is when the outage had not ended yet: the last call that failed
-	// began then.
+	// began then, or the last one that succeeded before a store came back from a copy.
 	NotBefore time.Time
-	// Seen is when it had ended: a call succeeded, or the outage still lasts.
-	Seen time.Time
+	// Seen is when it had ended: a call succeeded. If Lasting is set, it had not.
+	Seen    time.Time
+	Lasting bool
 }
 
-// later returns the later of both times of two outages.
-func (o Outage) later(other Outage) Outage {
-	if other.NotBefore.After(o.NotBefore) {
-		o.NotBefore = other.NotBefore
+// and returns the outage that is known once a caller has seen another one after it, or the
+// same one later. It is the same one if the caller's last call that failed began before a
+// call of another one succeeded.
+func (o Outage) and(other Outage) Outage {
+	notBefore := o.NotBefore
+	if other.NotBefore.After(notBefore) {
+		notBefore = other.NotBefore
 	}
-	if other.Seen.After(o.Seen) {
-		o.Seen = other.Seen
+	if o.Lasting || notBefore.After(o.Seen) {
+		o = other
 	}
+	o.NotBefore = notBefore
 	return o
 }
 
@@ -84,7 +89,7 @@
 	if f, ok := h.failing[caller]; ok {
 		delete(h.failing, caller)
 		if now.Sub(f.since) > outageAfter {
-			h.last = h.last.later(Outage{NotBefore: f.called, Seen: now})
+			h.last = h.last.and(Outage{NotBefore: f.called, Seen: now})
 		}
 	}
 }
@@ -97,7 +102,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.last = h.last.later(o)
+	h.last = h.last.and(o)
 }
 
 // Outage reports whether the store has an outage at now or had one until recently.
@@ -106,8 +111,7 @@
 	return ok && now.Sub(last.Seen) < recentOutage
 }
 
-// Last returns the end of the last outage, false if there was none. The outage may last:
-// Seen is now then.
+// Last returns the end of the last outage, false if there was none. If it lasts, Seen is now.
 func (h *Health) Last(now time.Time) (Outage, bool) {
 	if h == nil {
 		return Outage{}, false
@@ -117,7 +121,7 @@
 	last := h.last
 	for _, f := range h.failing {
 		if now.Sub(f.since) > outageAfter {
-			last = last.later(Outage{NotBefore: f.called, Seen: now})
+			last = last.and(Outage{NotBefore: f.called, Seen: now, Lasting: true})
 		}
 	}
 	return last, !last.Seen.IsZero()
--- a/internal/state/follow/health_test.go
+++ b/internal/state/follow/health_test.go
@@ -50,3 +50,27 @@
 	none.RecordSuccess(start, "a")
 	assert.False(t, none.Outage(start))
 }
+
+// TestOutageSeenByTwoCallers checks that an outage whose end one caller sees later than another
+// counts from the first, and that a second one counts for itself.
+func TestOutageSeenByTwoCallers(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		name string
+		then Outage
+		want Outage
+	}{
+		{"the same one, seen later", Outage{NotBefore: at(900), Seen: at(2500)}, Outage{NotBefore: at(900), Seen: at(1000)}},
+		{"the same one, of which less is known", Outage{NotBefore: at(100), Seen: at(1200)}, Outage{NotBefore: at(800), Seen: at(1000)}},
+		{"a second one", Outage{NotBefore: at(1100), Seen: at(3000)}, Outage{NotBefore: at(1100), Seen: at(3000)}},
+		{"a second one that lasts", Outage{NotBefore: at(1100), Seen: at(3000), Lasting: true}, Outage{NotBefore: at(1100), Seen: at(3000), Lasting: true}},
+	} {
+		var h Health
+		h.RecordOutage(Outage{NotBefore: at(500), Seen: at(700), Lasting: true})
+		h.RecordOutage(Outage{NotBefore: at(800), Seen: at(1000)})
+		h.RecordOutage(c.then)
+		got, known := h.Last(at(3000))
+		assert.True(t, known)
+		assert.Equal(t, c.want, got, c.name)
+	}
+}
