core: repeats of crash reports delay no new one

Cause: reports of long prompts are sent at a bounded rate, in the order in which they were made, and were dropped after 3 s. Repeats of the first ones delayed those that were not sent yet.

Change: what was not sent before goes first, and is kept until it was. Evidence: TestRepeatsOfReportsDelayNoNewOne (40 prompts of 1,300 parts at once), red with the order before. Found by reading.

--- a/internal/node/core/quarantine_test.go
+++ b/internal/node/core/quarantine_test.go
@@ -385,3 +385,28 @@
 		})
 	}
 }
+
+// TestRepeatsOfReportsDelayNoNewOne checks that the reports of many long prompts are all sent once
+// as fast as messages may be, before any of them is sent again.
+func TestRepeatsOfReportsDelayNoNewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		n := c[0]
+		for i := range 40 {
+			prompt := make([]string, 1300)
+			for p := range prompt {
+				prompt[p] = fmt.Sprintf("%02x%06x", i, p)
+			}
+			n.quarantine.Crashed(time.Now(), roster.Server{ID: fmt.Sprint("i-", i/8), Born: 1}, uint64(i), prompt)
+		}
+		messages := 40 * (1300*partBytes("00000000")/(maxNewsBytes-messageOverhead-reportBytes) + 1) * 5
+		for range messages / maxReportMessages {
+			time.Sleep(quarantineInterval)
+			n.quarantine.mu.Lock()
+			n.quarantine.sendReports(time.Now())
+			n.quarantine.mu.Unlock()
+			c.deliver(func(string, string) bool { return true })
+		}
+		assert.False(t, slices.ContainsFunc(n.quarantine.reports, func(r *ownReport) bool { return r.sent.IsZero() }))
+	})
+}
--- a/internal/node/core/reports.go
+++ b/internal/node/core/reports.go
@@ -83,7 +83,7 @@
 func (q *quarantine) sendReports(now time.Time) {
 	kept := q.reports[:0]
 	for _, r := range q.reports {
-		if now.Sub(r.made) < resendFor || r.next > 0 {
+		if r.sent.IsZero() || now.Sub(r.made) < resendFor || r.next > 0 {
 			kept = append(kept, r)
 		}
 	}
@@ -93,10 +93,7 @@
 		q.sentAt, q.sent = now, 0
 	}
 	batch, size := []*wire.CrashReport(nil), messageOverhead
-	for _, r := range q.reports {
-		if r.next == 0 && now.Sub(r.sent) < r.pause {
-			continue
-		}
+	for _, r := range q.due(now) {
 		for more := true; more; {
 			if size+reportBytes >= maxNewsBytes {
 				q.sendBatch(batch)
@@ -114,6 +111,21 @@
 	q.sendBatch(batch)
 }
 
+// due returns the reports that are due, those first that were not sent before: repeats of long
+// ones must not delay them. q.mu must be held.
+func (q *quarantine) due(now time.Time) []*ownReport {
+	var fresh, repeats []*ownReport
+	for _, r := range q.reports {
+		switch {
+		case r.sent.IsZero():
+			fresh = append(fresh, r)
+		case r.next > 0 || now.Sub(r.sent) >= r.pause:
+			repeats = append(repeats, r)
+		}
+	}
+	return append(fresh, repeats...)
+}
+
 // sendBatch sends reports in one message to the collectors. q.mu must be held.
 func (q *quarantine) sendBatch(batch []*wire.CrashReport) {
 	if len(batch) == 0 {
