httpd: requests that have arrived are served though the process was late to read them

What callers saw: during a planned stop on a busy machine their first request on a new connection was answered by a reset.

Cause: CloseIdle took the age of a connection (newFor, 200 ms) for the time that its client had had, but a process without processor time lets the request lie unread in its socket just as long. It closed the connection from another goroutine, also between the read of the first byte and the note that a request is there.

Change: CloseIdle only interrupts the wait; the goroutine of the connection looks whether bytes have arrived and serves them, and closes otherwise. Nobody else reads, so that there is no gap between look and close.

Evidence: TestCloseIdleServesRequestsThatWereNotRead, red before (connection reset by peer), green after; the package's other tests 3 of 3 green with -race. Conclusion: right for all reasons for which a process is late (load, pauses).

--- a/internal/node/httpd/conn.go
+++ b/internal/node/httpd/conn.go
@@ -4,15 +4,18 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -31,7 +34,8 @@
 )
 
 // conn is one client's connection. One goroutine serves it; closeIdle and close may
-// be called from others.
+// be called from others. Only that goroutine knows what has been read, so that closeIdle
+// leaves it the decision whether the connection is closed.
 type conn struct {
 	server *Server
 	raw    net.Conn
@@ -46,13 +50,15 @@
 	// accepted is when the connection was accepted.
 	accepted time.Time
 
-	// mu guards the fields below. used is set once a request has come, cancel ends the context
-	// of the one that is being served.
-	mu     sync.Mutex
-	idle   bool
-	closed bool
-	used   bool
-	cancel context.CancelCauseFunc
+	// mu guards the fields below. leaving is set once CloseIdle has ended the wait for the
+	// next request, used once a request has come; cancel ends the context of the one that is
+	// being served.
+	mu      sync.Mutex
+	idle    bool
+	leaving bool
+	closed  bool
+	used    bool
+	cancel  context.CancelCauseFunc
 }
 
 // newFor is how long the first request of a connection may be on its way. Until then
@@ -91,13 +97,16 @@
 	since := time.Now()
 	for {
 		limit := c.server.Limits().IdleTimeout + idleSlack
-		if c.raw.SetReadDeadline(since.Add(limit)) != nil {
+		if c.setIdleDeadline(since.Add(limit)) != nil {
 			return false
 		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return c.setIdle(false)
 		}
+		if c.isLeaving() {
+			return c.hasUnread() && c.setIdle(false)
+		}
 		// The timeout may have been raised meanwhile.
 		extended := errors.Is(err, os.ErrDeadlineExceeded) && time.Since(since) < c.server.Limits().IdleTimeout
 		if !extended {
@@ -111,11 +120,50 @@
 func (c *conn) setIdle(idle bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.idle, c.leaving = idle, false
 	c.used = c.used || !idle
 	return !c.closed
 }
 
+// setIdleDeadline sets until when the next request is awaited, unless CloseIdle has ended
+// the wait.
+func (c *conn) setIdleDeadline(until time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return nil
+	}
+	if err := c.raw.SetReadDeadline(until); err != nil {
+		return fmt.Errorf("wait for a request: %w", err)
+	}
+	return nil
+}
+
+// isLeaving reports whether CloseIdle has ended the wait for the next request.
+func (c *conn) isLeaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
+}
+
+// hasUnread reports whether bytes of the client have arrived that were not read.
+func (c *conn) hasUnread() bool {
+	socket, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var unread int
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		unread, _, _ = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && unread > 0
+}
+
 // setCancel sets what ends the context of the current request, nil if there is none.
 func (c *conn) setCancel(cancel context.CancelCauseFunc) {
 	c.mu.Lock()
@@ -133,16 +181,19 @@
 	}
 }
 
-// closeIdle closes the connection if it is between two requests, or has had none for
-// newFor.
+// closeIdle ends the wait for the next request if the connection is between two, or has had
+// none for newFor. A request that has arrived by then is still served, however late the
+// process comes to read it; otherwise the connection is closed.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
-	idle := c.idle && !c.closed && (c.used || time.Since(c.accepted) >= newFor)
-	c.closed = c.closed || idle
-	c.mu.Unlock()
-	if idle {
-		c.raw.Close()
+	defer c.mu.Unlock()
+	if !c.idle || c.leaving || !c.used && time.Since(c.accepted) < newFor {
+		return
 	}
+	c.leaving = true
+	// A deadline in the past interrupts the read. The error is ignored: it means that the
+	// connection is closed.
+	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 }
 
 func (c *conn) close() {
--- a/internal/node/httpd/httpd.go
+++ b/internal/node/httpd/httpd.go
@@ -159,7 +159,8 @@
 // Drain makes every response from now on the last one of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections that are between two requests.
+// CloseIdle closes the connections that are between two requests, and of which no further
+// request has arrived.
 func (s *Server) CloseIdle() {
 	for _, c := range s.connections() {
 		c.closeIdle()
