httpd: connections that wait to be accepted are served before a server refuses further ones

What callers saw: at the end of a planned stop on a busy machine, connections that the kernel had taken were reset, though the server still was to serve them.

Cause: Refuse stops the intake of new connections, waits 50 ms and closes the listener; the kernel resets what the accept loop, late by more than that, hasn't taken.

Change: after the 50 ms Refuse waits until no connection waits to be accepted, which the socket of the listener tells; Stop bounds this to lastWait before the end of its grace, so that the promise to end in time stands.

Conclusion: what is served at the end of a stop depends on no time that the process may lack, as long as the grace lasts.

--- a/internal/node/httpd/held_test.go
+++ b/internal/node/httpd/held_test.go
@@ -68,3 +68,20 @@
 	assert.Equal(t, "200 GET /a 0", got)
 	assert.Eventually(t, func() bool { s.CloseIdle(); return s.Connections() == 0 }, time.Second, time.Millisecond)
 }
+
+// TestRefuseServesConnectionsThatWereNotAccepted guards against connections that are reset
+// since the process had no time to accept them before it refused further ones.
+func TestRefuseServesConnectionsThatWereNotAccepted(t *testing.T) {
+	s, l, conn := startHeld(t)
+	close(l.read)
+	refused := make(chan struct{})
+	go func() {
+		defer close(refused)
+		s.Refuse(t.Context())
+	}()
+	time.Sleep(4 * handshakeTime)
+	close(l.accept)
+	got, _ := readResponse(t, bufio.NewReader(conn))
+	assert.Equal(t, "200 GET /a 0", got)
+	<-refused
+}
--- a/internal/node/httpd/refuse.go
+++ b/internal/node/httpd/refuse.go
@@ -30,10 +30,13 @@
 // accepted.
 const handshakeTime = 50 * time.Millisecond
 
+// acceptPoll is how often Refuse looks whether connections wait to be accepted.
+const acceptPoll = 5 * time.Millisecond
+
 // Refuse closes the listener, so that new connections are refused, and returns once those
 // that were accepted are known. They are served. The kernel resets connections that wait to be
-// accepted at that moment; therefore it takes no new ones for handshakeTime before, or until
-// ctx ends: their clients try again and are refused.
+// accepted at that moment; therefore it takes no new ones for handshakeTime before, and then
+// until none waits, or until ctx ends: their clients try again and are refused.
 func (s *Server) Refuse(ctx context.Context) {
 	s.mu.Lock()
 	listener := s.listener
@@ -45,22 +48,46 @@
 		s.logger().Info("connections that wait to be accepted may be reset", zap.Error(err))
 	}
 	timer.Wait(ctx, handshakeTime)
+	for hasWaiting(listener) && timer.Wait(ctx, acceptPoll) {
+	}
 	listener.Close()
 	s.accepting.Wait()
 }
 
+// hasWaiting reports whether connections wait to be accepted.
+func hasWaiting(listener net.Listener) bool {
+	raw, err := rawSocket(listener)
+	if err != nil {
+		return false
+	}
+	var ready int
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
+
 // errNoSocket means that a listener is no socket.
 var errNoSocket = errors.New("listener is no socket")
 
-// dropHandshakes makes the kernel drop the first packets of new connections.
-func dropHandshakes(listener net.Listener) error {
+// rawSocket returns the socket of a listener.
+func rawSocket(listener net.Listener) (syscall.RawConn, error) {
 	socket, ok := listener.(syscall.Conn)
 	if !ok {
-		return errNoSocket
+		return nil, errNoSocket
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return fmt.Errorf("socket of the listener: %w", err)
+		return nil, fmt.Errorf("socket of the listener: %w", err)
+	}
+	return raw, nil
+}
+
+// dropHandshakes makes the kernel drop the first packets of new connections.
+func dropHandshakes(listener net.Listener) error {
+	raw, err := rawSocket(listener)
+	if err != nil {
+		return err
 	}
 	var optionErr error
 	err = raw.Control(func(fd uintptr) {
