call, broker: a server that has left while it was connected to gets no request

A request whose server ends soon after breaks off.

Cause: a request chooses its server before there is a connection, which may take up to 1 s to be made (packets lost, a full queue of the server). A server is dropped 150 ms before the promise ends, so that the request came up to 0.85 s late.

Change: call.Options.Wanted is asked once there is a connection, right before the first byte; broker looks whether the server is in the roster and wants no pause. If not, the request has not run, the server counts as reached, the connection goes back to the pool and the next server is chosen.

--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -124,6 +124,9 @@
 // called regularly.
 func (c *Client) CloseExpired() { c.pool.closeExpired(time.Now()) }
 
+// ErrUnwanted means that Options.Wanted has withdrawn the request.
+var ErrUnwanted = errors.New("the request is no longer wanted there")
+
 // Options are the settings of one exchange.
 type Options struct {
 	// NewConnection dials a new connection. The server may have closed an idle
@@ -141,6 +144,10 @@
 	DiscardUnsent bool
 	// MaxOpen limits the connections open to the address; 0 means no limit.
 	MaxOpen int
+	// Wanted, if set, reports whether the request is still to be sent once there is a
+	// connection, which may have taken a second to make. If not, nothing is written, and
+	// Do fails with ErrUnwanted.
+	Wanted func() bool
 	// Matches, if set, reports whether a response belongs to this request. On a
 	// reused connection a late response to an earlier request may come first;
 	// such mismatched responses are dropped.
@@ -182,6 +189,10 @@
 	if err != nil {
 		return nil, &Error{StageDialing, address, withContextError(ctx, err)}
 	}
+	if options.Wanted != nil && !options.Wanted() {
+		c.pool.put(conn, c.MaxIdle)
+		return nil, &Error{StageDialing, address, ErrUnwanted}
+	}
 	if options.DiscardUnsent {
 		if err := conn.discardUnsent(); err != nil {
 			conn.Close()
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -79,6 +79,9 @@
 	Fetch netip.AddrPort
 	// NewConnection requires a new connection instead of a pooled one.
 	NewConnection bool
+	// Wanted reports whether the backend server may still get the request. Servers asks
+	// once there is a connection, right before the request is sent.
+	Wanted func() bool
 	// MaxConnections limits this process's connections to the backend server; 0
 	// means no limit.
 	MaxConnections int
--- a/internal/node/broker/broker_test.go
+++ b/internal/node/broker/broker_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"ebonyscale.example/ebonyscale/internal/config/table"
+	"ebonyscale.example/ebonyscale/internal/fleet/call"
 	"ebonyscale.example/ebonyscale/internal/fleet/roster"
 	"ebonyscale.example/ebonyscale/internal/fleet/usage"
 	"ebonyscale.example/ebonyscale/internal/route/quota"
@@ -174,6 +175,51 @@
 	})
 }
 
+// TestServerThatLeavesWhileItIsConnectedToGetsNoRequest guards against requests that reach a
+// server which has left, or asked for a pause, while the connection for them was made.
+func TestServerThatLeavesWhileItIsConnectedToGetsNoRequest(t *testing.T) {
+	ends := map[string]func(f *fixture, server roster.Server){
+		"leaves": func(f *fixture, server roster.Server) { f.leave(server.ID) },
+		"pauses": func(f *fixture, server roster.Server) { f.Notice(server, Notice{Pause: time.Minute}) },
+	}
+	for name, end := range ends {
+		for _, path := range []string{"/read/1", "/chat/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { newFixture(t).endWhileConnecting(t, path, end) })
+			})
+		}
+	}
+}
+
+// endWhileConnecting serves a request, whose first server no longer wants it once there is a
+// connection.
+func (f *fixture) endWhileConnecting(t *testing.T, path string, end func(*fixture, roster.Server)) {
+	t.Helper()
+	f.addEngines()
+	serves, first := f.fleet.fallback, ""
+	if path == "/read/1" {
+		serves = succeeds
+	}
+	f.fleet.fallback = func(ctx context.Context, s *sent) (*Response, error) {
+		if first == "" {
+			first = s.server
+			server, _ := f.roster.Find(s.server, 1)
+			end(f, server)
+		}
+		if s.call.Wanted != nil && !s.call.Wanted() {
+			s.lost = true
+			return nil, &call.Error{Stage: call.StageDialing, Err: call.ErrUnwanted}
+		}
+		return serves(ctx, s)
+	}
+	got := f.serve(t.Context(), newPromptRequest(path, 9000, 100))
+	assert.True(t, got.ended || len(got.replies) == 1 && got.replies[0].Status == 200, "%+v", got.replies)
+	for _, s := range f.fleet.sent {
+		assert.Equal(t, s.server == first, s.lost, "%s at %s", path, s.server)
+	}
+	assert.Zero(t, f.undialable.Load(), "the server was reached")
+}
+
 func TestLeavingServerGetsNoRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
--- a/internal/node/broker/failure.go
+++ b/internal/node/broker/failure.go
@@ -27,8 +27,10 @@
 }
 
 // unreachable reports whether the backend server did not accept a connection, other than
-// because this process has as many there as it may.
-func (f *failure) unreachable() bool { return f.dialFailed && !errors.Is(f.err, call.ErrBusy) }
+// because this process has as many there as it may, or has not sent the request.
+func (f *failure) unreachable() bool {
+	return f.dialFailed && !errors.Is(f.err, call.ErrBusy) && !errors.Is(f.err, call.ErrUnwanted)
+}
 
 // errStalled is the cancellation cause of an attempt whose backend server has
 // stalled.
@@ -89,6 +91,8 @@
 		return usage.Failed
 	case j.ctx.Err() != nil:
 		return usage.Neutral
+	case errors.Is(f.err, call.ErrUnwanted):
+		return usage.Neutral
 	case errors.Is(f.err, call.ErrBusy):
 		return usage.Full
 	case errors.As(f.err, &status) && status.replaced:
--- a/internal/node/broker/job.go
+++ b/internal/node/broker/job.go
@@ -203,6 +203,13 @@
 	}
 }
 
+// mayUse reports whether a backend server that was chosen before may still get a request: it
+// has not begun to leave, and does not ask for a pause.
+func (b *Broker) mayUse(server roster.Server) bool {
+	_, ready := b.Roster.Find(server.ID, server.Born)
+	return ready && !b.Usage.Get(time.Now(), server).Paused
+}
+
 // maxConnections returns this process's share of the connections that a backend
 // server of the service accepts, or 0 if they are not limited. The share leaves
 // capacity for one process that is not a member yet, and is at least 2.
@@ -229,6 +236,7 @@
 		zap.Int("Send", j.attempts), zap.Duration("Waited", p.waited), zap.String("Coordinator", p.coordinator),
 		zap.String("After", c.After), zap.String("Origin", j.request.Origin))
 	j.placeStream(p.server)
+	c.Wanted = func() bool { return j.broker.mayUse(p.server) }
 	response, err := j.broker.Servers.Send(ctx, p.server, c)
 	if err != nil {
 		f := j.sendFailure(ctx, err)
--- a/internal/node/broker/prefill.go
+++ b/internal/node/broker/prefill.go
@@ -259,6 +259,7 @@
 	// Prefills may be repeated, but see newCall for the attempts after the first.
 	c.NewConnection = j.attempts+j.dialFailures > 0
 	c.Fetch = j.fetchSource(p)
+	c.Wanted = func() bool { return j.broker.mayUse(p.server) }
 	j.broker.Log.Info("prefill placed", zap.String("Request", j.request.ID), zap.String("Route", j.route.Name),
 		zap.Uint64("Version", j.table.Version), zap.String("Server", p.server.ID), zap.Int64("Born", p.server.Born),
 		zap.Int("Prompt", j.request.PromptTokens), zap.Duration("Waited", p.waited), zap.String("Coordinator", p.coordinator),
