crash: as many requests as a quarantine holds need one crash to come back into it

Cause: a request that comes again after its ten minutes in quarantine goes back after one crash, if it is remembered; 256 were, while a quarantine holds 1,024. The 257th cost three servers, with all that ran there, each ten minutes.

Change: one bound for both, maxSubjects; 1,024 names of some 30 bytes.

Result: TestOneCrashIsEnoughForEachRequestOfAQuarantine, red before, green after; the check of the bound itself now has 1,024. Conclusion: what the quarantine can keep away it keeps away again at once.

--- a/internal/fleet/crash/cause_test.go
+++ b/internal/fleet/crash/cause_test.go
@@ -206,6 +206,18 @@
 	}
 }
 
+// TestOneCrashIsEnoughForEachRequestOfAQuarantine guards against three more crashes by a
+// request that was found after many others.
+func TestOneCrashIsEnoughForEachRequestOfAQuarantine(t *testing.T) {
+	var e Evidence
+	for i := range maxSubjects {
+		e.Found(at(i), RequestSubject(uint64(i)), QuarantineTime)
+	}
+	again := at(0).Add(QuarantineTime + time.Minute)
+	e.add(again, 1, maxSubjects-1)
+	assert.Equal(t, []string{RequestSubject(maxSubjects - 1)}, e.subjects(again.Add(settleTime), never))
+}
+
 // TestOneCrashIsEnoughAfterAQuarantine checks that a request which crashes servers again
 // after its quarantine has ended needs no further proof.
 func TestOneCrashIsEnoughAfterAQuarantine(t *testing.T) {
@@ -225,10 +237,10 @@
 		assert.Empty(t, e.Causes(again.Add(settleTime), never), "it was served")
 	}
 	var e Evidence
-	for i := range 2 * maxRelapses {
+	for i := range 2 * maxSubjects {
 		e.Found(at(i), RequestSubject(uint64(i)), QuarantineTime)
 	}
-	assert.Len(t, e.relapses, maxRelapses)
+	assert.Len(t, e.relapses, maxSubjects)
 	e.add(at(0).Add(relapseTime+time.Minute), 1, 1)
 	assert.Empty(t, e.relapses)
 }
--- a/internal/fleet/crash/evidence.go
+++ b/internal/fleet/crash/evidence.go
@@ -21,13 +21,12 @@
 	// part that was there at most: one request says nothing of its parts.
 	requiredElsewhere = 2
 	// requiredForRequest is how many crashes a request must have been there at to be a
-	// cause. One is enough if it was the cause of crashes before, within relapseTime, of
-	// which is remembered for maxRelapses requests.
+	// cause. One is enough if it was the cause of crashes before, within relapseTime,
+	// which is remembered for as many requests as a Quarantine has.
 	// A request that was served before, beside one that never was, needs
 	// requiredAfterSuccess.
 	requiredForRequest = 3
 	relapseTime        = time.Hour
-	maxRelapses        = 256
 	// settleTime is how long a process that collects reports asks who has served a
 	// subject before that becomes a cause.
 	settleTime = 300 * time.Millisecond
@@ -302,9 +301,9 @@
 	switch {
 	case !IsRequest(name):
 	case explains(name, quarantine):
-		remember(&e.relapses, name, now, maxRelapses)
+		remember(&e.relapses, name, now, maxSubjects)
 	default:
-		remember(&e.doubts, name, now, maxRelapses)
+		remember(&e.doubts, name, now, maxSubjects)
 	}
 }
 
