core: requests at many peers aren't limited together

Cause: maxHops, one bound for all peers together, taken from a system of three processes, where two peers serve 128 each. With more of them it is the lower one.

Change: the bound is that of each peer (maxServing, which the peer enforces); a peer that has as many from this process is not chosen, and another one is. What all requests hold together is bounded where it arises, by connections and by bytes of bodies.

Result: TestRequestsAtManyPeersAreNotLimitedTogether and a case of TestPeerIsChosenByLoad, red before, green after, as are the other tests of hops with -race.

--- a/internal/node/core/carry.go
+++ b/internal/node/core/carry.go
@@ -38,9 +38,7 @@
 type hop struct{ cancel context.CancelCauseFunc }
 
 const (
-	// maxHops is how many requests of this process peers serve at a time, maxServing how
-	// many this process serves for peers.
-	maxHops    = 256
+	// maxServing is how many requests a process serves for its peers at a time.
 	maxServing = 128
 	// handoverTimeout is the time within which a peer has to take the next part of a request
 	// that is handed to it, and to accept the request after the last part. The first part
@@ -63,7 +61,7 @@
 var (
 	errHandover   = errors.New("the peer has not accepted the request in time")
 	errPeerSilent = errors.New("the peer is silent")
-	errTooMany    = errors.New("too many requests are at peers")
+	errTooMany    = errors.New("too many requests are at the peer")
 	errProtocol   = errors.New("unexpected message")
 )
 
@@ -80,14 +78,15 @@
 }
 
 // chooseReacher returns the least busy of the peers, of those that are equal one by random;
-// empty if all are excluded. hops is how many requests a peer has from this process.
+// empty if all are excluded or serve as many for this process as they may. hops is how many requests a peer has from this process.
 func chooseReacher(list []peers.Reacher, zone string, excluded map[string]bool, hops func(name string) int, random uint64) string {
 	best, lowest, equal := "", 0, uint64(0)
 	for _, p := range list {
-		if excluded[p.Name] {
+		own := hops(p.Name)
+		if excluded[p.Name] || own >= maxServing {
 			continue
 		}
-		cost := p.Running + hops(p.Name)
+		cost := p.Running + own
 		if p.AvailabilityZone != zone {
 			cost += farCost
 		}
@@ -113,15 +112,11 @@
 	}
 }
 
-// begin registers a request at a peer, and returns false if there are too many.
+// begin registers a request at a peer, and returns false if that has as many as it serves.
 func (c *carrier) begin(peer string, h *hop) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sum := 0
-	for _, list := range c.hops {
-		sum += len(list)
-	}
-	if sum >= maxHops {
+	if len(c.hops[peer]) >= maxServing {
 		return false
 	}
 	if c.hops[peer] == nil {
--- a/internal/node/core/carry_test.go
+++ b/internal/node/core/carry_test.go
@@ -317,6 +317,9 @@
 		got := chooseReacher(c.list, "z", map[string]bool{"x": true}, func(name string) int { return c.hops[name] }, 1)
 		assert.Equal(t, c.want, got)
 	}
+	full := map[string]int{"full": maxServing}
+	got := chooseReacher([]peers.Reacher{reacher("full", "z", 0), reacher("other", "y", 4*maxServing)}, "z", nil, func(name string) int { return full[name] }, 1)
+	assert.Equal(t, "other", got, "a peer takes no more than maxServing")
 	chosen := map[string]int{}
 	for i := range uint64(300) {
 		chosen[chooseReacher([]peers.Reacher{reacher("a", "z", 0), reacher("b", "z", 0)}, "z", nil, func(string) int { return 0 }, i)]++
@@ -324,6 +327,16 @@
 	assert.Equal(t, map[string]int{"a": 150, "b": 150}, chosen)
 }
 
+// TestRequestsAtManyPeersAreNotLimitedTogether guards against a process without links to its
+// backend servers that rejects requests although many peers could serve them.
+func TestRequestsAtManyPeersAreNotLimitedTogether(t *testing.T) {
+	c := newCarrier(nil)
+	for i := range 10 * maxServing {
+		assert.True(t, c.begin(fmt.Sprint("peer-", i%10), &hop{}), "request %d", i)
+	}
+	assert.False(t, c.begin("peer-1", &hop{}), "one peer serves maxServing")
+}
+
 // TestCutProcessStepsDown checks that a process that has lost the engines of a service leaves
 // its coordination to a peer.
 func TestCutProcessStepsDown(t *testing.T) {
