httpd: a request that has arrived is served at the end of the idle timeout too

What callers saw: a reset for a request on a connection that was open for longer than its idle timeout allows, if the process had stood still for over a second (a pause, no processor time) when the request came within that timeout.

Cause: the same as at a planned stop: the time is the client's, but it runs on while this process can't read. A read whose deadline has passed returns without a look at the socket.

Change: the goroutine of the connection looks whether bytes have arrived before it gives up, at the idle timeout as at CloseIdle.

--- a/internal/node/httpd/conn.go
+++ b/internal/node/httpd/conn.go
@@ -104,14 +104,13 @@
 		if err == nil {
 			return c.setIdle(false)
 		}
-		if c.isLeaving() {
-			return c.hasUnread() && c.setIdle(false)
-		}
+		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 		// The timeout may have been raised meanwhile.
-		extended := errors.Is(err, os.ErrDeadlineExceeded) && time.Since(since) < c.server.Limits().IdleTimeout
-		if !extended {
-			return false
+		if timedOut && !c.isLeaving() && time.Since(since) < c.server.Limits().IdleTimeout {
+			continue
 		}
+		// A request that has arrived is served, however late the process comes to read it.
+		return timedOut && c.hasUnread() && c.setIdle(false)
 	}
 }
 
--- a/internal/node/httpd/held_test.go
+++ b/internal/node/httpd/held_test.go
@@ -38,7 +38,7 @@
 }
 
 // startHeld starts a server behind a heldListener, and sends it a request.
-func startHeld(t *testing.T) (*Server, *heldListener, net.Conn) {
+func startHeld(t *testing.T, limits func() Limits) (*Server, *heldListener, net.Conn) {
 	t.Helper()
 	plain, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
@@ -58,7 +58,7 @@
 // TestCloseIdleServesRequestsThatWereNotRead guards against requests that have arrived and
 // are closed unread since the process had no time to read them.
 func TestCloseIdleServesRequestsThatWereNotRead(t *testing.T) {
-	s, l, conn := startHeld(t)
+	s, l, conn := startHeld(t, limits)
 	close(l.accept)
 	require.Eventually(t, func() bool { return s.Connections() == 1 }, time.Second, time.Millisecond)
 	time.Sleep(2 * newFor)
@@ -69,10 +69,23 @@
 	assert.Eventually(t, func() bool { s.CloseIdle(); return s.Connections() == 0 }, time.Second, time.Millisecond)
 }
 
+// TestIdleTimeoutServesRequestsThatWereNotRead is the same for the end of the time between
+// two requests.
+func TestIdleTimeoutServesRequestsThatWereNotRead(t *testing.T) {
+	const timeout = 10 * time.Millisecond
+	s, l, conn := startHeld(t, func() Limits { return Limits{HeaderTimeout: time.Second, IdleTimeout: timeout} })
+	close(l.accept)
+	require.Eventually(t, func() bool { return s.Connections() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(timeout + idleSlack + 100*time.Millisecond)
+	close(l.read)
+	got, _ := readResponse(t, bufio.NewReader(conn))
+	assert.Equal(t, "200 GET /a 0", got)
+}
+
 // TestRefuseServesConnectionsThatWereNotAccepted guards against connections that are reset
 // since the process had no time to accept them before it refused further ones.
 func TestRefuseServesConnectionsThatWereNotAccepted(t *testing.T) {
-	s, l, conn := startHeld(t)
+	s, l, conn := startHeld(t, limits)
 	close(l.read)
 	refused := make(chan struct{})
 	go func() {
