follow, feed: a store that answers with lost history has no outage

DRAIN: a server that left got requests for as long as the store answered watches with 410 though lists succeeded, by all processes.

Cause: such a watch counted as a failed call, and failed calls as an outage.

Change: Follower and relay don't count a call whose history is gone as a failure: the store has answered. Their pauses stay as they are.

TestServerThatLeavesWhileTheStoreForgetsIsDroppedInTime and the checks added to two tests fail before and pass after; the tests of outages, of feed and of follow pass.

--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -28,6 +28,9 @@
 	// busy refuses calls, open watches go on; refusing cuts these off.
 	busy     outageMode = "busy"
 	refusing outageMode = "refusing"
+	// forgetting is no outage: the store answers, but has discarded the changes that a watch
+	// asks for.
+	forgetting outageMode = "forgetting"
 )
 
 // troubledStore is a store with outages. It bounds calls as platform.Store does.
@@ -137,6 +140,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.mode == forgetting {
+		return store.Page{}, store.ErrForgotten
+	}
 	broken, cut, end := s.broken, s.cut, time.NewTimer(wait)
 	defer end.Stop()
 	for ended := false; ; {
@@ -420,3 +426,22 @@
 	})
 	assert.Empty(t, missing)
 }
+
+// TestServerThatLeavesWhileTheStoreForgetsIsDroppedInTime guards against a backend server that
+// gets requests for as long as the store answers watches with lost history, as if that were an
+// outage in which the server's entry may have expired.
+func TestServerThatLeavesWhileTheStoreForgetsIsDroppedInTime(t *testing.T) {
+	for _, processes := range []int{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, processes, 2)
+			defer f.close()
+			time.Sleep(5 * time.Second)
+			f.store.begin(forgetting)
+			time.Sleep(5 * time.Second)
+			f.store.write(store.Object{Key: "servers/i-0"})
+			time.Sleep(f.bound)
+			assert.Empty(t, f.uses("i-0"))
+			assert.Len(t, f.uses("i-1"), processes)
+		})
+	}
+}
--- a/internal/peer/feed/history_test.go
+++ b/internal/peer/feed/history_test.go
@@ -14,6 +14,7 @@
 
 	"ebonyscale.example/ebonyscale/internal/node/meter"
 	"ebonyscale.example/ebonyscale/internal/peer/wire"
+	"ebonyscale.example/ebonyscale/internal/state/follow"
 	"ebonyscale.example/ebonyscale/internal/state/store"
 )
 
@@ -187,14 +188,17 @@
 }
 
 // TestForgottenWatchesAreSpaced guards against a relay that lists without a pause if the
-// store forgets changes at once.
+// store forgets changes at once, and one that takes that for an outage although the store
+// answers.
 func TestForgottenWatchesAreSpaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &forgetful{fakeStore{objects: map[string]store.Object{}, changed: make(chan struct{})}}
-		f := &Feed{Direct: s, Choose: func() Choice { return Choice{Active: true, Relay: true} }, Kinds: kinds, Meters: &meter.Set{}, Log: zap.NewNop()}
+		f := &Feed{Direct: s, Choose: func() Choice { return Choice{Active: true, Relay: true} }, Kinds: kinds, Meters: &meter.Set{}, Log: zap.NewNop(), Health: &follow.Health{}}
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
 		assert.Error(t, f.Run(ctx))
+		_, outage := f.Health.Last(time.Now())
+		assert.False(t, outage)
 		assert.Less(t, s.count(), 2*20*len(kinds)*int(time.Second/(maxRetry/2)))
 	})
 }
--- a/internal/peer/feed/watch.go
+++ b/internal/peer/feed/watch.go
@@ -211,9 +211,16 @@
 	}
 }
 
-// failed records that a call failed.
+// failed records that a call failed. One whose history is gone is none of an outage: the
+// store has answered it.
 func (w *watcher) failed(now time.Time, caller string, err error) {
 	w.notBefore = w.called
+	if errors.Is(err, store.ErrForgotten) {
+		w.feed.mu.Lock()
+		w.view.steady = false
+		w.feed.mu.Unlock()
+		return
+	}
 	w.feed.Health.RecordFailure(w.called, now, caller)
 	w.timedOut = w.timedOut || errors.Is(err, context.DeadlineExceeded)
 	if w.failingSince.IsZero() {
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -190,9 +190,14 @@
 	return f.timedOut || f.listed && store.Era(revision) > f.era || !f.failingSince.IsZero() && time.Since(f.failingSince) > outageAfter
 }
 
-// recordFailure records a failed call.
+// recordFailure records a failed call. One whose history is gone is none of an outage: the
+// store has answered it.
 func (f *Follower) recordFailure(err error) {
 	f.notBefore = f.called
+	if errors.Is(err, store.ErrForgotten) {
+		f.Log.Info("the store has discarded the changes", zap.String("Kind", f.Kind), zap.Error(err))
+		return
+	}
 	f.Health.RecordFailure(f.called, time.Now(), f.Kind)
 	if f.failingSince.IsZero() {
 		f.failingSince = time.Now()
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -228,10 +228,12 @@
 	for _, err := range []error{store.ErrForgotten, errors.New("unreadable")} {
 		synctest.Test(t, func(t *testing.T) {
 			feed, view := &watchless{err: err}, &view{}
-			f := Follower{Kind: "k", Feed: feed, View: view, PollTimeout: second, Log: zap.NewNop()}
+			f := Follower{Kind: "k", Feed: feed, View: view, PollTimeout: second, Health: &Health{}, Log: zap.NewNop()}
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			assert.ErrorIs(t, f.Run(ctx), context.DeadlineExceeded)
+			_, outage := f.Health.Last(time.Now())
+			assert.Equal(t, !errors.Is(err, store.ErrForgotten), outage, "a store that answers has no outage")
 			assert.Less(t, feed.calls, 4*60, "at most 60 rounds of two lists and two watches: %v", err)
 			assert.Greater(t, len(view.updates), 15, "%v", err)
 		})
