follow, core: an outage ends when the store answers any later call

DRAIN: a server whose entry was removed got requests for as long as the calls for one other kind of objects failed, though the store answered all others. What callers saw: nothing yet; found by looking for the cause of the fault before on related paths.

Cause: Health took the store to be away as long as any caller failed, and servers that are missing are kept for as long as it is away.

Change: a call that the store has answered ends the outage of callers whose failures had begun before that call; what such a caller fails at from then on counts no more until it has succeeded. core records this for calls to the store itself, not for those that a relay answers (which may lag behind the store).

Evidence: TestServerThatLeavesWhileTheStoreAnswersIsDroppedInTime with calls for 'quarantine' refused for a minute: red before (the server is used by p0 after 2 s), green after; four cases of TestHealth.

--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -33,6 +34,38 @@
 	n.Feed = n.relayed
 }
 
+// observeStore has Health know of the calls that the store answers.
+func (n *Node) observeStore() { n.Feed = answeredFeed{n.Feed, &n.health} }
+
+// answeredFeed reads from the store itself, and records what that answers.
+type answeredFeed struct {
+	follow.Feed
+	health *follow.Health
+}
+
+// List implements follow.Feed.
+func (f answeredFeed) List(ctx context.Context, kind, after string) (store.Page, error) {
+	called := time.Now()
+	page, err := f.Feed.List(ctx, kind, after)
+	f.record(called, err)
+	return page, err
+}
+
+// Changes implements follow.Feed.
+func (f answeredFeed) Changes(ctx context.Context, kind string, after uint64, wait time.Duration) (store.Page, error) {
+	called := time.Now()
+	page, err := f.Feed.Changes(ctx, kind, after, wait)
+	f.record(called, err)
+	return page, err
+}
+
+// record records a call that the store has answered, if it has.
+func (f answeredFeed) record(called time.Time, err error) {
+	if err == nil || errors.Is(err, store.ErrForgotten) {
+		f.health.RecordAnswer(called, time.Now())
+	}
+}
+
 // keylessFeed reads the configuration with digests in place of the clients' keys, as relays
 // send what they have read to other processes.
 type keylessFeed struct {
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -228,6 +228,7 @@
 		n.accounting = newAccounting(n)
 		n.Broker.Counter = n.accounting
 	}
+	n.observeStore()
 	n.prepareRelays()
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.tablePollTimeout, n.debounce)
 	n.tableFollower.Feed = n.tableFeed()
--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -31,6 +31,8 @@
 	// forgetting is no outage: the store answers, but has discarded the changes that a watch
 	// asks for.
 	forgetting outageMode = "forgetting"
+	// partial is none either: calls of one kind fail, all others are answered.
+	partial outageMode = "partial"
 )
 
 // troubledStore is a store with outages. It bounds calls as platform.Store does.
@@ -99,8 +101,11 @@
 	return o
 }
 
-// enter begins a call.
-func (s *troubledStore) enter(ctx context.Context) error {
+// partlyFailing is the kind whose calls fail while the mode is partial.
+const partlyFailing = "quarantine"
+
+// enter begins a call for objects of a kind.
+func (s *troubledStore) enter(ctx context.Context, kind string) error {
 	time.Sleep(callTime)
 	s.mu.Lock()
 	mode := s.mode
@@ -111,6 +116,10 @@
 		return ctx.Err()
 	case busy, refusing:
 		return store.ErrRefused
+	case partial:
+		if kind == partlyFailing {
+			return store.ErrRefused
+		}
 	}
 	return nil
 }
@@ -118,7 +127,7 @@
 func (s *troubledStore) List(ctx context.Context, kind, _ string) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := s.enter(ctx); err != nil {
+	if err := s.enter(ctx, kind); err != nil {
 		return store.Page{}, err
 	}
 	s.mu.Lock()
@@ -135,7 +144,7 @@
 func (s *troubledStore) Changes(ctx context.Context, kind string, after uint64, wait time.Duration) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
-	if err := s.enter(ctx); err != nil {
+	if err := s.enter(ctx, kind); err != nil {
 		return store.Page{}, err
 	}
 	s.mu.Lock()
@@ -153,7 +162,7 @@
 			}
 		}
 		// During an outage nobody gets a response.
-		if s.mode == "" && (ended || len(p.Objects) > 0) {
+		if (s.mode == "" || s.mode == partial) && (ended || len(p.Objects) > 0) {
 			return p, nil
 		}
 		changed := s.changed
@@ -183,7 +192,7 @@
 func (s *troubledStore) Get(ctx context.Context, key string) (store.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := s.enter(ctx); err != nil {
+	if err := s.enter(ctx, ""); err != nil {
 		return store.Object{}, err
 	}
 	s.mu.Lock()
@@ -198,7 +207,7 @@
 func (s *troubledStore) Put(ctx context.Context, o store.Object) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := s.enter(ctx); err != nil {
+	if err := s.enter(ctx, ""); err != nil {
 		return 0, err
 	}
 	return s.write(o).Version, nil
@@ -231,7 +240,8 @@
 		n.Name = fmt.Sprint("p", i)
 		n.peers.Self = n.Name
 		n.Feed, n.Store, n.WatchFor, n.LeaveWithin = f.store, f.store, 2*time.Second, f.bound
-		n.tableFollower.Feed, n.serversFollower.Feed = f.store, f.store
+		n.observeStore()
+		n.tableFollower.Feed, n.serversFollower.Feed = n.Feed, n.Feed
 		f.nodes = append(f.nodes, n)
 	}
 	for _, n := range f.nodes {
@@ -427,21 +437,24 @@
 	assert.Empty(t, missing)
 }
 
-// TestServerThatLeavesWhileTheStoreForgetsIsDroppedInTime guards against a backend server that
-// gets requests for as long as the store answers watches with lost history, as if that were an
-// outage in which the server's entry may have expired.
-func TestServerThatLeavesWhileTheStoreForgetsIsDroppedInTime(t *testing.T) {
-	for _, processes := range []int{1, 3} {
-		synctest.Test(t, func(t *testing.T) {
-			f := startFleet(t, processes, 2)
-			defer f.close()
-			time.Sleep(5 * time.Second)
-			f.store.begin(forgetting)
-			time.Sleep(5 * time.Second)
-			f.store.write(store.Object{Key: "servers/i-0"})
-			time.Sleep(f.bound)
-			assert.Empty(t, f.uses("i-0"))
-			assert.Len(t, f.uses("i-1"), processes)
-		})
+// TestServerThatLeavesWhileTheStoreAnswersIsDroppedInTime guards against a backend server that
+// gets requests for as long as some calls to the store fail though it answers the others, or
+// as it answers watches with lost history, as if that were an outage in which the server's
+// entry may have expired.
+func TestServerThatLeavesWhileTheStoreAnswersIsDroppedInTime(t *testing.T) {
+	for _, mode := range []outageMode{forgetting, partial} {
+		for _, processes := range []int{1, 3} {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, processes, 2)
+				defer f.close()
+				time.Sleep(5 * time.Second)
+				f.store.begin(mode)
+				time.Sleep(time.Minute)
+				f.store.write(store.Object{Key: "servers/i-0"})
+				time.Sleep(f.bound)
+				assert.Empty(t, f.uses("i-0"), mode)
+				assert.Len(t, f.uses("i-1"), processes, mode)
+			})
+		}
 	}
 }
--- a/internal/state/follow/health.go
+++ b/internal/state/follow/health.go
@@ -25,6 +25,9 @@
 type failures struct {
 	// since is when the first happened, called when the last failed call began.
 	since, called time.Time
+	// answered is set once the store has answered a later call of another caller. What
+	// fails since then is not the store.
+	answered bool
 }
 
 // Outage is what is known of the end of an outage of the store. A process may see
@@ -88,12 +91,30 @@
 	defer h.mu.Unlock()
 	if f, ok := h.failing[caller]; ok {
 		delete(h.failing, caller)
-		if now.Sub(f.since) > outageAfter {
+		if !f.answered && now.Sub(f.since) > outageAfter {
 			h.last = h.last.and(Outage{NotBefore: f.called, Seen: now})
 		}
 	}
 }
 
+// RecordAnswer records that the store has answered at now a call that was made at called, be
+// it with an error of that call. That ends the outage of the callers whose failures had begun
+// before: those of one kind of call can go on without end while all others succeed.
+func (h *Health) RecordAnswer(called, now time.Time) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for caller, f := range h.failing {
+		if !f.answered && called.After(f.since) && now.Sub(f.since) > outageAfter {
+			h.last = h.last.and(Outage{NotBefore: f.called, Seen: now})
+			f.answered = true
+			h.failing[caller] = f
+		}
+	}
+}
+
 // RecordOutage records the end of an outage that can't be seen from failures alone, or
 // that another process has seen, from which this one reads the store's objects.
 func (h *Health) RecordOutage(o Outage) {
@@ -120,7 +141,7 @@
 	defer h.mu.Unlock()
 	last := h.last
 	for _, f := range h.failing {
-		if now.Sub(f.since) > outageAfter {
+		if !f.answered && now.Sub(f.since) > outageAfter {
 			last = last.and(Outage{NotBefore: f.called, Seen: now, Lasting: true})
 		}
 	}
--- a/internal/state/follow/health_test.go
+++ b/internal/state/follow/health_test.go
@@ -36,6 +36,24 @@
 			h.RecordFailure(at(0), at(0), "a")
 			h.RecordSuccess(at(time.Minute), "a")
 		}, time.Minute + recentOutage, false},
+		{"the store answers another caller", func(h *Health) {
+			h.RecordFailure(at(0), at(0), "a")
+			h.RecordAnswer(at(1), at(time.Second))
+			h.RecordFailure(at(time.Minute), at(time.Minute), "a")
+		}, time.Minute + outageAfter + 1, false},
+		{"that ends an outage", func(h *Health) {
+			h.RecordFailure(at(0), at(0), "a")
+			h.RecordAnswer(at(1), at(time.Second))
+		}, time.Second + recentOutage - 1, true},
+		{"the answer is to an earlier call", func(h *Health) {
+			h.RecordFailure(at(0), at(1), "a")
+			h.RecordAnswer(at(0), at(time.Second))
+		}, time.Minute, true},
+		{"calls fail after the answer", func(h *Health) {
+			h.RecordFailure(at(0), at(0), "a")
+			h.RecordAnswer(at(1), at(time.Second))
+			h.RecordFailure(at(time.Minute), at(time.Minute), "b")
+		}, time.Minute + outageAfter + 1, true},
 		{"another caller succeeds", func(h *Health) {
 			h.RecordFailure(at(0), at(0), "a")
 			h.RecordSuccess(at(1), "b")
