core, follow, roster: the log says why and until when a removed server is used

From the log nobody could tell why a request reached a server so long after its entry was removed: `Missing` said neither until when the server is kept nor why, and nothing said which calls set the bounds of an outage.

Change: the beginning and the end of an outage are logged with both bounds and the callers whose calls set them; Missing, Gone and Left of a server that was kept have Cause, Until and Held; the metric LongestHoldMs has the longest hold.

TestHoldsAreReported and TestOutagesAreLogged don't compile on the code before.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -48,8 +48,28 @@
 	// Removed is the store's revision at which the entry was found to be
 	// removed; 0 if it was not.
 	Removed uint64
+	// Hold is set if the backend server is kept though its entry was removed, or was until
+	// now; Held is for how long.
+	Hold Hold
+	Held time.Duration
 }
 
+// Hold says why and until when a backend server is kept whose entry was removed.
+type Hold struct {
+	Cause HoldCause
+	Until time.Time
+}
+
+// HoldCause is why a backend server is kept.
+type HoldCause string
+
+// The causes: the entry may have expired in an outage of the store, or as its backend server
+// and many others could not reach the store.
+const (
+	Outage      HoldCause = "Outage"
+	MassRemoval HoldCause = "MassRemoval"
+)
+
 // Event is a change of an entry in the store.
 type Event struct {
 	// Server is the new entry. If it was removed, only the ID is set.
@@ -80,8 +100,10 @@
 // entry is the state of a backend server.
 type entry struct {
 	server Server
-	// expires is when a missing entry is dropped; zero if it is not missing.
-	expires time.Time
+	// expires is when a missing entry is dropped; zero if it is not missing. missing is
+	// since when it is, cause is why it is kept.
+	expires, missing time.Time
+	cause            HoldCause
 	// outage is set if it was surely removed before the store had settled after an outage:
 	// it is no proof that the backend server leaves.
 	outage bool
@@ -99,8 +121,11 @@
 	// is reset when a backend server changes.
 	ready map[string][]Server
 	// graceUntil is the end of the last grace period, in which removed entries
-	// are kept; zero if there was none.
+	// are kept; zero if there was none. graceCause is why.
 	graceUntil time.Time
+	graceCause HoldCause
+	// longestHold is the longest time for which a backend server was kept.
+	longestHold time.Duration
 	// settled is when the store has settled after the last outage.
 	settled time.Time
 	// heldUntil is until when entries that were removed before that are kept in any case,
@@ -197,16 +222,16 @@
 
 // extendGrace updates graceUntil when this many entries were removed.
 func (r *Roster) extendGrace(now time.Time, grace Grace, removed int) {
-	until := time.Time{}
+	hold := Hold{}
 	switch {
 	case !grace.Outage.IsZero():
-		until, r.settled = grace.Outage, grace.Settled
-		r.prolong(until)
+		hold, r.settled = Hold{Outage, grace.Outage}, grace.Settled
+		r.prolong(hold.Until)
 	case removed >= minMassRemoval && 2*removed >= len(r.entries):
-		until = now.Add(grace.MassRemoval)
+		hold = Hold{MassRemoval, now.Add(grace.MassRemoval)}
 	}
-	if until.After(r.graceUntil) {
-		r.graceUntil = until
+	if hold.Until.After(r.graceUntil) {
+		r.graceUntil, r.graceCause = hold.Until, hold.Cause
 	}
 }
 
@@ -225,7 +250,7 @@
 	e.server.State, e.removed = Leaving, removed
 	r.entries[id] = e
 	r.ready = nil
-	return []Change{{e.server, Changed, removed}}
+	return []Change{{Server: e.server, Kind: Changed, Removed: removed}}
 }
 
 // Announce marks an incarnation as leaving, as it has said itself. It stays so even if
@@ -299,6 +324,14 @@
 	return next
 }
 
+// LongestHold returns the longest time for which a backend server was kept after its entry was
+// found to be removed, of those that were dropped since.
+func (r *Roster) LongestHold() time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.longestHold
+}
+
 // Hold keeps the servers whose entries were removed before the store had settled until the
 // next complete list, but at most until a time.
 func (r *Roster) Hold(until time.Time) {
@@ -319,11 +352,15 @@
 	case !e.expires.IsZero():
 		return changes
 	}
-	e.expires, e.removed, e.outage = r.graceUntil, revision, now.Before(r.settled)
+	e.expires, e.missing, e.cause = r.graceUntil, now, r.graceCause
+	e.removed, e.outage = revision, now.Before(r.settled)
 	r.entries[id] = e
-	return append(changes, Change{e.server, Missing, revision})
+	return append(changes, Change{Server: e.server, Kind: Missing, Removed: revision, Hold: e.hold()})
 }
 
+// hold returns why and until when a missing entry is kept.
+func (e entry) hold() Hold { return Hold{e.cause, e.expires} }
+
 // set applies an entry from the store.
 func (r *Roster) set(changes []Change, server Server) []Change {
 	if r.entries == nil {
@@ -354,7 +391,7 @@
 	if !known {
 		kind = Joined
 	}
-	return append(changes, Change{after.server, kind, after.removed})
+	return append(changes, Change{Server: after.server, Kind: kind, Removed: after.removed})
 }
 
 // isCopyOf reports whether an entry is what the store had of a backend server before it
@@ -387,7 +424,11 @@
 // drop deletes an entry and appends a change of the kind.
 func (r *Roster) drop(changes []Change, now time.Time, id string, kind ChangeKind, removed uint64) []Change {
 	e := r.entries[id]
-	server := e.server
+	change := Change{Server: e.server, Kind: kind, Removed: removed}
+	if !e.missing.IsZero() {
+		change.Hold, change.Held = e.hold(), now.Sub(e.missing)
+		r.longestHold = max(r.longestHold, change.Held)
+	}
 	e.removed, e.dropped = removed, now
 	if r.dropped == nil || len(r.dropped) >= maxDropped {
 		r.dropped = map[string]entry{}
@@ -395,7 +436,7 @@
 	r.dropped[id] = e
 	delete(r.entries, id)
 	r.ready = nil
-	return append(changes, Change{server, kind, removed})
+	return append(changes, change)
 }
 
 // Service returns the ready backend servers of a service, sorted by ID. The
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -230,6 +230,30 @@
 // the response to a watch during which the outage took place, or in another
 // process's report. Entries expire separately, so that some are found removed
 // only some time after the outage.
+// TestHoldsAreReported guards against a log from which nobody can tell why and for how long a
+// backend server got requests after its entry was removed.
+func TestHoldsAreReported(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r Roster
+	list := []Server{server("i-1", 1, 1, Ready), server("i-2", 1, 1, Ready), server("i-3", 1, 1, Ready)}
+	r.Replace(now, 10, list, Grace{})
+	until := now.Add(2 * time.Second)
+	missing := r.Replace(now, 11, list[1:], Grace{Outage: until})
+	assert.Equal(t, Hold{Outage, until}, missing[0].Hold)
+	gone := r.Expire(until.Add(time.Millisecond))
+	assert.Equal(t, Change{Server: list[0], Kind: Gone, Removed: 11, Hold: Hold{Outage, until}, Held: 2001 * time.Millisecond}, gone[0])
+	assert.Equal(t, gone[0].Held, r.LongestHold())
+
+	left := r.Replace(until.Add(time.Second), 12, list[2:], Grace{})
+	assert.Equal(t, Change{Server: list[1], Kind: Left, Removed: 12}, left[0], "it wasn't kept")
+
+	var mass Roster
+	mass.Replace(now, 10, list, Grace{})
+	for _, c := range mass.Replace(now, 11, nil, Grace{MassRemoval: time.Second}) {
+		assert.Equal(t, Hold{MassRemoval, now.Add(time.Second)}, c.Hold)
+	}
+}
+
 func TestExpiredEntriesReappear(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, b := at(5, server("a", 1, 1, Ready)), at(5, server("b", 1, 1, Ready))
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -47,7 +47,7 @@
 func (f answeredFeed) List(ctx context.Context, kind, after string) (store.Page, error) {
 	called := time.Now()
 	page, err := f.Feed.List(ctx, kind, after)
-	f.record(called, err)
+	f.record(called, kind, err)
 	return page, err
 }
 
@@ -55,14 +55,14 @@
 func (f answeredFeed) Changes(ctx context.Context, kind string, after uint64, wait time.Duration) (store.Page, error) {
 	called := time.Now()
 	page, err := f.Feed.Changes(ctx, kind, after, wait)
-	f.record(called, err)
+	f.record(called, kind, err)
 	return page, err
 }
 
 // record records a call that the store has answered, if it has.
-func (f answeredFeed) record(called time.Time, err error) {
+func (f answeredFeed) record(called time.Time, kind string, err error) {
 	if err == nil || errors.Is(err, store.ErrForgotten) {
-		f.health.RecordAnswer(called, time.Now())
+		f.health.RecordAnswer(called, time.Now(), kind)
 	}
 }
 
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -207,7 +207,7 @@
 	n.Meters = &meter.Set{}
 	n.incarnation = uint64(time.Now().UnixMilli())
 	n.announceNow = make(chan struct{}, 1)
-	n.peers.Self = n.Name
+	n.peers.Self, n.health.Log = n.Name, n.Log
 	n.coordination = newCoordination(n)
 	n.quarantine = newQuarantine(n)
 	n.origins = newOrigins(n)
@@ -235,6 +235,7 @@
 	n.serversFollower = n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce))
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
 	n.Meters.Gauge("BackendServers", func() int64 { return int64(n.roster.Len()) })
+	n.Meters.Gauge("LongestHoldMs", func() int64 { return n.roster.LongestHold().Milliseconds() })
 }
 
 // Version returns the version of the active configuration, 0 if there is none.
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -214,10 +214,16 @@
 func (n *Node) handleChanges(changes []roster.Change) {
 	for _, c := range changes {
 		n.recordDeparture(c)
-		n.Log.Info("backend server changed", zap.String("What", string(c.Kind)), zap.String("Server", c.Server.ID), zap.Int64("Born", c.Server.Born),
+		fields := []zap.Field{
+			zap.String("What", string(c.Kind)), zap.String("Server", c.Server.ID), zap.Int64("Born", c.Server.Born),
 			zap.String("Service", c.Server.Service), zap.Stringer("Address", c.Server.Address), zap.String("State", string(c.Server.State)),
 			zap.String("Role", string(c.Server.Role)), zap.Uint64("Sequence", c.Server.Sequence),
-			zap.Uint64("Revision", store.Revision(c.Server.Revision)), zap.Uint64("Removed", store.Revision(c.Removed)))
+			zap.Uint64("Revision", store.Revision(c.Server.Revision)), zap.Uint64("Removed", store.Revision(c.Removed)),
+		}
+		if c.Hold.Cause != "" {
+			fields = append(fields, zap.String("Cause", string(c.Hold.Cause)), zap.Time("Until", c.Hold.Until), zap.Duration("Held", c.Held))
+		}
+		n.Log.Info("backend server changed", fields...)
 	}
 	if len(changes) > 0 {
 		n.Broker.Dispatch(time.Now())
--- a/internal/peer/feed/outage.go
+++ b/internal/peer/feed/outage.go
@@ -17,6 +17,9 @@
 // report is a relay's report of at that its calls to the store have failed since a time.
 type report struct{ at, since time.Time }
 
+// reported stands for the callers of other processes.
+const reported = "Relays"
+
 // reportFor is how long a report counts.
 const reportFor = 2 * time.Second
 
@@ -53,7 +56,7 @@
 		oldest = earlier(oldest, r.at)
 	}
 	if len(relays) > 1 {
-		f.Health.RecordOutage(follow.Outage{NotBefore: oldest.Add(-noticeWithin), Seen: now, Lasting: true})
+		f.Health.RecordOutage(follow.Outage{NotBefore: oldest.Add(-noticeWithin), Seen: now, Lasting: true, Failed: reported})
 	}
 }
 
@@ -79,8 +82,8 @@
 // relay of an older build doesn't say when that was.
 func decodeOutage(a *wire.FeedPart, now time.Time) follow.Outage {
 	if a.OutageSeenMs == 0 {
-		return follow.Outage{NotBefore: now.Add(-outageReportTime), Seen: now}
+		return follow.Outage{NotBefore: now.Add(-outageReportTime), Seen: now, Failed: reported, Answered: reported}
 	}
 	seen := now.Add(-time.Duration(a.OutageSeenMs-1) * time.Millisecond)
-	return follow.Outage{NotBefore: seen.Add(-time.Duration(a.OutageSpanMs) * time.Millisecond), Seen: seen}
+	return follow.Outage{NotBefore: seen.Add(-time.Duration(a.OutageSpanMs) * time.Millisecond), Seen: seen, Failed: reported, Answered: reported}
 }
--- a/internal/peer/feed/watch.go
+++ b/internal/peer/feed/watch.go
@@ -57,7 +57,7 @@
 
 // run watches until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	caller := "Relay." + w.view.Name
+	caller := callerOf(w.view)
 	// Failures of a watch that has ended must not count as an outage any longer.
 	defer func() { w.feed.Health.RecordSuccess(time.Now(), caller) }()
 	w.feed.mu.Lock()
@@ -97,6 +97,9 @@
 	}
 }
 
+// callerOf returns the name of a relay's watch of a kind as a caller of the store.
+func callerOf(v *view) string { return "Relay." + v.Name }
+
 // nextWait returns how long the next call waits for changes.
 func (w *watcher) nextWait(paused bool) time.Duration {
 	switch {
@@ -153,7 +156,8 @@
 	defer f.mu.Unlock()
 	restored := v.listed && store.Era(page.Revision) > store.Era(v.revision)
 	if restored || w.timedOut || !w.failingSince.IsZero() && now.Sub(w.failingSince) > outageAfter {
-		v.outage = follow.Outage{NotBefore: w.notBefore, Seen: now}
+		caller := callerOf(v)
+		v.outage = follow.Outage{NotBefore: w.notBefore, Seen: now, Failed: caller, Answered: caller}
 		f.Health.RecordOutage(v.outage)
 	}
 	changed, err := v.replace(now, page)
@@ -235,7 +239,7 @@
 // succeeded records that a call succeeded. The pause after failures grows until a watch has
 // succeeded: lists may succeed while no watch does.
 func (w *watcher) succeeded(watched bool) {
-	w.feed.Health.RecordSuccess(time.Now(), "Relay."+w.view.Name)
+	w.feed.Health.RecordSuccess(time.Now(), callerOf(w.view))
 	w.failingSince, w.timedOut, w.notBefore = time.Time{}, false, w.called
 	w.feed.mu.Lock()
 	w.view.failingSince = time.Time{}
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -210,7 +210,7 @@
 // failures for Health to see it.
 func (f *Follower) recordOutage(page store.Page) {
 	if f.outage(page.Revision) {
-		f.Health.RecordOutage(Outage{NotBefore: f.notBefore, Seen: time.Now()})
+		f.Health.RecordOutage(Outage{NotBefore: f.notBefore, Seen: time.Now(), Failed: f.Kind, Answered: f.Kind})
 	}
 }
 
--- a/internal/state/follow/health.go
+++ b/internal/state/follow/health.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Health detects outages of the store from the calls of all its callers in a
@@ -13,6 +15,10 @@
 // The zero value is ready to use. A nil Health records nothing and reports no
 // outage. All methods are safe for concurrent use.
 type Health struct {
+	// Log gets a line at the beginning and at the end of an outage; nil for none. It is set
+	// before use.
+	Log *zap.Logger
+
 	mu sync.Mutex
 	// failing has the last consecutive failures, by caller. Callers without
 	// failures have no entry.
@@ -28,6 +34,8 @@
 	// answered is set once the store has answered a later call of another caller. What
 	// fails since then is not the store.
 	answered bool
+	// logged is set once the beginning of the outage is in the log.
+	logged bool
 }
 
 // Outage is what is known of the end of an outage of the store. A process may see
@@ -40,20 +48,22 @@
 	// Seen is when it had ended: a call succeeded. If Lasting is set, it had not.
 	Seen    time.Time
 	Lasting bool
+	// Failed names the caller whose call set NotBefore, Answered that whose call set Seen.
+	Failed, Answered string
 }
 
 // and returns the outage that is known once a caller has seen another one after it, or the
 // same one later. It is the same one if the caller's last call that failed began before a
 // call of another one succeeded.
 func (o Outage) and(other Outage) Outage {
-	notBefore := o.NotBefore
+	notBefore, failed := o.NotBefore, o.Failed
 	if other.NotBefore.After(notBefore) {
-		notBefore = other.NotBefore
+		notBefore, failed = other.NotBefore, other.Failed
 	}
 	if o.Lasting || notBefore.After(o.Seen) {
 		o = other
 	}
-	o.NotBefore = notBefore
+	o.NotBefore, o.Failed = notBefore, failed
 	return o
 }
 
@@ -79,9 +89,32 @@
 	if called.After(f.called) {
 		f.called = called
 	}
+	if !f.logged && !f.answered && now.Sub(f.since) > outageAfter {
+		f.logged = true
+		h.logBegin(now, caller, f)
+	}
 	h.failing[caller] = f
 }
 
+// logBegin logs that the calls of a caller have failed for long enough to be an outage.
+func (h *Health) logBegin(now time.Time, caller string, f failures) {
+	if h.Log != nil {
+		h.Log.Warn("the store has an outage", zap.String("Failed", caller), zap.Duration("Failing", now.Sub(f.since)), zap.Time("NotBefore", f.called))
+	}
+}
+
+// end records what is known of the end of an outage, and logs it if that is news.
+func (h *Health) end(o Outage) {
+	before := h.last
+	h.last = before.and(o)
+	if h.Log == nil || h.last == before || h.last.Lasting && before.Lasting {
+		return
+	}
+	last := h.last
+	h.Log.Info("the end of the store's outage", zap.Time("NotBefore", last.NotBefore), zap.String("Failed", last.Failed),
+		zap.Time("Seen", last.Seen), zap.String("Answered", last.Answered), zap.Bool("Lasting", last.Lasting))
+}
+
 // RecordSuccess records that a call of the caller succeeded at now.
 func (h *Health) RecordSuccess(now time.Time, caller string) {
 	if h == nil {
@@ -92,15 +125,15 @@
 	if f, ok := h.failing[caller]; ok {
 		delete(h.failing, caller)
 		if !f.answered && now.Sub(f.since) > outageAfter {
-			h.last = h.last.and(Outage{NotBefore: f.called, Seen: now})
+			h.end(Outage{NotBefore: f.called, Seen: now, Failed: caller, Answered: caller})
 		}
 	}
 }
 
-// RecordAnswer records that the store has answered at now a call that was made at called, be
-// it with an error of that call. That ends the outage of the callers whose failures had begun
+// RecordAnswer records that the store has answered at now a call of the caller that was made at
+// called, be it with an error of that call. That ends the outage of the callers whose failures had begun
 // before: those of one kind of call can go on without end while all others succeed.
-func (h *Health) RecordAnswer(called, now time.Time) {
+func (h *Health) RecordAnswer(called, now time.Time, answered string) {
 	if h == nil {
 		return
 	}
@@ -108,7 +141,7 @@
 	defer h.mu.Unlock()
 	for caller, f := range h.failing {
 		if !f.answered && called.After(f.since) && now.Sub(f.since) > outageAfter {
-			h.last = h.last.and(Outage{NotBefore: f.called, Seen: now})
+			h.end(Outage{NotBefore: f.called, Seen: now, Failed: caller, Answered: answered})
 			f.answered = true
 			h.failing[caller] = f
 		}
@@ -123,7 +156,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.last = h.last.and(o)
+	h.end(o)
 }
 
 // Outage reports whether the store has an outage at now or had one until recently.
@@ -140,9 +173,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	last := h.last
-	for _, f := range h.failing {
+	for caller, f := range h.failing {
 		if !f.answered && now.Sub(f.since) > outageAfter {
-			last = last.and(Outage{NotBefore: f.called, Seen: now, Lasting: true})
+			last = last.and(Outage{NotBefore: f.called, Seen: now, Lasting: true, Failed: caller})
 		}
 	}
 	return last, !last.Seen.IsZero()
--- a/internal/state/follow/health_test.go
+++ b/internal/state/follow/health_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // TestHealth checks when failed calls count as an outage, and for how long.
@@ -38,20 +41,20 @@
 		}, time.Minute + recentOutage, false},
 		{"the store answers another caller", func(h *Health) {
 			h.RecordFailure(at(0), at(0), "a")
-			h.RecordAnswer(at(1), at(time.Second))
+			h.RecordAnswer(at(1), at(time.Second), "c")
 			h.RecordFailure(at(time.Minute), at(time.Minute), "a")
 		}, time.Minute + outageAfter + 1, false},
 		{"that ends an outage", func(h *Health) {
 			h.RecordFailure(at(0), at(0), "a")
-			h.RecordAnswer(at(1), at(time.Second))
+			h.RecordAnswer(at(1), at(time.Second), "c")
 		}, time.Second + recentOutage - 1, true},
 		{"the answer is to an earlier call", func(h *Health) {
 			h.RecordFailure(at(0), at(1), "a")
-			h.RecordAnswer(at(0), at(time.Second))
+			h.RecordAnswer(at(0), at(time.Second), "c")
 		}, time.Minute, true},
 		{"calls fail after the answer", func(h *Health) {
 			h.RecordFailure(at(0), at(0), "a")
-			h.RecordAnswer(at(1), at(time.Second))
+			h.RecordAnswer(at(1), at(time.Second), "c")
 			h.RecordFailure(at(time.Minute), at(time.Minute), "b")
 		}, time.Minute + outageAfter + 1, true},
 		{"another caller succeeds", func(h *Health) {
@@ -92,3 +95,22 @@
 		assert.Equal(t, c.want, got, c.name)
 	}
 }
+
+// TestOutagesAreLogged guards against an outage whose bounds, and the callers that set them,
+// can't be told from the log.
+func TestOutagesAreLogged(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	core, lines := observer.New(zapcore.InfoLevel)
+	h := Health{Log: zap.New(core)}
+	h.RecordFailure(at(0), at(1000), "servers")
+	h.RecordFailure(at(1040), at(2040), "servers")
+	h.RecordFailure(at(2080), at(3080), "servers")
+	h.RecordAnswer(at(3000), at(3100), "config")
+	h.RecordSuccess(at(3200), "servers")
+	h.RecordOutage(Outage{NotBefore: at(2080), Seen: at(3200), Failed: "servers", Answered: "servers"})
+	logged := lines.AllUntimed()
+	assert.Len(t, logged, 2)
+	assert.Equal(t, map[string]any{"Failed": "servers", "Failing": time.Duration(1040) * time.Millisecond, "NotBefore": at(1040)}, logged[0].ContextMap())
+	assert.Equal(t, map[string]any{"NotBefore": at(2080), "Failed": "servers", "Seen": at(3100), "Answered": "config", "Lasting": false}, logged[1].ContextMap())
+}
