call, platform: a response of the store that arrived during a pause is read (DRAIN)

Cause: when a process runs again, the timer of a call's deadline runs first and closes the connection, with the store's response unread in it. The call counts as one without a response, that as an outage of the store, and the removal as an entry that may have expired in it.

Change: an exchange with TakeLate goes on after its deadline for 50 ms and for as long as the process was late to notice it, 1 s at most.

Conclusion: what a call without a response says of the store holds only if the process could have read a response. Whether the users' machine met this is suspected and not shown.

--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -148,6 +148,10 @@
 	// connection, which may have taken a second to make. If not, nothing is written, and
 	// Do fails with ErrUnwanted.
 	Wanted func() bool
+	// TakeLate has a response read that has arrived by the deadline of the context although
+	// this process notices the deadline late, as it had no processor meanwhile. Otherwise a
+	// process that was paused drops it, and can't tell its own pause from a silent server.
+	TakeLate bool
 	// Matches, if set, reports whether a response belongs to this request. On a
 	// reused connection a late response to an earlier request may come first;
 	// such mismatched responses are dropped.
@@ -200,7 +204,11 @@
 		}
 	}
 	x := &Exchange{client: c, address: address, connection: conn, readTimeout: options.ReadTimeout, written: make(chan error, 1)}
-	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
+	x.stop = context.AfterFunc(ctx, func() {
+		if !options.TakeLate || !conn.extend(ctx) {
+			conn.Close()
+		}
+	})
 	if err := x.write(request, options.WriteDeadline); err != nil {
 		x.Close()
 		return nil, x.newError(ctx, StageWriting, err)
--- a/internal/fleet/call/pool.go
+++ b/internal/fleet/call/pool.go
@@ -80,6 +80,26 @@
 	return err
 }
 
+const (
+	// takeLateWithin is how long data that has arrived may take to be read, once the process
+	// has a processor.
+	takeLateWithin = 50 * time.Millisecond
+	// maxTakeLate bounds the pause of the process for which an exchange is extended.
+	maxTakeLate = time.Second
+)
+
+// extend lets an exchange whose deadline has passed go on for as long as the process was late
+// to notice it, and at least for takeLateWithin. It returns false if the context ended otherwise.
+func (c *connection) extend(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	if !ok || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return false
+	}
+	now := time.Now()
+	late := min(now.Sub(deadline), maxTakeLate)
+	return c.SetDeadline(now.Add(takeLateWithin+late)) == nil
+}
+
 // discardUnsent makes Close drop the data that was not acknowledged.
 func (c *connection) discardUnsent() error {
 	conn, ok := c.Conn.(countingConn).Conn.(*net.TCPConn)
