--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"ebonyscale.example/ebonyscale/internal/config/table"
@@ -34,13 +35,38 @@
 	n.Feed = n.relayed
 }
 
-// observeStore has Health know of the calls that the store answers.
-func (n *Node) observeStore() { n.Feed = answeredFeed{n.Feed, &n.health} }
+// observeStore has Health know of the calls that the store answers, and measures how long the
+// answers take.
+func (n *Node) observeStore() { n.Feed = answeredFeed{n.Feed, &n.health, &n.storeDelay} }
 
-// answeredFeed reads from the store itself, and records what that answers.
+// delay is how long the store's answers have taken of late. The zero value is none.
+type delay struct {
+	mu    sync.Mutex
+	worst time.Duration
+}
+
+// delayShare is the part of the longest delay that is left after a shorter one.
+const delayShare = 0.75
+
+// record records how long an answer took.
+func (d *delay) record(took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.worst = max(took, time.Duration(delayShare*float64(d.worst)))
+}
+
+// last returns how long an answer may take now.
+func (d *delay) last() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.worst
+}
+
+// answeredFeed reads from the store itself, and records what that answers and how long it takes.
 type answeredFeed struct {
 	follow.Feed
 	health *follow.Health
+	delay  *delay
 }
 
 // List implements follow.Feed.
@@ -48,6 +74,9 @@
 	called := time.Now()
 	page, err := f.Feed.List(ctx, kind, after)
 	f.record(called, kind, err)
+	if err == nil {
+		f.delay.record(time.Since(called))
+	}
 	return page, err
 }
 
@@ -56,6 +85,9 @@
 	called := time.Now()
 	page, err := f.Feed.Changes(ctx, kind, after, wait)
 	f.record(called, kind, err)
+	if err == nil && len(page.Objects) == 0 {
+		f.delay.record(max(time.Since(called)-wait, 0))
+	}
 	return page, err
 }
 
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -145,6 +145,8 @@
 	serversFollower *follow.Follower
 	confirmed       time.Time
 	health          follow.Health
+	// storeDelay is how long the store takes to answer.
+	storeDelay delay
 	// relayed is nil without Relays.
 	relayed      *feed.Feed
 	roster       roster.Roster
--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -213,6 +213,24 @@
 	return s.write(o).Version, nil
 }
 
+// laggingStore is a store whose answers take a time to arrive.
+type laggingStore struct {
+	*troubledStore
+	answering time.Duration
+}
+
+func (s laggingStore) List(ctx context.Context, kind, after string) (store.Page, error) {
+	p, err := s.troubledStore.List(ctx, kind, after)
+	time.Sleep(s.answering)
+	return p, err
+}
+
+func (s laggingStore) Changes(ctx context.Context, kind string, after uint64, wait time.Duration) (store.Page, error) {
+	p, err := s.troubledStore.Changes(ctx, kind, after, wait)
+	time.Sleep(s.answering)
+	return p, err
+}
+
 // fleet is a system of processes with a store, which exchange status messages.
 type fleet struct {
 	store *troubledStore
@@ -228,6 +246,11 @@
 
 // startFleet starts so many processes, with an entry of each of so many backend servers.
 func startFleet(t *testing.T, processes, servers int) *fleet {
+	return startSlowFleet(t, processes, servers, 0)
+}
+
+// startSlowFleet is startFleet with a store whose answers take a time to arrive.
+func startSlowFleet(t *testing.T, processes, servers int, answering time.Duration) *fleet {
 	f := &fleet{store: newTroubledStore(), bound: 2 * time.Second}
 	f.store.write(configObject(3))
 	for i := range servers {
@@ -239,7 +262,7 @@
 		n := newNode(t)
 		n.Name = fmt.Sprint("p", i)
 		n.peers.Self = n.Name
-		n.Feed, n.Store, n.WatchFor, n.LeaveWithin = f.store, f.store, 2*time.Second, f.bound
+		n.Feed, n.Store, n.WatchFor, n.LeaveWithin = laggingStore{f.store, answering}, f.store, 2*time.Second, f.bound
 		n.observeStore()
 		n.tableFollower.Feed, n.serversFollower.Feed = n.Feed, n.Feed
 		f.nodes = append(f.nodes, n)
@@ -458,3 +481,31 @@
 		}
 	}
 }
+
+// TestServersThatLeaveTogetherAreDroppedInTime guards against servers that leave together, as
+// which their entries might have expired, and are used for too long as the store's answers take
+// a time to arrive: the promise counts from the removal and not from when a process finds it.
+func TestServersThatLeaveTogetherAreDroppedInTime(t *testing.T) {
+	for _, answering := range []time.Duration{0, 20 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond} {
+		for _, processes := range []int{1, 3, 6, 13, 23} {
+			for after := range 8 {
+				synctest.Test(t, func(t *testing.T) {
+					f := startSlowFleet(t, processes, 4, answering)
+					defer f.close()
+					time.Sleep(20*time.Second + rand.N(3*time.Second))
+					// The removals come after another change, in the pause that follows it.
+					f.store.write(entryOf(4, 1))
+					time.Sleep(time.Duration(after) * 150 * time.Millisecond)
+					for i := range 3 {
+						f.store.write(store.Object{Key: fmt.Sprint("servers/i-", i)})
+					}
+					time.Sleep(f.bound)
+					for i := range 3 {
+						assert.Empty(t, f.uses(fmt.Sprint("i-", i)), "%v, %d processes, %d", answering, processes, after)
+					}
+					assert.Len(t, f.uses("i-3"), processes)
+				})
+			}
+		}
+	}
+}
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -100,10 +100,10 @@
 
 // grace returns how long the roster keeps servers whose entries are found removed
 // now, since the entries may only have expired during a store outage. Those removed
-// in mass are kept for LeaveWithin less the longest pause after changes, 5/4 of the
-// mean, and less leaveMargin, but at most for roster.OutageGrace.
+// in mass are kept for LeaveWithin, counted from the removal, less leaveMargin, but at most
+// for roster.OutageGrace.
 func (n *Node) grace(now time.Time, outage bool) roster.Grace {
-	g := roster.Grace{MassRemoval: max(min(n.LeaveWithin-n.serversDebounce()*5/4-leaveMargin, roster.OutageGrace), 0)}
+	g := roster.Grace{MassRemoval: max(min(n.LeaveWithin-n.foundAfter()-leaveMargin, roster.OutageGrace), 0)}
 	last, known := n.health.Last(now)
 	switch {
 	case known && now.Before(last.Seen.Add(roster.OutageGrace)):
@@ -114,6 +114,13 @@
 	return g
 }
 
+// foundAfter returns how long after the removal of a backend server's entry this process may
+// find it: if that followed another change, the store's answer to that, the longest pause after
+// changes, 5/4 of the mean, and the next call come before.
+func (n *Node) foundAfter() time.Duration {
+	return n.serversDebounce()*5/4 + 2*n.storeDelay.last()
+}
+
 // keepUntil returns until when servers are kept whose entries may have expired in an
 // outage. A server that leaves from settledAfter after the outage on has LeaveWithin, so
 // that the time is also bounded by the earliest end that the outage can have had.
