--- a/internal/node/core/members.go
+++ b/internal/node/core/members.go
@@ -82,6 +82,8 @@
 	// announceInterval the time between two checks that it is still in the store.
 	announceRetry    = 300 * time.Millisecond
 	announceInterval = time.Minute
+	// announcer is the task's name as a caller of the store.
+	announcer = "Announce"
 )
 
 // announce is the task that keeps this process's entry in the store.
@@ -90,12 +92,15 @@
 		called := time.Now()
 		err := n.announceOnce(ctx)
 		wait := announceInterval
+		if err == nil || store.Answered(err) {
+			n.health.RecordSuccess(time.Now(), announcer)
+		} else {
+			n.health.RecordFailure(called, time.Now(), announcer)
+		}
 		if err != nil {
-			n.health.RecordFailure(called, time.Now(), "Announce")
 			n.Log.Info("process could not be announced", zap.Error(err))
 			wait = announceRetry
 		} else {
-			n.health.RecordSuccess(time.Now(), "Announce")
 			n.announced.Store(true)
 		}
 		n.awaitAnnounce(ctx, wait)
--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -33,6 +33,8 @@
 	forgetting outageMode = "forgetting"
 	// partial is none either: calls of one kind fail, all others are answered.
 	partial outageMode = "partial"
+	// conflicting is none either: reads are answered, and each write with a conflict.
+	conflicting outageMode = "conflicting"
 )
 
 // troubledStore is a store with outages. It bounds calls as platform.Store does.
@@ -162,7 +164,7 @@
 			}
 		}
 		// During an outage nobody gets a response.
-		if (s.mode == "" || s.mode == partial) && (ended || len(p.Objects) > 0) {
+		if (s.mode == "" || s.mode == partial || s.mode == conflicting) && (ended || len(p.Objects) > 0) {
 			return p, nil
 		}
 		changed := s.changed
@@ -210,6 +212,12 @@
 	if err := s.enter(ctx, ""); err != nil {
 		return 0, err
 	}
+	s.mu.Lock()
+	conflict := s.mode == conflicting
+	s.mu.Unlock()
+	if conflict {
+		return 0, store.ErrConflict
+	}
 	return s.write(o).Version, nil
 }
 
@@ -509,3 +517,28 @@
 		}
 	}
 }
+
+// TestServerThatLeavesWhileAWriteConflictsIsDroppedInTime guards against answers of the store to
+// a write that count as failures: a process that could not announce itself for half a second took
+// that for an outage, and used servers whose entries were removed meanwhile.
+func TestServerThatLeavesWhileAWriteConflictsIsDroppedInTime(t *testing.T) {
+	for after := 200 * time.Millisecond; after < 5*time.Second; after += 300 * time.Millisecond {
+		for _, processes := range []int{1, 3} {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, processes, 2)
+				defer f.close()
+				time.Sleep(5 * time.Second)
+				f.store.begin(conflicting)
+				for _, n := range f.nodes {
+					f.store.write(store.Object{Key: n.memberKey(n.Name)})
+					n.announceAgain()
+				}
+				time.Sleep(after)
+				f.store.write(store.Object{Key: "servers/i-0"})
+				time.Sleep(f.bound)
+				assert.Empty(t, f.uses("i-0"), "%d processes, removed %v after the conflicts began", processes, after)
+				assert.Len(t, f.uses("i-1"), processes)
+			})
+		}
+	}
+}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -187,3 +187,9 @@
 func NotWritten(err error) bool {
 	return errors.Is(err, ErrConflict) || errors.Is(err, ErrRefused) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrAbsent)
 }
+
+// Answered reports whether err, the error of a call, is what the store has answered, so that it
+// is up and serves this caller. ErrRefused isn't: a store in an outage may refuse calls.
+func Answered(err error) bool {
+	return errors.Is(err, ErrConflict) || errors.Is(err, ErrAbsent) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrForgotten)
+}
