--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -152,6 +152,9 @@
 	// this process notices the deadline late, as it had no processor meanwhile. Otherwise a
 	// process that was paused drops it, and can't tell its own pause from a silent server.
 	TakeLate bool
+	// DropSilent closes the idle connections to the address if there is no response by the
+	// deadline: those of a network device that has forgotten them go silent together.
+	DropSilent bool
 	// Matches, if set, reports whether a response belongs to this request. On a
 	// reused connection a late response to an earlier request may come first;
 	// such mismatched responses are dropped.
@@ -215,6 +218,9 @@
 	}
 	if err := x.readHeader(request, options.Matches); err != nil {
 		x.Close()
+		if options.DropSilent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.pool.closeIdle(address)
+		}
 		return nil, x.newError(ctx, StageReading, err)
 	}
 	return x, nil
--- a/internal/fleet/call/late_test.go
+++ b/internal/fleet/call/late_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,3 +61,45 @@
 	assert.ErrorIs(t, err, context.Canceled)
 	assert.Less(t, time.Since(began), maxTakeLate)
 }
+
+// TestConnectionsThatWentSilentTogetherCostOneCall guards against a process that, after all its
+// connections went silent, tries each idle one until a timeout before it makes a new one.
+func TestConnectionsThatWentSilentTogetherCostOneCall(t *testing.T) {
+	const kept, timeout = 4, 100 * time.Millisecond
+	var dead atomic.Bool
+	together := make(chan struct{}, kept)
+	address := startServer(t, func(n int, conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		for first := true; ; first = false {
+			_, err := readRequest(reader)
+			if err == nil && dead.Load() && n < kept {
+				time.Sleep(10 * timeout)
+			}
+			if err != nil {
+				return
+			}
+			if first && n < kept {
+				together <- struct{}{}
+				for len(together) < kept {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			_, _ = conn.Write([]byte(ok))
+		}
+	})
+	client := &Client{}
+	send := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := get(ctx, client, address, Options{DropSilent: true})
+		return err
+	}
+	var calls sync.WaitGroup
+	for range kept {
+		calls.Go(func() { assert.NoError(t, send()) })
+	}
+	calls.Wait()
+	dead.Store(true)
+	assert.Error(t, send())
+	assert.NoError(t, send(), "the other connections went silent too")
+}
--- a/internal/fleet/call/pool.go
+++ b/internal/fleet/call/pool.go
@@ -326,6 +326,17 @@
 	}
 }
 
+// closeIdle closes the idle connections to the address.
+func (p *pool) closeIdle(address netip.AddrPort) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, conn := range list {
+		conn.Close()
+	}
+}
+
 // closeExpired closes the connections whose idle timeout has passed.
 func (p *pool) closeExpired(now time.Time) {
 	var expired []*connection
