--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -247,6 +247,8 @@
 	end   context.CancelFunc
 	// bound is the promise on leaving servers.
 	bound time.Duration
+	// offset returns when the nth task of a process begins.
+	offset func(n int) time.Duration
 }
 
 // settled is how long after an outage the promises hold again.
@@ -259,7 +261,13 @@
 
 // startSlowFleet is startFleet with a store whose answers take a time to arrive.
 func startSlowFleet(t *testing.T, processes, servers int, answering time.Duration) *fleet {
-	f := &fleet{store: newTroubledStore(), bound: 2 * time.Second}
+	f := &fleet{store: newTroubledStore(), bound: 2 * time.Second, offset: func(int) time.Duration { return rand.N(time.Second) }}
+	f.start(t, processes, servers, answering)
+	return f
+}
+
+// start starts the processes.
+func (f *fleet) start(t *testing.T, processes, servers int, answering time.Duration) {
 	f.store.write(configObject(3))
 	for i := range servers {
 		f.store.write(entryOf(i, 1))
@@ -281,12 +289,11 @@
 		}
 		f.run(ctx, n)
 	}
-	return f
 }
 
 // run runs the tasks of a process that keep its view of the store.
 func (f *fleet) run(ctx context.Context, n *Node) {
-	for _, do := range []func(context.Context) error{
+	for i, do := range []func(context.Context) error{
 		n.tableFollower.Run,
 		n.serversFollower.Run,
 		n.follower(n.Keys.QuarantineKind, quarantineView{n.quarantine}, n.membersPollTimeout, nil).Run,
@@ -294,7 +301,7 @@
 		n.announce,
 	} {
 		f.tasks.Go(func() {
-			time.Sleep(rand.N(time.Second))
+			time.Sleep(f.offset(i))
 			_ = do(ctx)
 		})
 	}
@@ -391,6 +398,67 @@
 // rounds is how often the tests play each case, with other moments.
 var rounds = flag.Int("outage-rounds", 1, "how often each outage is played")
 
+// walkStride is how many orders of TestServerThatLeftIsDroppedInAnyOrder are passed over; 1
+// plays all.
+var walkStride = flag.Int("walk-stride", 5, "which orders of calls, outages and removals are played: each nth")
+
+// order is the order of the events around one or two outages: when the first begins after a
+// poll for changes of the servers, how long they and the pause between them are, when the
+// server leaves after the end of the last, and how long responses take to arrive.
+type order struct {
+	phase, length, pause, second, after, answering time.Duration
+}
+
+// allOrders returns all combinations.
+func allOrders() []order {
+	const ms = time.Millisecond
+	var list []order
+	for _, phase := range []time.Duration{0, 300 * ms, 900 * ms, 1500 * ms, 1950 * ms} {
+		for _, length := range []time.Duration{20 * ms, 400 * ms, 1000 * ms, 1700 * ms, 2600 * ms, 3400 * ms, 4600 * ms} {
+			for _, two := range [][2]time.Duration{{0, 0}, {100 * ms, 300 * ms}, {100 * ms, 1200 * ms}, {800 * ms, 300 * ms}, {800 * ms, 1200 * ms}, {800 * ms, 3200 * ms}, {2000 * ms, 300 * ms}, {2000 * ms, 1200 * ms}} {
+				for _, after := range []time.Duration{0, 50 * ms, 500 * ms, 1000 * ms, 1800 * ms} {
+					for _, answering := range []time.Duration{0, 200 * ms, 600 * ms} {
+						list = append(list, order{phase, length, two[0], two[1], settled + after, answering})
+					}
+				}
+			}
+		}
+	}
+	return list
+}
+
+// TestServerThatLeftIsDroppedInAnyOrder guards against an order of polls, outages and the removal
+// in which a server is used for too long, or another one is not. The bound counts from the store's
+// own time of the removal.
+func TestServerThatLeftIsDroppedInAnyOrder(t *testing.T) {
+	var late []string
+	list := allOrders()
+	for i := rand.N(*walkStride); i < len(list); i += *walkStride {
+		o := list[i]
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{store: newTroubledStore(), bound: 2 * time.Second, offset: func(n int) time.Duration { return time.Duration(n) * 170 * time.Millisecond }}
+			f.start(t, 1, 3, o.answering)
+			defer f.close()
+			// The poll for changes of the servers begins anew with this one, after a pause.
+			time.Sleep(5 * time.Second)
+			f.store.write(entryOf(3, 1))
+			time.Sleep(o.phase + o.answering + 300*time.Millisecond)
+			lengths := []time.Duration{o.length}
+			if o.second > 0 {
+				lengths = append(lengths, o.second)
+			}
+			ended := outages{silent, lengths, o.pause}.play(f, func() {})
+			time.Sleep(time.Until(ended.Add(o.after)))
+			f.store.write(store.Object{Key: "servers/i-0"})
+			time.Sleep(f.bound)
+			if len(f.uses("i-0")) > 0 || len(f.uses("i-1")) == 0 {
+				late = append(late, fmt.Sprintf("%+v", o))
+			}
+		})
+	}
+	assert.Empty(t, late)
+}
+
 // eachOutage plays all outages with so many processes, beside others in bubbles of their own.
 func eachOutage(t *testing.T, sizes []int, servers int, do func(f *fleet, o outages, round int)) {
 	round := 0
@@ -542,3 +610,26 @@
 		}
 	}
 }
+
+// TestServerThatLeavesAsCallsOfOneKindBeginToFailIsDropped guards against a server that gets
+// requests for too long as calls of one kind of objects have begun to be refused a moment ago,
+// which counts as an outage until a later call of another kind has been answered.
+func TestServerThatLeavesAsCallsOfOneKindBeginToFailIsDropped(t *testing.T) {
+	for _, processes := range []int{1, 3} {
+		for after := 200 * time.Millisecond; after < 8*time.Second; after += 300 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, processes, 2)
+				defer f.close()
+				time.Sleep(5 * time.Second)
+				f.store.begin(partial)
+				// A change ends the open poll of that kind, so that the next one is refused.
+				f.store.write(store.Object{Key: partlyFailing + "/q", Value: []byte("{}")})
+				time.Sleep(after)
+				f.store.write(store.Object{Key: "servers/i-0"})
+				time.Sleep(f.bound)
+				assert.Empty(t, f.uses("i-0"), "%d processes, removed %v after the first refusal", processes, after)
+				assert.Len(t, f.uses("i-1"), processes)
+			})
+		}
+	}
+}
