roster, core: a few servers missing after an outage are kept for less than LeaveWithin (DRAIN)

Cause: the hold after an outage is 2.2 s. The bound of the first repair counts from the last call that failed, and calls went on to fail: the stand-in of the store had no processor for 4.46 s from the end of the outage, and the removal was the first thing that it did then.

Change: less than a mass removal, with the entries that were written again, are kept until LeaveWithin less leaveMargin after the store's first answer. An outage silences all servers alike. A mass is kept for 2.2 s as before. The time for which TakeLate goes on is a fixed 100 ms now: going on for as long as the process was late made the end of an outage known later.

--- a/internal/fleet/call/pool.go
+++ b/internal/fleet/call/pool.go
@@ -80,24 +80,14 @@
 	return err
 }
 
-const (
-	// takeLateWithin is how long data that has arrived may take to be read, once the process
-	// has a processor.
-	takeLateWithin = 50 * time.Millisecond
-	// maxTakeLate bounds the pause of the process for which an exchange is extended.
-	maxTakeLate = time.Second
-)
+// takeLateWithin is how long data that has arrived may take to be read, once the process has a
+// processor.
+const takeLateWithin = 100 * time.Millisecond
 
-// extend lets an exchange whose deadline has passed go on for as long as the process was late
-// to notice it, and at least for takeLateWithin. It returns false if the context ended otherwise.
+// extend lets an exchange whose deadline has passed go on for takeLateWithin. It returns false
+// if the context ended otherwise.
 func (c *connection) extend(ctx context.Context) bool {
-	deadline, ok := ctx.Deadline()
-	if !ok || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return false
-	}
-	now := time.Now()
-	late := min(now.Sub(deadline), maxTakeLate)
-	return c.SetDeadline(now.Add(takeLateWithin+late)) == nil
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) && c.SetDeadline(time.Now().Add(takeLateWithin)) == nil
 }
 
 // discardUnsent makes Close drop the data that was not acknowledged.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -162,6 +162,10 @@
 	// surely not settled before: entries that are found to be removed earlier may be kept
 	// for longer if the outage lasts, or another one begins.
 	Outage, Settled time.Time
+	// Few is until when they are kept at most if they, and those that were written again, are
+	// less than a mass removal; zero if that makes no difference. An outage silences all
+	// backend servers alike, so that a few that are missing after it are likely to have left.
+	Few time.Time
 	// MassRemoval is how long removed entries are kept if there was no known
 	// outage, but many were removed at once.
 	MassRemoval time.Duration
@@ -173,8 +177,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := make(map[string]bool, len(servers))
+	rewritten := 0
 	for _, s := range servers {
 		listed[s.ID] = true
+		if r.rewrites(s) {
+			rewritten++
+		}
 	}
 	var missing []string
 	for id := range r.entries {
@@ -182,7 +190,7 @@
 			missing = append(missing, id)
 		}
 	}
-	r.extendGrace(now, grace, len(missing))
+	r.extendGrace(now, grace, len(missing), rewritten)
 	r.heldUntil = time.Time{}
 	var changes []Change
 	for _, s := range servers {
@@ -199,13 +207,16 @@
 func (r *Roster) Update(now time.Time, revision uint64, events []Event, grace Grace) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	missing := 0
+	missing, rewritten := 0, 0
 	for _, e := range events {
 		if _, known := r.entries[e.Server.ID]; known && e.Removed {
 			missing++
 		}
+		if !e.Removed && r.rewrites(e.Server) {
+			rewritten++
+		}
 	}
-	r.extendGrace(now, grace, missing)
+	r.extendGrace(now, grace, missing, rewritten)
 	var changes []Change
 	for _, e := range events {
 		if e.Removed {
@@ -220,14 +231,29 @@
 // minMassRemoval is the least number of entries that count as a mass removal.
 const minMassRemoval = 3
 
-// extendGrace updates graceUntil when this many entries were removed.
-func (r *Roster) extendGrace(now time.Time, grace Grace, removed int) {
+// rewrites reports whether a server's entry is a later one than the known one, as after it had
+// expired.
+func (r *Roster) rewrites(s Server) bool {
+	known, ok := r.entries[s.ID]
+	return ok && s.Revision > known.server.Revision
+}
+
+// isMass reports whether so many entries are a mass removal.
+func (r *Roster) isMass(count int) bool {
+	return count >= minMassRemoval && 2*count >= len(r.entries)
+}
+
+// extendGrace updates graceUntil when so many entries were removed, and so many written again.
+func (r *Roster) extendGrace(now time.Time, grace Grace, removed, rewritten int) {
 	hold := Hold{}
 	switch {
 	case !grace.Outage.IsZero():
 		hold, r.settled = Hold{Outage, grace.Outage}, grace.Settled
+		if !r.isMass(removed+rewritten) && !grace.Few.IsZero() && grace.Few.Before(hold.Until) {
+			hold.Until = grace.Few
+		}
 		r.prolong(hold.Until)
-	case removed >= minMassRemoval && 2*removed >= len(r.entries):
+	case r.isMass(removed):
 		hold = Hold{MassRemoval, now.Add(grace.MassRemoval)}
 	}
 	if hold.Until.After(r.graceUntil) {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -254,6 +254,40 @@
 	}
 }
 
+// TestFewMissingEntriesAreKeptForLess guards against a server that left in the moment at which the
+// store was back and is kept as if all entries had expired, and against one that is dropped too
+// early, as others have written theirs again before.
+func TestFewMissingEntriesAreKeptForLess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	grace := Grace{Outage: now.Add(2200 * time.Millisecond), Few: now.Add(1800 * time.Millisecond)}
+	var list []Server
+	for i := range 4 {
+		s := server(fmt.Sprint("i-", i), 1, 1, Ready)
+		s.Revision = uint64(i + 1)
+		list = append(list, s)
+	}
+	written := list[0]
+	written.Revision, written.Sequence = 20, 9
+	for name, c := range map[string]struct {
+		listed []Server
+		until  time.Time
+	}{
+		"one":                    {list[1:], grace.Few},
+		"two":                    {list[2:], grace.Few},
+		"three":                  {list[3:], grace.Outage},
+		"two, and one was":       {[]Server{written, list[3]}, grace.Outage},
+		"one, another has moved": {[]Server{written, list[2], list[3]}, grace.Few},
+	} {
+		var r Roster
+		r.Replace(now, 10, list, Grace{})
+		for _, change := range r.Replace(now, 21, c.listed, grace) {
+			if change.Kind == Missing {
+				assert.Equal(t, Hold{Outage, c.until}, change.Hold, name)
+			}
+		}
+	}
+}
+
 func TestExpiredEntriesReappear(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, b := at(5, server("a", 1, 1, Ready)), at(5, server("b", 1, 1, Ready))
--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -28,6 +28,9 @@
 	// busy refuses calls, open watches go on; refusing cuts these off.
 	busy     outageMode = "busy"
 	refusing outageMode = "refusing"
+	// stalled leaves calls open, and answers those that are open at the end: the store has no
+	// processor.
+	stalled outageMode = "stalled"
 	// forgetting is no outage: the store answers, but has discarded the changes that a watch
 	// asks for.
 	forgetting outageMode = "forgetting"
@@ -110,6 +113,16 @@
 func (s *troubledStore) enter(ctx context.Context, kind string) error {
 	time.Sleep(callTime)
 	s.mu.Lock()
+	for s.mode == stalled {
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		s.mu.Lock()
+	}
 	mode := s.mode
 	s.mu.Unlock()
 	switch mode {
@@ -536,6 +549,34 @@
 	assert.Empty(t, missing)
 }
 
+// TestServerThatLeavesAsTheStoreIsBackIsDroppedInTime guards against a server that leaves in the
+// moment in which a store without a processor goes on, and gets requests for longer than
+// LeaveWithin, as its entry might have expired meanwhile.
+func TestServerThatLeavesAsTheStoreIsBackIsDroppedInTime(t *testing.T) {
+	var late []string
+	for _, length := range []time.Duration{500, 1500, 3100, 4460, 9060} {
+		for _, processes := range []int{1, 3, 6} {
+			for after := time.Duration(0); after < 2400*time.Millisecond; after += 200 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					f := startFleet(t, processes, 5)
+					defer f.close()
+					time.Sleep(5*time.Second + rand.N(3*time.Second))
+					f.store.begin(stalled)
+					time.Sleep(length * time.Millisecond)
+					f.store.end()
+					time.Sleep(after)
+					f.store.write(store.Object{Key: "servers/i-0"})
+					time.Sleep(f.bound)
+					if users := f.uses("i-0"); len(users) > 0 || len(f.uses("i-1")) < processes {
+						late = append(late, fmt.Sprintf("%v ms, left %v after it, %d processes: used by %v", int(length), after, processes, users))
+					}
+				})
+			}
+		}
+	}
+	assert.Empty(t, late)
+}
+
 // TestServerThatLeavesWhileTheStoreAnswersIsDroppedInTime guards against a backend server that
 // gets requests for as long as some calls to the store fail though it answers the others, or
 // as it answers watches with lost history, as if that were an outage in which the server's
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -108,6 +108,9 @@
 	switch {
 	case known && now.Before(last.Seen.Add(roster.OutageGrace)):
 		g.Outage, g.Settled = n.keepUntil(last), last.NotBefore.Add(n.settledAfter())
+		if n.LeaveWithin > 0 {
+			g.Few = last.Seen.Add(n.LeaveWithin - leaveMargin)
+		}
 	case !known && outage:
 		g.Outage, g.Settled = now.Add(roster.OutageGrace), now.Add(n.settledAfter())
 	}
