follow, core: a short hold counts from the last failure before the store's answer (DRAIN)

Cause: the hold of a few missing servers counted from the first answer that a process gets, which is up to a pause of 0.6 s after the store is back. A removal in that pause was held for longer than LeaveWithin by that process, until a peer reported it.

Change: Outage.LastFailed is when the last call ended that failed before the first answer. The store has answered nobody until then, so that the hold counts from it.

TestLastFailedBoundsTheFirstAnswer is new.

--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -577,6 +577,28 @@
 	assert.Empty(t, late)
 }
 
+// TestServersThatLeaveTogetherAsTheStoreIsBackAreDropped guards against the same for three
+// servers of five, whose entries are as many as expire in an outage.
+func TestServersThatLeaveTogetherAsTheStoreIsBackAreDropped(t *testing.T) {
+	for _, processes := range []int{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, processes, 5)
+			defer f.close()
+			time.Sleep(5 * time.Second)
+			f.store.begin(stalled)
+			time.Sleep(4460 * time.Millisecond)
+			f.store.end()
+			for i := range 3 {
+				f.store.write(store.Object{Key: fmt.Sprint("servers/i-", i)})
+			}
+			time.Sleep(f.bound)
+			for i := range 3 {
+				assert.Empty(t, f.uses(fmt.Sprint("i-", i)), processes)
+			}
+		})
+	}
+}
+
 // TestServerThatLeavesWhileTheStoreAnswersIsDroppedInTime guards against a backend server that
 // gets requests for as long as some calls to the store fail though it answers the others, or
 // as it answers watches with lost history, as if that were an outage in which the server's
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -109,7 +109,7 @@
 	case known && now.Before(last.Seen.Add(roster.OutageGrace)):
 		g.Outage, g.Settled = n.keepUntil(last), last.NotBefore.Add(n.settledAfter())
 		if n.LeaveWithin > 0 {
-			g.Few = last.Seen.Add(n.LeaveWithin - leaveMargin)
+			g.Few = firstAnswer(last).Add(n.LeaveWithin - leaveMargin)
 		}
 	case !known && outage:
 		g.Outage, g.Settled = now.Add(roster.OutageGrace), now.Add(n.settledAfter())
@@ -117,6 +117,15 @@
 	return g
 }
 
+// firstAnswer returns the earliest time at which the store can have answered anybody after an
+// outage: it answered none of this process's calls before.
+func firstAnswer(o follow.Outage) time.Time {
+	if o.LastFailed.IsZero() {
+		return o.Seen
+	}
+	return o.LastFailed
+}
+
 // foundAfter returns how long after the removal of a backend server's entry this process may
 // find it: if that followed another change, the store's answer to that, the longest pause after
 // changes, 5/4 of the mean, and the next call come before.
--- a/internal/state/follow/health.go
+++ b/internal/state/follow/health.go
@@ -29,8 +29,9 @@
 
 // failures are the consecutive failures of a caller.
 type failures struct {
-	// since is when the first happened, called when the last failed call began.
-	since, called time.Time
+	// since is when the first happened, called when the last failed call began, and ended
+	// when one did so last.
+	since, called, ended time.Time
 	// answered is set once the store has answered a later call of another caller. What
 	// fails since then is not the store.
 	answered bool
@@ -48,6 +49,9 @@
 	// Seen is when it had ended: a call succeeded. If Lasting is set, it had not.
 	Seen    time.Time
 	Lasting bool
+	// LastFailed is when the last call that failed before Seen ended: until then the store
+	// answered none. Zero if that isn't known.
+	LastFailed time.Time
 	// Failed names the caller whose call set NotBefore, Answered that whose call set Seen.
 	Failed, Answered string
 }
@@ -89,6 +93,7 @@
 	if called.After(f.called) {
 		f.called = called
 	}
+	f.ended = now
 	if !f.logged && !f.answered && now.Sub(f.since) > outageAfter {
 		f.logged = true
 		h.logBegin(now, caller, f)
@@ -103,10 +108,29 @@
 	}
 }
 
+// withLastFailed sets LastFailed by the failures that are known now, or as it was when the same
+// outage ended.
+func (h *Health) withLastFailed(o Outage) Outage {
+	if o.Seen.Equal(h.last.Seen) {
+		o.LastFailed = h.last.LastFailed
+	} else {
+		o.LastFailed = time.Time{}
+		for _, f := range h.failing {
+			if f.ended.After(o.LastFailed) && !f.ended.After(o.Seen) {
+				o.LastFailed = f.ended
+			}
+		}
+	}
+	if !o.LastFailed.IsZero() && o.NotBefore.After(o.LastFailed) {
+		o.LastFailed = o.NotBefore
+	}
+	return o
+}
+
 // end records what is known of the end of an outage, and logs it if that is news.
 func (h *Health) end(o Outage) {
 	before := h.last
-	h.last = before.and(o)
+	h.last = h.withLastFailed(before.and(o))
 	if h.Log == nil || h.last == before || h.last.Lasting && before.Lasting {
 		return
 	}
@@ -123,10 +147,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if f, ok := h.failing[caller]; ok {
-		delete(h.failing, caller)
 		if !f.answered && now.Sub(f.since) > outageAfter {
 			h.end(Outage{NotBefore: f.called, Seen: now, Failed: caller, Answered: caller})
 		}
+		delete(h.failing, caller)
 	}
 }
 
@@ -178,5 +202,5 @@
 			last = last.and(Outage{NotBefore: f.called, Seen: now, Lasting: true, Failed: caller})
 		}
 	}
-	return last, !last.Seen.IsZero()
+	return h.withLastFailed(last), !last.Seen.IsZero()
 }
--- a/internal/state/follow/health_test.go
+++ b/internal/state/follow/health_test.go
@@ -114,3 +114,23 @@
 	assert.Equal(t, map[string]any{"Failed": "servers", "Failing": time.Duration(1040) * time.Millisecond, "NotBefore": at(1040)}, logged[0].ContextMap())
 	assert.Equal(t, map[string]any{"NotBefore": at(2080), "Failed": "servers", "Seen": at(3100), "Answered": "config", "Lasting": false}, logged[1].ContextMap())
 }
+
+// TestLastFailedBoundsTheFirstAnswer guards against a hold that counts from when one task of a
+// process has seen that the store is back, a pause after it was.
+func TestLastFailedBoundsTheFirstAnswer(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var h Health
+	h.RecordFailure(at(0), at(1000), "a")
+	h.RecordFailure(at(100), at(1100), "b")
+	h.RecordFailure(at(1050), at(2050), "a")
+	h.RecordAnswer(at(2450), at(2500), "c")
+	last, ok := h.Last(at(2600))
+	assert.True(t, ok)
+	assert.Equal(t, at(2050), last.LastFailed)
+	h.RecordFailure(at(1600), at(2650), "b")
+	h.RecordSuccess(at(2700), "b")
+	last, _ = h.Last(at(2800))
+	assert.Equal(t, at(2500), last.Seen)
+	assert.Equal(t, at(2050), last.LastFailed, "a call that failed after the first answer says nothing of the time before")
+}
