follow: the last failure before an answer is not long ago (DRAIN)

Cause: a task whose call fails and that calls again 3 s later made the short hold of a few servers count from that failure, so that a server whose entry had expired was dropped at once.

--- a/internal/state/follow/health.go
+++ b/internal/state/follow/health.go
@@ -50,7 +50,8 @@
 	Seen    time.Time
 	Lasting bool
 	// LastFailed is when the last call that failed before Seen ended: until then the store
-	// answered none. Zero if that isn't known.
+	// answered none. It is at most the longest pause between two calls before Seen, as a
+	// process that didn't call knows nothing. Zero if it isn't known.
 	LastFailed time.Time
 	// Failed names the caller whose call set NotBefore, Answered that whose call set Seen.
 	Failed, Answered string
@@ -121,8 +122,13 @@
 			}
 		}
 	}
-	if !o.LastFailed.IsZero() && o.NotBefore.After(o.LastFailed) {
-		o.LastFailed = o.NotBefore
+	if o.LastFailed.IsZero() {
+		return o
+	}
+	for _, earliest := range []time.Time{o.NotBefore, o.Seen.Add(-maxBackoff * 3 / 2)} {
+		if earliest.After(o.LastFailed) {
+			o.LastFailed = earliest
+		}
 	}
 	return o
 }
