core, roster: a process asks whether an outage lasts as it finds entries removed (DRAIN)

What callers saw: a server whose entry is removed 0.5 to 2 s after the store has begun to refuse calls for one kind of objects, and answers all others, got requests for 2.2 s (2.0 allowed). Found by our own test, no client saw it.

Cause: such failures count as an outage until a call that was made later is answered; the poll that brought the removal had been made before, the next one is answered after two seconds. Until then each tick moved the server's end to 2.2 s from the present, also if it alone was missing. That an earlier call's answer ends nothing is kept: a store that refuses new calls may still hold open ones (TestHealth).

Change: as entries are found removed while an outage lasts, the servers are listed at once, without the pause after changes, one call for each time at which entries go missing. roster.Prolong keeps fewer than a mass for Grace.Few, as Replace and Update do.

Why it works: the call was made after the failures had begun, so that its answer ends the outage by the rule there is, 20 ms after the removal was found; then at most 1.85 s are left. In an outage it fails and changes nothing.

TestFewMissingEntriesAreKeptForLessAlsoInAnOutage is new.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -248,10 +248,7 @@
 	hold := Hold{}
 	switch {
 	case !grace.Outage.IsZero():
-		hold, r.settled = Hold{Outage, grace.Outage}, grace.Settled
-		if !r.isMass(removed+rewritten) && !grace.Few.IsZero() && grace.Few.Before(hold.Until) {
-			hold.Until = grace.Few
-		}
+		hold, r.settled = Hold{Outage, r.outageUntil(grace, removed+rewritten)}, grace.Settled
 		r.prolong(hold.Until)
 	case r.isMass(removed):
 		hold = Hold{MassRemoval, now.Add(grace.MassRemoval)}
@@ -318,15 +315,29 @@
 	return changes
 }
 
-// Prolong keeps the servers whose entries were removed before the store had settled until a
-// time, as the outage lasts.
-func (r *Roster) Prolong(until time.Time) {
+// Prolong keeps the servers whose entries were removed before the store had settled as long as
+// grace says, as the outage lasts.
+func (r *Roster) Prolong(grace Grace) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.prolong(until)
+	missing := 0
+	for _, e := range r.entries {
+		if e.outage {
+			missing++
+		}
+	}
+	r.prolong(r.outageUntil(grace, missing))
+}
+
+// outageUntil returns until when so many entries are kept because of an outage.
+func (r *Roster) outageUntil(grace Grace, count int) time.Time {
+	if !r.isMass(count) && !grace.Few.IsZero() && grace.Few.Before(grace.Outage) {
+		return grace.Few
+	}
+	return grace.Outage
 }
 
-// prolong is Prolong with r.mu held.
+// prolong keeps them until a time. r.mu must be held.
 func (r *Roster) prolong(until time.Time) {
 	for id, e := range r.entries {
 		if e.outage && until.After(e.expires) {
@@ -350,6 +361,20 @@
 	return next
 }
 
+// LastMissing returns when the last of these entries was found to be removed; zero if there are
+// none.
+func (r *Roster) LastMissing() time.Time {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var last time.Time
+	for _, e := range r.entries {
+		if e.outage && e.missing.After(last) {
+			last = e.missing
+		}
+	}
+	return last
+}
+
 // LongestHold returns the longest time for which a backend server was kept after its entry was
 // found to be removed, of those that were dropped since.
 func (r *Roster) LongestHold() time.Duration {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -288,6 +288,30 @@
 	}
 }
 
+// TestFewMissingEntriesAreKeptForLessAlsoInAnOutage guards against a server that is kept as if
+// many were missing, as it was found missing while the outage lasted.
+func TestFewMissingEntriesAreKeptForLessAlsoInAnOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	graceAt := func(seen time.Time) Grace {
+		return Grace{Outage: seen.Add(2200 * time.Millisecond), Settled: seen.Add(3 * time.Second), Few: seen.Add(1800 * time.Millisecond)}
+	}
+	list := []Server{server("i-0", 1, 1, Ready), server("i-1", 1, 1, Ready), server("i-2", 1, 1, Ready), server("i-3", 1, 1, Ready)}
+	for missing, until := range map[int]time.Duration{1: 2800 * time.Millisecond, 2: 2800 * time.Millisecond, 3: 3200 * time.Millisecond} {
+		var r Roster
+		r.Replace(now, 10, list, Grace{})
+		var events []Event
+		for _, s := range list[:missing] {
+			events = append(events, Event{Server: Server{ID: s.ID}, Removed: true})
+		}
+		r.Update(now, 11, events, graceAt(now))
+		assert.Equal(t, now, r.LastMissing())
+		r.Prolong(graceAt(now.Add(time.Second)))
+		assert.Empty(t, r.Expire(now.Add(until-1)), missing)
+		assert.Len(t, r.Expire(now.Add(until)), missing)
+		assert.Zero(t, r.LastMissing())
+	}
+}
+
 func TestExpiredEntriesReappear(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, b := at(5, server("a", 1, 1, Ready)), at(5, server("b", 1, 1, Ready))
--- a/internal/node/core/node.go
+++ b/internal/node/core/node.go
@@ -140,11 +140,11 @@
 	incarnation   uint64
 	peers         peers.Table
 	tableFollower *follow.Follower
-	// serversFollower is that of the backend servers, confirmed for which time it was last
-	// made to list them; that is of the task Tick.
-	serversFollower *follow.Follower
-	confirmed       time.Time
-	health          follow.Health
+	// serversFollower is that of the backend servers. confirmed says for which time it was last
+	// made to list them, asked when it was for an outage; both are of the task Tick.
+	serversFollower  *follow.Follower
+	confirmed, asked time.Time
+	health           follow.Health
 	// storeDelay is how long the store takes to answer.
 	storeDelay delay
 	// relayed is nil without Relays.
@@ -234,7 +234,7 @@
 	n.prepareRelays()
 	n.tableFollower = n.follower(n.Keys.TableKind, &tableView{n}, n.tablePollTimeout, n.debounce)
 	n.tableFollower.Feed = n.tableFeed()
-	n.serversFollower = n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.jittered(n.serversDebounce))
+	n.serversFollower = n.follower(n.Keys.ServersKind, &serversView{n}, n.pollTimeout, n.pauseAfterChanges)
 	n.Meters.Gauge("TableVersion", func() int64 { return int64(n.Version()) })
 	n.Meters.Gauge("BackendServers", func() int64 { return int64(n.roster.Len()) })
 	n.Meters.Gauge("LongestHoldMs", func() int64 { return n.roster.LongestHold().Milliseconds() })
--- a/internal/node/core/store.go
+++ b/internal/node/core/store.go
@@ -172,8 +172,9 @@
 // expireServers drops the servers whose entries were not written again in time. Those that
 // are missing because of an outage are kept while it lasts, or another one has begun.
 func (n *Node) expireServers(now time.Time) {
-	if last, known := n.health.Last(now); known && last.Lasting && last.Seen.Equal(now) {
-		n.roster.Prolong(n.keepUntil(last))
+	if n.outageLasts(now) {
+		n.roster.Prolong(n.grace(now, false))
+		n.askWhetherItLasts(now)
 	}
 	next := n.roster.NextGone()
 	if !next.IsZero() && !next.Equal(n.confirmed) && now.After(next.Add(-confirmBefore)) && n.serversFollower.Relist() {
@@ -183,6 +184,30 @@
 	n.handleChanges(n.roster.Expire(now))
 }
 
+// outageLasts reports whether the store has an outage now.
+func (n *Node) outageLasts(now time.Time) bool {
+	last, known := n.health.Last(now)
+	return known && last.Lasting && last.Seen.Equal(now)
+}
+
+// askWhetherItLasts lists the backend servers once more as some are found missing in an outage.
+// That they are may be the store's answer to an earlier call, and the outage one of calls for
+// other objects only: a later call that is answered ends it.
+func (n *Node) askWhetherItLasts(now time.Time) {
+	if n.roster.LastMissing().After(n.asked) && n.serversFollower.Relist() {
+		n.asked = now
+	}
+}
+
+// pauseAfterChanges returns the pause after changes of the backend servers: none in an outage,
+// as the next call shows whether it lasts.
+func (n *Node) pauseAfterChanges() time.Duration {
+	if n.outageLasts(time.Now()) {
+		return 0
+	}
+	return n.jittered(n.serversDebounce)()
+}
+
 // leaveMargin is how long before the end of LeaveWithin a removed backend server
 // is dropped, since a request may already be on its way to it.
 const leaveMargin = 150 * time.Millisecond
