core: the paths of the first postmortem that were only read are played (CONFIG, keys)

Cause of this change: docs/incidents/2026-12-07-left-after-outage.md lists six paths of the class "a hold that counts from when we see something" as "read only". Two that have a promise with a time are played now.

No code of the product is changed.

--- a/internal/node/core/accounts_test.go
+++ b/internal/node/core/accounts_test.go
@@ -129,6 +129,58 @@
 	})
 }
 
+// lateFeed is a store that answers as it should, and whose answers arrive late.
+type lateFeed struct {
+	unreachableFeed
+	late time.Duration
+	// answered is when the store last gave an answer.
+	answered time.Time
+}
+
+func (f *lateFeed) List(ctx context.Context, kind, after string) (store.Page, error) {
+	p, err := f.unreachableFeed.List(ctx, kind, after)
+	f.arrive(err)
+	return p, err
+}
+
+func (f *lateFeed) Changes(ctx context.Context, kind string, after uint64, wait time.Duration) (store.Page, error) {
+	p, err := f.unreachableFeed.Changes(ctx, kind, after, wait)
+	f.arrive(err)
+	return p, err
+}
+
+// arrive waits until an answer that is given now arrives.
+func (f *lateFeed) arrive(err error) {
+	if err == nil {
+		f.answered = time.Now()
+		time.Sleep(f.late)
+	}
+}
+
+// TestKeysAreConfirmedAsOfTheStoresAnswer guards against withdrawn keys that go on working for
+// longer than RevokeWithin, as an answer of the store that arrived late, or was read late after a
+// pause of the process, counts from when it was read.
+func TestKeysAreConfirmedAsOfTheStoresAnswer(t *testing.T) {
+	for _, late := range []time.Duration{0, 200 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			feed := &lateFeed{late: late}
+			n := newNode(t)
+			n.Feed, n.WatchFor, n.StrictRevoke, n.RevokeWithin = feed, 2*time.Second, true, 5*time.Second
+			n.Prepare()
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); _ = n.tableFollower.Run(ctx) }()
+			time.Sleep(20 * time.Second)
+			assert.False(t, n.Broker.Unconfirmed(time.Now()), late)
+			feed.down.Store(true)
+			time.Sleep(5 * time.Second)
+			assert.True(t, n.Broker.Unconfirmed(feed.answered.Add(n.RevokeWithin)), late)
+			cancel()
+			<-done
+		})
+	}
+}
+
 // TestProcessesCutOffTogether guards against revoked keys that go on working where processes
 // without the store confirm each other's configuration, and against a process without the
 // store that rejects keys though a peer reaches it.
--- a/internal/node/core/outage_test.go
+++ b/internal/node/core/outage_test.go
@@ -118,6 +118,44 @@
 	assert.Empty(t, late)
 }
 
+// configurationWithin is the promise on configurations that change.
+const configurationWithin = 2 * time.Second
+
+// TestConfigurationThatChangesAfterAnOutageIsActiveInTime guards against an older configuration
+// that stays in force as the poll that would bring the new one was lost in an outage. It is
+// changed when the store is stable again, and in the moment in which one without a processor
+// goes on.
+func TestConfigurationThatChangesAfterAnOutageIsActiveInTime(t *testing.T) {
+	var late []string
+	change := func(f *fleet, what string) {
+		f.store.write(configObject(4))
+		time.Sleep(configurationWithin)
+		for _, n := range f.nodes {
+			if n.Version() != 4 {
+				late = append(late, fmt.Sprintf("%s: %s of %d has %d", what, n.Name, len(f.nodes), n.Version()))
+			}
+		}
+	}
+	eachOutage(t, []int{1, 3, 6, 13, 23}, 2, func(f *fleet, o outages, round int) {
+		after := settled + time.Duration(round%5)*250*time.Millisecond
+		ended := o.play(f, func() {})
+		time.Sleep(time.Until(ended.Add(after)))
+		change(f, fmt.Sprintf("%v, %v after it", o, after))
+	})
+	for _, length := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 4460 * time.Millisecond} {
+		for _, processes := range []int{1, 3, 6} {
+			inFleet(t, processes, 2, func(_ *testing.T, f *fleet) {
+				time.Sleep(rand.N(3 * time.Second))
+				f.store.begin(stalled)
+				time.Sleep(length)
+				f.store.end()
+				change(f, fmt.Sprintf("%v without a processor", length))
+			})
+		}
+	}
+	assert.Empty(t, late)
+}
+
 // TestServersWhoseEntriesExpiredInAnOutageAreUsed guards against backend servers that get no
 // requests after an outage of the store in which their entries expired, though they have
 // written them again within two seconds.
