core: the walk of 4,200 orders runs without the race detector

That their number is the cause is suspected, not shown: 6 other whole runs with them were green.

No check, bound or order is gone.

--- a/internal/node/core/outagelarge_test.go
+++ b/internal/node/core/outagelarge_test.go
@@ -1,8 +1,7 @@
 //go:build !race
 
-// The race detector of Go 1.26 has ended itself once with a failed check of its own
-// (tsan_rtl.cpp:282) in the tests of this package, suspected to be for these bubbles of up to 23
-// processes. .ci/run runs this file without it; smaller ones run the same code with it.
+// .ci/run runs this file without the race detector, see walk_test.go; smaller bubbles run the same
+// code with it.
 
 package core
 
--- a/internal/node/core/walk_test.go
+++ b/internal/node/core/walk_test.go
@@ -1,3 +1,9 @@
+//go:build !race
+
+// The race detector of Go 1.26 has ended itself twice in the tests of this package, after over
+// 1,000 bubbles (tsan_rtl.cpp:282, and a fault in its own code below a timer), suspected to be for
+// their number, most of which these orders are. .ci/run plays all of them without it.
+
 package core
 
 import (
